Add reader, writer and difference of the operators' file, fold, service and the examples

The reader checks size, depth, number of values and duplicate members before it allocates, and reports all faults with path and accepted values. A refresh record carries the offset up to which its author had folded the stream; a reader that starts in a trimmed stream uses it only when it has seen every record after that offset, since a late refresh of an old version would otherwise let it accept a record that all others refuse.

--- a/src/configuration/ClusterFileReader.h
+++ b/src/configuration/ClusterFileReader.h
@@ -32,7 +32,7 @@
 /// Bounds of a file. They are checked before memory in proportion to them is allocated.
 struct FileLimits {
     /// Bytes of the text, comments included.
-    std::size_t m_bytes = 1024 * 1024;
+    std::size_t m_bytes = 1U << 20U;
     /// Nesting of objects and arrays.
     std::size_t m_depth = 16;
     std::size_t m_failureDomains = 64;
--- a/src/configuration/ConfigurationFold.h
+++ b/src/configuration/ConfigurationFold.h
@@ -72,6 +72,8 @@
     std::uint64_t m_refreshes = 0;
     /// Refreshes that state an older version than the one in force.
     std::uint64_t m_staleRefreshes = 0;
+    /// Refreshes that state another content for the version in force. Daemons disagree; this must stay zero.
+    std::uint64_t m_divergentRefreshes = 0;
     /// States taken over from a refresh or a peer because records were missing.
     std::uint64_t m_adopted = 0;
 };
@@ -125,12 +127,14 @@
     };
 
     void foldApply(const ApplyRecord&);
-    void foldRefresh(const RefreshRecord&, std::uint64_t offset);
+    void foldRefresh(const RefreshRecord&, std::uint64_t offset, WallTime logTime);
+    /// Replaces version, content and history by those of a state; false when its content is no valid file.
+    bool load(const ConfigurationState&);
+    /// Takes over a state with the kept records after it; false when this would be a step back.
     bool takeOver(const ConfigurationState&);
     void remember(RecentRecord);
     void setOutcome(const RecordId&, RecordOutcome);
-    void addHistory(HistoryEntry);
-    std::optional<WallTime> timeOfFirstRecordFrom(std::uint64_t offset) const;
+    WallTime timeOfFirstRecordFrom(std::uint64_t offset, WallTime fallback) const;
 
     bool m_anchored = true;
     std::uint64_t m_nextOffset = 0;
--- a/src/configuration/ConfigurationRecord.h
+++ b/src/configuration/ConfigurationRecord.h
@@ -18,16 +18,19 @@
 /// Newest record format that this version reads. It writes the same format.
 inline constexpr std::uint32_t supportedRecordFormat = 1;
 /// Most bytes of an encoded record or state; below the 1 MiB of a message between daemons.
-inline constexpr std::size_t maxRecordBytes = 900 * 1024;
-/// Most bytes of the canonical file in a record, so that a refresh with escaped content and history stays below
-/// maxRecordBytes.
-inline constexpr std::size_t maxContentBytes = 384 * 1024;
+inline constexpr std::size_t maxRecordBytes = std::size_t { 900 } * 1024;
+/// Most bytes of the canonical file in a record; it leaves room for escapes and for the history.
+inline constexpr std::size_t maxContentBytes = std::size_t { 384 } * 1024;
 /// Most versions in the history.
 inline constexpr std::size_t maxHistoryEntries = 64;
 /// Most bytes of all history entries together; the oldest entries are dropped first.
-inline constexpr std::size_t maxHistoryBytes = 96 * 1024;
+inline constexpr std::size_t maxHistoryBytes = std::size_t { 96 } * 1024;
 /// Most change lines of one history entry.
 inline constexpr std::size_t maxHistoryChanges = 40;
+/// Most bytes of one change line of a history entry; longer lines are cut.
+inline constexpr std::size_t maxHistoryLineBytes = 320;
+/// Most bytes of an encoded state, so that a refresh record with its own members stays below maxRecordBytes.
+inline constexpr std::size_t maxStateBytes = maxRecordBytes - 1024;
 /// Most bytes of an author's name.
 inline constexpr std::size_t maxAuthorBytes = 128;
 
--- a/src/configuration/ConfigurationService.h
+++ b/src/configuration/ConfigurationService.h
@@ -4,6 +4,7 @@
 
 #include "configuration/ConfigurationFold.h"
 #include "configuration/ConfigurationMessages.h"
+#include "configuration/ServiceCounters.h"
 #include "model/Identifier.h"
 #include "model/Time.h"
 
@@ -50,13 +51,6 @@
     WallTime m_wall;
 };
 
-/// Counter of a refusal or retry reason.
-struct ReasonCount {
-    /// Stable label, for example "retry-append-unanswered".
-    std::string_view m_reason;
-    std::uint64_t m_count = 0;
-};
-
 enum class ConfigurationReadiness : std::uint8_t {
     /// Neither the end of the log nor a peer's state was seen.
     NotReady,
