--- /dev/null
+++ b/src/observability/LogEvent.h
@@ -0,0 +1,109 @@
+// The numbered log events. Numbers are stable: a retired number is not used again. docs/EVENTS.md is the catalogue.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace sapphiredale::observability {
+
+enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
+
+/// Name in lower case.
+std::string_view nameOf(Severity);
+
+/// Every event; the table in LogEvent.cpp has the same order.
+enum class LogEvent : std::uint8_t {
+    DaemonStarted,
+    DaemonStopping,
+    DaemonStopped,
+    SettingsRefused,
+    ListenerOpened,
+    ListenerFailed,
+    DaemonReady,
+    DaemonNotReady,
+    DrainTimedOut,
+    DrainStarted,
+    DrainFinished,
+    EventLoopDelayed,
+    ConfigurationAccepted,
+    ConfigurationRefused,
+    ConfigurationRefreshed,
+    ConfigurationCaughtUp,
+    ConfigurationUnconfirmed,
+    ConfigurationRecordInvalid,
+    ConfigurationTransferFailed,
+    ConfigurationRefreshOverdue,
+    WorkerLeaseAcquired,
+    WorkerLeaseLost,
+    WorkerLeaseRefused,
+    SchedulerBecame,
+    SchedulerCeased,
+    WorkerLost,
+    WorkerRestarted,
+    WorkerQuarantined,
+    WorkerReadmitted,
+    WorkerLeaving,
+    WorkerReportInvalid,
+    RecoveryFinished,
+    DomainWithoutScheduler,
+    TaskStarted,
+    TaskStopped,
+    TaskFailed,
+    TaskOrphaned,
+    TaskPreempted,
+    TaskOverused,
+    StartRefused,
+    JobAccepted,
+    JobRefused,
+    JobEnded,
+    JobFailed,
+    LogUnavailable,
+    LogRecovered,
+    AppendOutcomeUnknown,
+    LogRecordsExpired,
+    HostListUnavailable,
+    PeerJoined,
+    PeerSuspected,
+    PeerLeft,
+    PartitionSuspected,
+    PartitionHealed,
+    PeerMessageRefused,
+    PeerMessageDropped,
+    RequestRefused,
+    RequestFailed,
+    ResponseTruncated,
+    RequestRetried,
+    MinionLeased,
+    MinionEjected,
+    MinionReadmitted,
+    MinionLeaving,
+    MinionLeaseLost,
+    OverloadStarted,
+    OverloadEnded,
+    RetryBudgetExhausted,
+    ProtocolError,
+    BodyLimitExceeded,
+    SlowClientClosed,
+    ConnectionLimitReached,
+    InternalError,
+};
+
+inline constexpr std::size_t logEventCount = static_cast<std::size_t>(LogEvent::InternalError) + 1;
+
+/// Description of an event.
+struct LogEventEntry {
+    LogEvent m_event;
+    /// The thousands tell the area: 1 daemon, 2 configuration, 3 ownership, 4 tasks and jobs, 5 platform, 6 peers,
+    /// 7 requests, 8 clients, 9 internal.
+    std::uint16_t m_number;
+    Severity m_severity;
+    /// Stable name in lower case with hyphens.
+    std::string_view m_name;
+    std::string_view m_message;
+};
+
+/// The entry of an event; the table is complete, which is verified at compile time.
+const LogEventEntry& entryOf(LogEvent);
+
+} // namespace sapphiredale::observability
