--- a/src/peer/PeerTransport.h
+++ b/src/peer/PeerTransport.h
@@ -34,6 +34,8 @@
     std::uint32_t m_maxQueuedMessages = 256;
     /// Most bytes that wait for one peer. The default bounds 23 unreachable peers to 46 MiB, below the 128 MB budget.
     std::uint64_t m_maxQueuedBytes = std::uint64_t { 2 } << 20;
+    /// A message that waits longer for a connection is dropped, so that a peer that returns does not get old messages.
+    Duration m_maxQueueTime = std::chrono::seconds(5);
     /// Bounds of the wait between attempts to connect.
     Duration m_minReconnectWait = std::chrono::milliseconds(100);
     Duration m_maxReconnectWait = std::chrono::seconds(2);
@@ -53,15 +55,12 @@
     std::uint64_t m_bytesRefused = 0;
     /// Received messages whose sender is no peer.
     std::uint64_t m_unknownSender = 0;
-    /// Received messages that are older than one already received from the same incarnation, or repeated.
-    std::uint64_t m_outOfOrder = 0;
-    /// Messages that were not sent: full queue, no such peer, too large, peer removed or transport closed.
+    /// Messages that were not sent: full queue, waited too long, no such peer, too large, connection closed by us.
     std::uint64_t m_droppedQueueFull = 0;
+    std::uint64_t m_droppedExpired = 0;
     std::uint64_t m_droppedUnknownPeer = 0;
     std::uint64_t m_droppedTooLarge = 0;
     std::uint64_t m_droppedClosed = 0;
-    /// Attempts to send that the connection refused.
-    std::uint64_t m_sendFailures = 0;
 };
 
 /// Sends envelopes to peers and delivers those of peers. All functions may be called from several threads.
@@ -85,6 +84,9 @@
     /// Removes a peer; its waiting messages are dropped and its further messages are refused.
     void removePeer(const DaemonId&);
     std::vector<PeerAddress> peers() const;
+    /// Closes the connection to a peer and connects anew; waiting messages are dropped. For a peer that is silent:
+    /// after a partition the old connection may wait minutes for its next retransmission.
+    void reconnect(const DaemonId&);
 
     /// Queues a message without waiting. Fails with DomainUnreachable for an unknown peer, QueueFull, BodyTooLarge or
     /// ShuttingDown; success does not mean that the message arrives.
