--- /dev/null
+++ b/src/ownership/DomainLease.h
@@ -0,0 +1,180 @@
+// Majority lease of one daemon on the workers of its failure domain. The holder of unexpired leases on a majority of
+// the current and of the previous distinct worker set is the domain scheduler; two daemons cannot both hold one.
+#pragma once
+
+#include "model/Identifier.h"
+#include "model/Time.h"
+#include "ownership/Backoff.h"
+#include "ownership/Counters.h"
+#include "ownership/OwnershipActions.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sapphiredale::ownership {
+
+/// Settings of a DomainLease.
+struct DomainLeaseSettings {
+    FailureDomainId m_failureDomain;
+    DaemonId m_daemon;
+    /// Holder name in the protocol; it must differ for every start of the process, because a worker lets the same
+    /// holder renew the same epoch.
+    std::string m_holder;
+    std::uint64_t m_seed = 1;
+    /// Lease length: two long polls and a margin of 6 s for a pause.
+    Duration m_ttl = std::chrono::seconds(20);
+    /// Long poll of a renewal.
+    Duration m_wait = std::chrono::seconds(7);
+    /// Subtracted from every stored deadline: 2.5 % of the lease length covers the difference of two clocks' rates.
+    Duration m_clockMargin = std::chrono::milliseconds(500);
+    /// Lease length that a candidate requests. A grant whose answer was lost blocks the worker for this time only.
+    Duration m_campaignTtl = std::chrono::seconds(5);
+    /// A candidate without a majority gives up after this time.
+    Duration m_campaignTimeout = std::chrono::milliseconds(1500);
+    /// Time beyond m_wait after which a lease request counts as lost.
+    Duration m_answerTimeout = std::chrono::milliseconds(1500);
+    /// Least time between two renewals of one worker; bounds the traffic of a worker whose report changes all the time.
+    Duration m_leastRenewInterval = std::chrono::milliseconds(500);
+    /// A starting daemon listens for heartbeats before it becomes a candidate.
+    Duration m_startDelay = std::chrono::milliseconds(1500);
+    /// Silence after which the known scheduler counts as gone.
+    Duration m_schedulerSilence = std::chrono::seconds(3);
+    /// Each place in the order of candidates waits this much longer; it exceeds the time of one campaign.
+    Duration m_rankDelay = std::chrono::seconds(2);
+    BackoffSettings m_retry { std::chrono::milliseconds(200), std::chrono::seconds(5) };
+};
+
+/// A lease request that is to be sent; the domain scheduler completes it with the report sequence and acknowledgements.
+struct LeaseRequest {
+    RequestNumber m_request = 0;
+    WorkerId m_worker;
+    std::uint64_t m_epoch = 0;
+    Duration m_ttl {};
+    Duration m_wait {};
+    TimePoint m_deadline {};
+};
+
+/// A lease that is to be released.
+struct LeaseRelease {
+    WorkerId m_worker;
+    std::uint64_t m_epoch = 0;
+};
+
+using LeaseAction = std::variant<LeaseRequest, LeaseRelease>;
+
+/// Majority lease on the domain's workers.
+class DomainLease {
+public:
+    enum class Role : std::uint8_t { Standby, Candidate, Holder, Released };
+
+    explicit DomainLease(const DomainLeaseSettings&);
+
+    /// Sets the workers of the current file and of the previous distinct set. Leases on other workers are released.
+    void setWorkers(const std::vector<WorkerId>& current, const std::vector<WorkerId>& previous, TimePoint now);
+    /// Live daemons of the domain; their rendezvous order decides who becomes a candidate first.
+    void setCandidates(const std::vector<DaemonId>&, TimePoint now);
+    /// Another daemon said that it is the scheduler.
+    void schedulerSeen(const DaemonId&, std::uint64_t epoch, TimePoint now);
+    /// The known scheduler said that it no longer is one, or is leaving.
+    void schedulerStopped(const DaemonId&, TimePoint now);
+    /// Whether the worker's end is proven (gone for longer than lease and margin). It can hold no lease for anybody, so
+    /// it is left out of the sets of which a majority is needed.
+    void setEnded(const WorkerId&, bool ended);
+
+    /// Answer 200. True when the answer belongs to the request in flight; its report is to be used only then.
+    bool granted(const WorkerId&, RequestNumber, std::uint64_t epoch, TimePoint now);
+    /// Answer 409.
+    void rejected(const WorkerId&, RequestNumber, const LeaseRejection&, TimePoint now);
+    /// No answer, or an unusable one.
+    void timedOut(const WorkerId&, RequestNumber, TimePoint now);
+    /// A command was rejected as stale: the lease on this worker is lost.
+    void fenced(const WorkerId&, TimePoint now);
+    /// Cuts the wait before the next renewal of a worker, for example to deliver acknowledgements.
+    void renewSoon(const WorkerId&, TimePoint now);
+    /// Gives up every lease and stays released until the end.
+    void release(TimePoint now);
+
+    /// Requests and releases that are due, in the order in which they must be sent.
+    std::vector<LeaseAction> step(TimePoint now);
+    std::optional<TimePoint> nextWake() const;
+
+    Role role() const { return m_role; }
+    /// True while unexpired leases on both majorities are held. The answer is about the stored deadlines only.
+    bool isScheduler(TimePoint now) const;
+    /// Greatest epoch that was used for the present leases; zero when there are none.
+    std::uint64_t epoch() const;
+    /// Epoch of the lease on one worker; zero when it is not held at now.
+    std::uint64_t epochOn(const WorkerId&, TimePoint now) const;
+    bool holds(const WorkerId& worker, TimePoint now) const { return epochOn(worker, now) != 0; }
+    /// Instant at which the majority is lost if no further renewal succeeds.
+    std::optional<TimePoint> leaseEnd() const;
+    const Counters& counters() const { return m_counters; }
+
+private:
+    struct WorkerLease {
+        /// Request in flight, zero if none.
+        RequestNumber m_request = 0;
+        std::uint64_t m_requestEpoch = 0;
+        TimePoint m_sentAt {};
+        Duration m_requestTtl {};
+        TimePoint m_requestDeadline {};
+        /// Epoch of the lease that is held until m_deadline; zero if none was granted or it was given up.
+        std::uint64_t m_epoch = 0;
+        TimePoint m_deadline {};
+        /// Greatest epoch that this worker reported.
+        std::uint64_t m_seenEpoch = 0;
+        /// Stored expiry of another holder's lease.
+        TimePoint m_otherUntil {};
+        TimePoint m_nextAttempt {};
+        bool m_current = false;
+        bool m_previous = false;
+        bool m_ended = false;
+        /// True when the candidate's campaign has an answer or a timeout of this worker.
+        bool m_answered = false;
+        Backoff m_backoff;
+    };
+
+    struct Majority {
+        std::size_t m_size = 0;
+        std::size_t m_held = 0;
+        bool reached() const { return m_size == 0 || m_held * 2 > m_size; }
+    };
+
+    bool reachesMajority(TimePoint now) const;
+    bool anyWorkerCounts() const;
+    Duration rankDelay() const;
+    void scheduleCampaign(TimePoint earliest);
+    void startCampaign(TimePoint now);
+    void endCampaign(TimePoint now);
+    void becomeHolder(TimePoint now);
+    void loseMajority(TimePoint now);
+    void giveUpAll(TimePoint now);
+    void send(const WorkerId&, WorkerLease&, Duration ttl, Duration wait, TimePoint now);
+    void expireRequests(TimePoint now);
+    void renewDue(TimePoint now);
+    std::optional<TimePoint> othersMajorityEnd(TimePoint now) const;
+
+    DomainLeaseSettings m_settings;
+    JitterSource m_jitter;
+    Role m_role = Role::Standby;
+    std::map<WorkerId, WorkerLease> m_workers;
+    std::vector<DaemonId> m_candidates;
+    std::optional<DaemonId> m_knownScheduler;
+    TimePoint m_schedulerSeenAt {};
+    /// Greatest epoch seen anywhere; a campaign uses a greater one.
+    std::uint64_t m_seenEpoch = 0;
+    std::uint64_t m_epoch = 0;
+    RequestNumber m_nextRequest = 1;
+    /// Unset until the first step.
+    std::optional<TimePoint> m_campaignAt;
+    TimePoint m_campaignDeadline {};
+    Backoff m_campaignBackoff;
+    std::vector<LeaseAction> m_actions;
+    Counters m_counters;
+};
+
+} // namespace sapphiredale::ownership
--- /dev/null
+++ b/src/ownership/DomainScheduler.h
@@ -0,0 +1,320 @@
+// The scheduler of one failure domain: it joins the majority lease on the workers with the placement core, turns
+// decisions into worker commands and log records, and recovers the domain's state when it takes over.
+#pragma once
+
+#include "model/ClusterFile.h"
+#include "ownership/AppendQueue.h"
+#include "ownership/CellConcept.h"
+#include "ownership/Counters.h"
+#include "ownership/DomainLease.h"
+#include "ownership/HomeMap.h"
+#include "ownership/JobLedger.h"
+#include "ownership/OwnershipActions.h"
+#include "ownership/TermGuard.h"
+#include "ownership/WorkerTable.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sapphiredale::ownership {
+
+/// Settings of a DomainScheduler.
+struct DomainSchedulerSettings {
+    /// The failure domain, the daemon, the holder name and the seed are taken from here.
+    DomainLeaseSettings m_lease;
+    placement::CellSettings m_cell;
+    JobLedgerSettings m_ledger;
+    /// A new scheduler waits this long for the reports of the remaining workers before it decides anything.
+    Duration m_recoveryWait = std::chrono::seconds(2);
+    /// A submission or cancellation that the log has not confirmed after this time is answered.
+    Duration m_submissionTimeout = std::chrono::seconds(10);
+    std::size_t m_mostPendingSubmissions = 10000;
+    /// Records of open jobs are written again after this time: a third of the shortest retention, one day.
+    Duration m_rewriteAfter = std::chrono::hours(8);
+    /// An orderly handover waits this long for answers and appends.
+    Duration m_releaseTimeout = std::chrono::seconds(5);
+    /// Added to lapse time and lease length before the tasks of a silent domain are taken over: contact window of
+    /// Membership (25 s) and delays of its messages.
+    Duration m_lossMargin = std::chrono::seconds(40);
+    /// Interval of DomainPresent records while the file has a class with onDomainLoss "moveAfterLoss".
+    Duration m_presenceInterval = std::chrono::seconds(15);
+};
+
+/// A configuration in force, with what a scheduler needs of earlier ones.
+struct ActiveConfiguration {
+    ClusterFile m_file;
+    std::uint64_t m_version = 0;
+    /// Workers of all domains in the newest earlier version whose worker list differs; empty when there is none.
+    std::vector<WorkerSpec> m_previousWorkers;
+    /// Unfinished moves of service instances that earlier versions caused. A daemon that has seen every version since
+    /// may leave this empty, because the scheduler computes the moves between consecutive files itself.
+    std::vector<HomeMove> m_moves;
+};
+
+/// What the daemon can reach, from Membership and the log clients.
+struct Reach {
+    /// Last contact that other domains can confirm: a majority of the domains, or an own append that was confirmed.
+    std::optional<TimePoint> m_confirmedContact;
+    /// True when a majority of the domains is reached now.
+    bool m_majorityReached = false;
+    /// Last sign of life of every other domain, including what third domains report.
+    std::map<FailureDomainId, TimePoint> m_lastEvidence;
+};
+
+/// A task in the snapshot.
+struct TaskStatus {
+    TaskId m_task;
+    std::optional<WorkerId> m_worker;
+    std::uint32_t m_attempt = 0;
+    /// Name of the state: that of the worker's report, or "waiting".
+    std::string m_state;
+    std::string m_reason;
+    std::string m_detail;
+    std::string m_release;
+    std::string m_address;
+    Resources m_usage;
+    Resources m_declared;
+};
+
+/// A worker in the snapshot.
+struct WorkerStatus {
+    WorkerId m_worker;
+    bool m_leaseHeld = false;
+    bool m_reported = false;
+    bool m_accounted = true;
+    bool m_available = false;
+    std::uint64_t m_epoch = 0;
+    std::size_t m_tasks = 0;
+    std::size_t m_pendingCommands = 0;
+};
+
+/// State of the scheduler for status pages.
+struct DomainSnapshot {
+    std::string m_phase;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_version = 0;
+    std::optional<TimePoint> m_leaseEnd;
+    bool m_streamCaughtUp = false;
+    std::vector<WorkerStatus> m_workers;
+    std::vector<TaskStatus> m_tasks;
+    std::size_t m_openJobs = 0;
+    std::size_t m_heldJobs = 0;
+    std::size_t m_pendingAppends = 0;
+    std::size_t m_pendingSubmissions = 0;
+};
+
+/// Scheduler of one failure domain over a placement core. After one or more inputs the caller calls step() and carries
+/// out the actions; it calls step() again at nextWake().
+template <CellType Cell> class BasicDomainScheduler {
+public:
+    enum class Phase : std::uint8_t { Standby, Recovering, Active, Releasing, Released };
+
+    explicit BasicDomainScheduler(const DomainSchedulerSettings&);
+
+    /// A configuration came into force. Versions that are not newer than the known one have no effect.
+    void configure(const ActiveConfiguration&, TimePoint now);
+    /// Live daemons of the domain, from Membership.
+    void setCandidates(const std::vector<DaemonId>& daemons, TimePoint now) { m_lease.setCandidates(daemons, now); }
+    /// Another daemon of the domain says in a heartbeat that it is the scheduler.
+    void schedulerSeen(const DaemonId& daemon, std::uint64_t epoch, TimePoint now)
+    {
+        m_lease.schedulerSeen(daemon, epoch, now);
+    }
+    /// A daemon of the domain says that it is not the scheduler any more, or is leaving.
+    void schedulerStopped(const DaemonId& daemon, TimePoint now) { m_lease.schedulerStopped(daemon, now); }
+    /// State of a worker in the host list.
+    void workerListed(const WorkerId&, HostState, TimePoint now);
+    void setReach(const Reach& reach) { m_reach = reach; }
+
+    void leaseGranted(const WorkerId&, RequestNumber, const LeaseGrant&, TimePoint now);
+    void leaseRejected(const WorkerId&, RequestNumber, const LeaseRejection&, TimePoint now);
+    void leaseTimedOut(const WorkerId&, RequestNumber, TimePoint now);
+    void commandsAnswered(const WorkerId&, RequestNumber, const CommandsAnswer&, TimePoint now);
+    void commandsTimedOut(const WorkerId&, RequestNumber, TimePoint now);
+
+    /// A caller submits a job of this domain; the reply is an action.
+    void submitJob(SubmissionNumber, const placement::JobRequest&, TimePoint now);
+    /// A caller cancels a job; the reply is an action.
+    void cancelJob(SubmissionNumber, const JobId&, TimePoint now);
+
+    /// A record of a domain's stream was read. Records of one stream arrive in their order; repetitions are harmless.
+    void recordRead(const FailureDomainId& stream, const StreamRecord&, TimePoint now);
+    /// Every record that a stream held at queriedAt has been passed to recordRead. queriedAt is the instant at which
+    /// the read request that showed the end of the stream was sent.
+    void streamCaughtUp(const FailureDomainId& stream, TimePoint queriedAt, TimePoint now);
+    void appendFinished(const RecordId&, AppendOutcome, TimePoint now);
+
+    /// Starts an orderly handover; phase() is Released when it is done.
+    void beginRelease(TimePoint now);
+
+    /// Decides what is due and returns the actions in the order in which they must be carried out.
+    std::vector<OwnershipAction> step(TimePoint now);
+    /// Next time at which step() may do something without a further input.
+    TimePoint nextWake(TimePoint now) const;
+
+    Phase phase() const { return m_phase; }
+    bool isScheduler(TimePoint now) const { return inTerm() && m_lease.isScheduler(now); }
+    /// Epoch for heartbeats; zero when this daemon is not the scheduler.
+    std::uint64_t schedulerEpoch(TimePoint now) const { return isScheduler(now) ? m_lease.epoch() : 0; }
+    /// Unfinished moves of instances, to be handed on with the configuration.
+    std::vector<HomeMove> pendingMoves() const { return m_homes.pending(); }
+    const DomainLease& lease() const { return m_lease; }
+    const WorkerTable& workers() const { return m_workers; }
+    const JobLedger& jobs() const { return m_ledger; }
+    /// Sum of the counters of all parts.
+    std::uint64_t counted(CountedReason) const;
+    DomainSnapshot snapshot(TimePoint now) const;
+    /// Why a task runs where it runs, or why it waits; includes holds of this class.
+    placement::Explanation explain(const TaskId&, TimePoint now) const;
+
+private:
+    struct Submission {
+        SubmissionNumber m_number = 0;
+        placement::JobRequest m_request;
+        RecordId m_record;
+        TimePoint m_deadline {};
+    };
+
+    struct Cancellation {
+        SubmissionNumber m_number = 0;
+        JobId m_job;
+        TimePoint m_deadline {};
+    };
+
+    struct Instance {
+        WorkloadId m_workload;
+        bool m_submitted = false;
+    };
+
+    struct HostView {
+        HostState m_state = HostState::Live;
+        /// Since when the host list has shown the host as gone without a break.
+        TimePoint m_goneSince {};
+        bool m_endProven = false;
+    };
+
+    // DomainSchedulerTerm.h: ownership term, recovery, holds, configuration.
+    bool inTerm() const
+    {
+        return m_phase == Phase::Recovering || m_phase == Phase::Active || m_phase == Phase::Releasing;
+    }
+    void followLease(TimePoint now);
+    void startTerm(TimePoint now);
+    void endTerm(TimePoint now);
+    void applyWorkers(TimePoint now);
+    void updateHosts(TimePoint now);
+    void proveEnd(const WorkerId&, TimePoint now);
+    void updateAvailability(TimePoint now);
+    void drainRemovedWorkers(TimePoint now);
+    bool streamIsFresh() const { return m_streamReadAt && *m_streamReadAt >= m_guard.startedAt(); }
+    void releaseHolds(TimePoint now);
+    bool jobMayRun(const OpenJob&, TimePoint now) const;
+    bool enterJob(const OpenJob&, TimePoint now);
+    void reconcileInstances(TimePoint now);
+    bool instanceMayStart(const TaskId&, const ClassPolicy*, TimePoint now) const;
+    bool belongsHere(const TaskId&, const WorkloadSpec&, const ClassPolicy*, TimePoint now) const;
+    bool takeOver(const TaskId&, const FailureDomainId& home, TimePoint now);
+    void releaseOwedHomes(TimePoint now);
+    bool runsHere(const TaskId&) const;
+
+    // DomainSchedulerTasks.h: reports, commands, records, submissions.
+    void applyReport(const WorkerId&, const ReportChanges&, TimePoint now);
+    void taskSeen(const WorkerId&, const TaskReport&, TimePoint now);
+    void stopUnwanted(const WorkerId&, const TaskReport&, TimePoint now);
+    void stopDirectly(const WorkerId&, const TaskReport&, const std::string& reason, CountedReason, TimePoint now);
+    void recordEnd(const WorkerId&, const TaskReport&, TimePoint now);
+    void settle(const WorkerId&, const CommandFate&, TimePoint now);
+    void runCell(TimePoint now);
+    void carryOut(const placement::StartTask&, TimePoint now);
+    void carryOut(const placement::StopTask&, TimePoint now);
+    void carryOut(const placement::CheckpointTask&, TimePoint now);
+    void carryOut(const placement::ThrottleTask&, TimePoint now);
+    void carryOut(const placement::FailJob&, TimePoint now);
+    void carryOut(const placement::FinishJob&, TimePoint now);
+    void enqueue(const WorkerId&, const WorkerCommand&, TimePoint now);
+    void endJob(const JobId&, JobOutcome, const std::string& detail, TimePoint now);
+    void confirmed(const StreamRecord&, TimePoint now);
+    void folded(const JobAccepted&, TimePoint now);
+    void folded(const JobEnded&, TimePoint now);
+    void folded(const TaskEnded&, TimePoint now);
+    void folded(const HomeReleased&, TimePoint now);
+    void folded(const HomeTaken&, TimePoint) { }
+    void folded(const DomainPresent&, TimePoint) { }
+    void foldForeign(const FailureDomainId& stream, const StreamRecord&);
+    void expireSubmissions(TimePoint now);
+    void failSubmission(const Submission&, TimePoint now);
+    void rewriteOldJobs(TimePoint now);
+    void writePresence(TimePoint now);
+    void emitLease(const LeaseAction&, TimePoint now);
+    void emitCommands(TimePoint now);
+    void emitAppends(TimePoint now);
+    void reply(SubmissionNumber, const JobId&, Result<Unit>, bool durable);
+    void finishRelease(TimePoint now);
+
+    const WorkloadSpec* workloadOf(const TaskId&) const;
+    const WorkloadSpec* findWorkload(const WorkloadId&) const;
+    const ClassPolicy* classOf(const WorkloadSpec*) const;
+    void addStatusOfWorkers(DomainSnapshot&, TimePoint now) const;
+    void addStatusOfTasks(DomainSnapshot&, TimePoint now) const;
+    const FailureDomainId& domain() const { return m_settings.m_lease.m_failureDomain; }
+
+    DomainSchedulerSettings m_settings;
+    Phase m_phase = Phase::Standby;
+    ActiveConfiguration m_configuration;
+    /// The file with this domain's part of the quotas.
+    ClusterFile m_domainFile;
+    std::map<WorkloadId, const WorkloadSpec*> m_workloads;
+    std::map<ClassId, const ClassPolicy*> m_classes;
+    /// Workers of this domain in the file, and those only in the previous set.
+    std::map<WorkerId, WorkerSpec> m_currentWorkers;
+    std::map<WorkerId, WorkerSpec> m_formerWorkers;
+    /// Former workers whose tasks the cell still counts.
+    std::set<WorkerId> m_draining;
+
+    DomainLease m_lease;
+    WorkerTable m_workers;
+    JobLedger m_ledger;
+    AppendQueue m_appends;
+    TermGuard m_guard;
+    HomeMap m_homes;
+    Cell m_cell;
+    Counters m_counters;
+
+    Reach m_reach;
+    std::map<WorkerId, HostView> m_hosts;
+    std::map<WorkerId, TimePoint> m_lastRenewalSent;
+    std::map<WorkerId, TimePoint> m_lastContactSent;
+    std::optional<TimePoint> m_streamReadAt;
+    std::map<FailureDomainId, TimePoint> m_foreignReadAt;
+    std::map<FailureDomainId, TimePoint> m_foreignPresence;
+
+    std::set<WorkerId> m_available;
+    std::set<JobId> m_heldJobs;
+    std::set<JobId> m_jobsInCell;
+    std::set<JobId> m_memoryJobs;
+    std::set<JobId> m_endingJobs;
+    std::map<TaskId, Instance> m_instances;
+    bool m_holdsChanged = true;
+    TimePoint m_nextHoldCheck {};
+    TimePoint m_recoverUntil {};
+    TimePoint m_releaseUntil {};
+    TimePoint m_nextRewriteCheck {};
+    TimePoint m_nextPresence {};
+
+    std::map<JobId, Submission> m_submissions;
+    std::vector<Cancellation> m_cancellations;
+    /// Final states whose record is on its way, with the workers that wait for the acknowledgement.
+    std::map<TaskAttempt, std::set<WorkerId>> m_endsInAppend;
+    std::set<std::pair<WorkerId, TaskAttempt>> m_directStops;
+    std::set<std::pair<TaskId, std::uint64_t>> m_releasesInAppend;
+    std::vector<OwnershipAction> m_actions;
+};
+
+/// The scheduler with the real placement core.
+using DomainScheduler = BasicDomainScheduler<placement::Cell>;
+
+} // namespace sapphiredale::ownership
--- /dev/null
+++ b/src/ownership/QuotaShares.h
@@ -0,0 +1,23 @@
+// Division of the teams' quotas over the failure domains (design 2.9). The parts sum exactly to the whole, so that no
+// side of a partition can grant more than its part.
+#pragma once
+
+#include "model/ClusterFile.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace sapphiredale::ownership {
+
+/// Divides total in proportion to the weights by largest remainder; equal remainders go to the lower index. The parts
+/// sum to total; all are zero when every weight is zero. No argument may be negative.
+std::vector<std::int64_t> divideByLargestRemainder(std::int64_t total, const std::vector<std::int64_t>& weights);
+
+/// Capacity that the file declares in a failure domain.
+Resources declaredCapacity(const ClusterFile&, const FailureDomainId&);
+
+/// The file with the quotas of every team replaced by the part of one domain. Domains that are declared lost get
+/// nothing.
+ClusterFile fileForDomain(const ClusterFile&, const FailureDomainId&);
+
+} // namespace sapphiredale::ownership
