Add membership fields, minion list and explanations to the peer protocol

Cause: the membership core acknowledges heartbeats and sends differences, every daemon of a domain needs the list of running minions, and any daemon answers an operator's question why a task waits. Change: new heartbeat fields, MinionsQuery, MinionsReply, ExplainQuery and ExplainReply; a claim outcome says that the request did not run. Conclusion: the daemon can carry all messages of its cores.

--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -11,7 +11,8 @@
     constexpr std::array<std::string_view, messageKindCount> kindNames { "heartbeat", "heartbeat-ack",
         "configuration-request", "configuration-transfer", "submit-job", "submit-job-reply", "cancel-job",
         "cancel-job-reply", "job-status", "job-status-reply", "claim-request", "claim-reply", "claim-outcome",
-        "tasks-query", "tasks-reply", "workers-query", "workers-reply" };
+        "tasks-query", "tasks-reply", "workers-query", "workers-reply", "minions-query", "minions-reply",
+        "explain-query", "explain-reply" };
 
 } // namespace
 
@@ -37,6 +38,10 @@
         return TasksReply;
     case WorkersQuery:
         return WorkersReply;
+    case MinionsQuery:
+        return MinionsReply;
+    case ExplainQuery:
+        return ExplainReply;
     default:
         return std::nullopt;
     }
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -54,6 +54,19 @@
     bool m_isScheduler = false;
     /// Epoch of the domain lease; meaningful when m_isScheduler.
     std::uint64_t m_epoch = 0;
+    /// Number of this heartbeat among those of the sender's incarnation.
+    std::uint64_t m_sequence = 0;
+    /// Incarnation of the addressee and its greatest heartbeat number that the sender has received; zero for none.
+    std::uint64_t m_acknowledgedIncarnation = 0;
+    std::uint64_t m_acknowledgedSequence = 0;
+    /// Whether addresses, domain and version of the software, or version and hash of the configuration, are present.
+    bool m_hasDescription = false;
+    bool m_hasConfiguration = false;
+    /// Domains that the sender has not heard within its contact window.
+    std::vector<FailureDomainId> m_silentDomains;
+    std::string m_operatorAddress;
+    /// Offset up to which the sender has read the configuration stream.
+    std::uint64_t m_configurationNextOffset = 0;
 
     friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
@@ -191,6 +204,10 @@
     std::string m_key;
     RecordId m_claim;
     RecordedOutcome m_outcome;
+    /// True when the request provably did not run, so that the key may be claimed again.
+    bool m_notRun = false;
+    /// True when the body was too long or cut short and cannot be repeated.
+    bool m_incomplete = false;
 
     friend bool operator==(const ClaimOutcome&, const ClaimOutcome&) = default;
 };
@@ -260,10 +277,58 @@
     friend bool operator==(const WorkersReply&, const WorkersReply&) = default;
 };
 
+/// Asks a daemon of the same domain for the running minions. The reply has no rows when nothing changed.
+struct MinionsQuery {
+    /// Generation of the list that the sender has; zero for none.
+    std::uint64_t m_knownGeneration = 0;
+
+    friend bool operator==(const MinionsQuery&, const MinionsQuery&) = default;
+};
+
+struct MinionRow {
+    /// Task identifier of the minion.
+    MinionId m_minion;
+    WorkloadId m_workload;
+    std::string m_address;
+    std::uint32_t m_slots = 0;
+    std::uint32_t m_connections = 0;
+
+    friend bool operator==(const MinionRow&, const MinionRow&) = default;
+};
+
+struct MinionsReply {
+    /// Hash of the list, equal on all daemons that have the same list.
+    std::uint64_t m_generation = 0;
+    bool m_unchanged = false;
+    std::vector<MinionRow> m_rows;
+    std::optional<Error> m_error;
+
+    friend bool operator==(const MinionsReply&, const MinionsReply&) = default;
+};
+
+/// Asks the domain scheduler why a task runs where it runs, or why it waits.
+struct ExplainQuery {
+    TaskId m_task;
+
+    friend bool operator==(const ExplainQuery&, const ExplainQuery&) = default;
+};
+
+struct ExplainReply {
+    TaskId m_task;
+    std::string m_state;
+    WorkerId m_worker;
+    std::string m_reason;
+    std::string m_detail;
+    std::string m_release;
+    std::optional<Error> m_error;
+
+    friend bool operator==(const ExplainReply&, const ExplainReply&) = default;
+};
+
 /// Every message; the order is that of MessageKind.
 using Payload = std::variant<Heartbeat, HeartbeatAck, ConfigurationRequest, ConfigurationTransfer, SubmitJob,
     SubmitJobReply, CancelJob, CancelJobReply, JobStatus, JobStatusReply, ClaimRequest, ClaimReply, ClaimOutcome,
-    TasksQuery, TasksReply, WorkersQuery, WorkersReply>;
+    TasksQuery, TasksReply, WorkersQuery, WorkersReply, MinionsQuery, MinionsReply, ExplainQuery, ExplainReply>;
 
 /// Kind of a message, the index of its type in Payload.
 enum class MessageKind : std::uint8_t {
@@ -284,10 +349,14 @@
     TasksReply,
     WorkersQuery,
     WorkersReply,
+    MinionsQuery,
+    MinionsReply,
+    ExplainQuery,
+    ExplainReply,
 };
 
 inline constexpr std::size_t messageKindCount = std::variant_size_v<Payload>;
-static_assert(messageKindCount == static_cast<std::size_t>(MessageKind::WorkersReply) + 1);
+static_assert(messageKindCount == static_cast<std::size_t>(MessageKind::ExplainReply) + 1);
 
 /// Stable name of a kind in lower case with hyphens, a counter label.
 std::string_view nameOf(MessageKind);
--- a/src/peer/WireConversion.cpp
+++ b/src/peer/WireConversion.cpp
@@ -97,6 +97,15 @@
         }
         to.set_is_scheduler(from.m_isScheduler);
         to.set_epoch(from.m_epoch);
+        to.set_sequence(from.m_sequence);
+        to.set_acknowledged_incarnation(from.m_acknowledgedIncarnation);
+        to.set_acknowledged_sequence(from.m_acknowledgedSequence);
+        to.set_has_description(from.m_hasDescription);
+        to.set_has_configuration(from.m_hasConfiguration);
+        for (const FailureDomainId& domain : from.m_silentDomains)
+            to.add_silent_domains(domain.value());
+        to.set_operator_address(from.m_operatorAddress);
+        to.set_configuration_next_offset(from.m_configurationNextOffset);
     }
 
     void read(Reader& reader, wire::Heartbeat& from, Heartbeat& to)
@@ -120,6 +129,16 @@
         }
         to.m_isScheduler = from.is_scheduler();
         to.m_epoch = from.epoch();
+        to.m_sequence = from.sequence();
+        to.m_acknowledgedIncarnation = from.acknowledged_incarnation();
+        to.m_acknowledgedSequence = from.acknowledged_sequence();
+        to.m_hasDescription = from.has_description();
+        to.m_hasConfiguration = from.has_configuration();
+        reader.check(static_cast<std::size_t>(from.silent_domains_size()) <= maxRows);
+        for (std::string& domain : *from.mutable_silent_domains())
+            reader.take(&domain, to.m_silentDomains.emplace_back());
+        reader.takeName(from.mutable_operator_address(), to.m_operatorAddress);
+        to.m_configurationNextOffset = from.configuration_next_offset();
     }
 
     void write(const HeartbeatAck& from, wire::HeartbeatAck& to)
@@ -297,6 +316,8 @@
         to.set_key(from.m_key);
         to.set_claim(from.m_claim.value());
         write(from.m_outcome, to.mutable_outcome());
+        to.set_not_run(from.m_notRun);
+        to.set_incomplete(from.m_incomplete);
     }
 
     void read(Reader& reader, wire::ClaimOutcome& from, ClaimOutcome& to)
@@ -305,6 +326,8 @@
         reader.take(from.mutable_claim(), to.m_claim);
         reader.check(from.has_outcome());
         read(reader, *from.mutable_outcome(), to.m_outcome);
+        to.m_notRun = from.not_run();
+        to.m_incomplete = from.incomplete();
     }
 
     void write(const TasksQuery& from, wire::TasksQuery& to)
@@ -401,6 +424,68 @@
         readError(reader, from, to.m_error);
     }
 
+    void write(const MinionsQuery& from, wire::MinionsQuery& to) { to.set_known_generation(from.m_knownGeneration); }
+    void read(Reader&, wire::MinionsQuery& from, MinionsQuery& to) { to.m_knownGeneration = from.known_generation(); }
+
+    void write(const MinionsReply& from, wire::MinionsReply& to)
+    {
+        to.set_generation(from.m_generation);
+        to.set_unchanged(from.m_unchanged);
+        for (const MinionRow& row : from.m_rows) {
+            wire::MinionRow* added = to.add_rows();
+            added->set_minion(row.m_minion.value());
+            added->set_workload(row.m_workload.value());
+            added->set_address(row.m_address);
+            added->set_slots(row.m_slots);
+            added->set_connections(row.m_connections);
+        }
+        writeError(from.m_error, to);
+    }
+
+    void read(Reader& reader, wire::MinionsReply& from, MinionsReply& to)
+    {
+        to.m_generation = from.generation();
+        to.m_unchanged = from.unchanged();
+        reader.check(static_cast<std::size_t>(from.rows_size()) <= maxRows);
+        for (wire::MinionRow& row : *from.mutable_rows()) {
+            MinionRow& added = to.m_rows.emplace_back();
+            reader.take(row.mutable_minion(), added.m_minion);
+            reader.take(row.mutable_workload(), added.m_workload);
+            reader.takeName(row.mutable_address(), added.m_address);
+            added.m_slots = row.slots();
+            added.m_connections = row.connections();
+        }
+        readError(reader, from, to.m_error);
+    }
+
+    void write(const ExplainQuery& from, wire::ExplainQuery& to) { to.set_task(from.m_task.value()); }
+    void read(Reader& reader, wire::ExplainQuery& from, ExplainQuery& to)
+    {
+        reader.take(from.mutable_task(), to.m_task);
+    }
+
+    void write(const ExplainReply& from, wire::ExplainReply& to)
+    {
+        to.set_task(from.m_task.value());
+        to.set_state(from.m_state);
+        to.set_worker(from.m_worker.value());
+        to.set_reason(from.m_reason);
+        to.set_detail(from.m_detail);
+        to.set_release(from.m_release);
+        writeError(from.m_error, to);
+    }
+
+    void read(Reader& reader, wire::ExplainReply& from, ExplainReply& to)
+    {
+        reader.take(from.mutable_task(), to.m_task);
+        reader.takeName(from.mutable_state(), to.m_state);
+        reader.take(from.mutable_worker(), to.m_worker);
+        reader.takeName(from.mutable_reason(), to.m_reason);
+        to.m_detail = std::move(*from.mutable_detail());
+        to.m_release = std::move(*from.mutable_release());
+        readError(reader, from, to.m_error);
+    }
+
     struct PayloadWriter {
         wire::Envelope& m_to;
 
@@ -421,6 +506,10 @@
         void operator()(const TasksReply& m) const { write(m, *m_to.mutable_tasks_reply()); }
         void operator()(const WorkersQuery& m) const { write(m, *m_to.mutable_workers_query()); }
         void operator()(const WorkersReply& m) const { write(m, *m_to.mutable_workers_reply()); }
+        void operator()(const MinionsQuery& m) const { write(m, *m_to.mutable_minions_query()); }
+        void operator()(const MinionsReply& m) const { write(m, *m_to.mutable_minions_reply()); }
+        void operator()(const ExplainQuery& m) const { write(m, *m_to.mutable_explain_query()); }
+        void operator()(const ExplainReply& m) const { write(m, *m_to.mutable_explain_reply()); }
     };
 
     template <typename Message, typename Wire> ReadResult readInto(Wire* from, Payload& to)
@@ -472,6 +561,14 @@
         return readInto<WorkersQuery>(from.mutable_workers_query(), to);
     case Case::kWorkersReply:
         return readInto<WorkersReply>(from.mutable_workers_reply(), to);
+    case Case::kMinionsQuery:
+        return readInto<MinionsQuery>(from.mutable_minions_query(), to);
+    case Case::kMinionsReply:
+        return readInto<MinionsReply>(from.mutable_minions_reply(), to);
+    case Case::kExplainQuery:
+        return readInto<ExplainQuery>(from.mutable_explain_query(), to);
+    case Case::kExplainReply:
+        return readInto<ExplainReply>(from.mutable_explain_reply(), to);
     case Case::PAYLOAD_NOT_SET:
         break;
     }
