Add the domain scheduler with lease, recovery, homes and worker sessions

The scheduler acquires a majority lease, recovers from full reports and the stream, starts services and jobs through the cell, records task ends before it acknowledges them, and hands over in order.

--- a/src/ownership/AppendQueue.h
+++ b/src/ownership/AppendQueue.h
@@ -32,8 +32,8 @@
 public:
     explicit AppendQueue(const AppendQueueSettings&);
 
-    /// Adds a record and returns its identifier.
-    RecordId add(StreamRecordBody, TimePoint now);
+    /// Adds a record for the stream of a domain and returns its identifier.
+    RecordId add(const FailureDomainId& stream, StreamRecordBody, TimePoint now);
     /// Stops the retries of a record. An append that is in flight may still take effect.
     void withdraw(const RecordId&);
     /// Forgets every record, at the end of an ownership term.
@@ -47,13 +47,14 @@
     /// Whether a copy of the record may be in the stream although no append of it is confirmed.
     bool mayBeAppended(const RecordId&) const;
     /// Records whose append is due.
-    std::vector<StreamRecord> takeDue(TimePoint now);
+    std::vector<AppendRecord> takeDue(TimePoint now);
     std::optional<TimePoint> nextWake() const;
     std::size_t size() const { return m_records.size(); }
     const Counters& counters() const { return m_counters; }
 
 private:
     struct Entry {
+        FailureDomainId m_stream;
         StreamRecord m_record;
         bool m_inFlight = false;
         bool m_unknown = false;
--- a/src/ownership/DomainLease.h
+++ b/src/ownership/DomainLease.h
@@ -145,18 +145,22 @@
     };
 
     bool reachesMajority(TimePoint now) const;
-    bool anyWorkerCounts() const;
+    Majority majorityOf(bool WorkerLease::*member, TimePoint now) const;
+    std::optional<TimePoint> endOf(bool WorkerLease::*member) const;
+    TimePoint freeAt(bool WorkerLease::*member, TimePoint now) const;
     Duration rankDelay() const;
     void scheduleCampaign(TimePoint earliest);
+    TimePoint campaignAt() const { return m_campaignBase.value_or(TimePoint {}) + rankDelay() + m_campaignJitter; }
+    void stepStandby(TimePoint now);
+    void stepCandidate(TimePoint now);
     void startCampaign(TimePoint now);
     void endCampaign(TimePoint now);
     void becomeHolder(TimePoint now);
     void loseMajority(TimePoint now);
-    void giveUpAll(TimePoint now);
+    void giveUpAll();
     void send(const WorkerId&, WorkerLease&, Duration ttl, Duration wait, TimePoint now);
     void expireRequests(TimePoint now);
     void renewDue(TimePoint now);
-    std::optional<TimePoint> othersMajorityEnd(TimePoint now) const;
 
     DomainLeaseSettings m_settings;
     JitterSource m_jitter;
@@ -169,8 +173,9 @@
     std::uint64_t m_seenEpoch = 0;
     std::uint64_t m_epoch = 0;
     RequestNumber m_nextRequest = 1;
-    /// Unset until the first step.
-    std::optional<TimePoint> m_campaignAt;
+    /// Earliest start of the next campaign before the delay of the own rank is added; unset until the first step.
+    std::optional<TimePoint> m_campaignBase;
+    Duration m_campaignJitter {};
     TimePoint m_campaignDeadline {};
     Backoff m_campaignBackoff;
     std::vector<LeaseAction> m_actions;
--- a/src/ownership/DomainScheduler.h
+++ b/src/ownership/DomainScheduler.h
@@ -13,6 +13,8 @@
 #include "ownership/TermGuard.h"
 #include "ownership/WorkerTable.h"
 
+#include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,7 +50,8 @@
 struct ActiveConfiguration {
     ClusterFile m_file;
     std::uint64_t m_version = 0;
-    /// Workers of all domains in the newest earlier version whose worker list differs; empty when there is none.
+    /// For each domain its workers in the newest earlier version in which the set of their names differs from that of
+    /// this file; empty when there is none.
     std::vector<WorkerSpec> m_previousWorkers;
     /// Unfinished moves of service instances that earlier versions caused. A daemon that has seen every version since
     /// may leave this empty, because the scheduler computes the moves between consecutive files itself.
@@ -57,7 +60,7 @@
 
 /// What the daemon can reach, from Membership and the log clients.
 struct Reach {
-    /// Last contact that other domains can confirm: a majority of the domains, or an own append that was confirmed.
+    /// Last contact with a majority of the domains that those can confirm (Membership::majorityContact).
     std::optional<TimePoint> m_confirmedContact;
     /// True when a majority of the domains is reached now.
     bool m_majorityReached = false;
@@ -114,6 +117,9 @@
     enum class Phase : std::uint8_t { Standby, Recovering, Active, Releasing, Released };
 
     explicit BasicDomainScheduler(const DomainSchedulerSettings&);
+    /// Not copied: the indexes of the file point into the configuration.
+    BasicDomainScheduler(const BasicDomainScheduler&) = delete;
+    BasicDomainScheduler& operator=(const BasicDomainScheduler&) = delete;
 
     /// A configuration came into force. Versions that are not newer than the known one have no effect.
     void configure(const ActiveConfiguration&, TimePoint now);
@@ -128,7 +134,7 @@
     void schedulerStopped(const DaemonId& daemon, TimePoint now) { m_lease.schedulerStopped(daemon, now); }
     /// State of a worker in the host list.
     void workerListed(const WorkerId&, HostState, TimePoint now);
-    void setReach(const Reach& reach) { m_reach = reach; }
+    void setReach(const Reach&, TimePoint now);
 
     void leaseGranted(const WorkerId&, RequestNumber, const LeaseGrant&, TimePoint now);
     void leaseRejected(const WorkerId&, RequestNumber, const LeaseRejection&, TimePoint now);
@@ -142,10 +148,13 @@
     void cancelJob(SubmissionNumber, const JobId&, TimePoint now);
 
     /// A record of a domain's stream was read. Records of one stream arrive in their order; repetitions are harmless.
-    void recordRead(const FailureDomainId& stream, const StreamRecord&, TimePoint now);
+    /// writtenAt is the log's time of the record on the core's time line.
+    void recordRead(const FailureDomainId& stream, const StreamRecord&, TimePoint writtenAt, TimePoint now);
     /// Every record that a stream held at queriedAt has been passed to recordRead. queriedAt is the instant at which
     /// the read request that showed the end of the stream was sent.
     void streamCaughtUp(const FailureDomainId& stream, TimePoint queriedAt, TimePoint now);
+    /// Streams that this daemon has to follow: the own one, and those that moves and the loss rule depend on.
+    std::vector<FailureDomainId> streamsToFollow() const;
     void appendFinished(const RecordId&, AppendOutcome, TimePoint now);
 
     /// Starts an orderly handover; phase() is Released when it is done.
@@ -185,9 +194,31 @@
         TimePoint m_deadline {};
     };
 
+    /// An instance that this domain is to run.
     struct Instance {
         WorkloadId m_workload;
         bool m_submitted = false;
+        /// Home of an instance that was taken over; empty when this domain is its home.
+        FailureDomainId m_takenFrom;
+    };
+
+    /// A task that runs or may run on a worker, because it was reported or its start was ordered.
+    struct LiveTask {
+        WorkerId m_worker;
+        std::uint32_t m_attempt = 0;
+    };
+
+    /// Renewals that told a worker of external contact.
+    struct ContactSent {
+        /// The contact that was last told.
+        TimePoint m_contact {};
+        TimePoint m_sentAt {};
+    };
+
+    struct DelayedCommand {
+        TimePoint m_due {};
+        WorkerId m_worker;
+        WorkerCommand m_command;
     };
 
     struct HostView {
@@ -197,7 +228,7 @@
         bool m_endProven = false;
     };
 
-    // DomainSchedulerTerm.h: ownership term, recovery, holds, configuration.
+    // DomainSchedulerTerm.h: ownership term, workers and recovery.
     bool inTerm() const
     {
         return m_phase == Phase::Recovering || m_phase == Phase::Active || m_phase == Phase::Releasing;
@@ -205,29 +236,52 @@
     void followLease(TimePoint now);
     void startTerm(TimePoint now);
     void endTerm(TimePoint now);
+    void finishRecovery(TimePoint now);
+    void finishRelease(TimePoint now);
     void applyWorkers(TimePoint now);
     void updateHosts(TimePoint now);
     void proveEnd(const WorkerId&, TimePoint now);
+    void forgetTasksOf(const WorkerId&);
     void updateAvailability(TimePoint now);
-    void drainRemovedWorkers(TimePoint now);
-    bool streamIsFresh() const { return m_streamReadAt && *m_streamReadAt >= m_guard.startedAt(); }
-    void releaseHolds(TimePoint now);
+    void drainFormerWorkers(TimePoint now);
+    void assumeLapses(TimePoint now);
+    bool streamIsFresh() const;
+    void releaseHeldJobs(TimePoint now);
     bool jobMayRun(const OpenJob&, TimePoint now) const;
-    bool enterJob(const OpenJob&, TimePoint now);
+    Result<Unit> enterJob(const OpenJob&, TimePoint now);
+
+    // DomainSchedulerHomes.h: service instances, moves and takeovers.
+    void buildInstances(TimePoint now);
     void reconcileInstances(TimePoint now);
-    bool instanceMayStart(const TaskId&, const ClassPolicy*, TimePoint now) const;
-    bool belongsHere(const TaskId&, const WorkloadSpec&, const ClassPolicy*, TimePoint now) const;
-    bool takeOver(const TaskId&, const FailureDomainId& home, TimePoint now);
+    bool instanceMayStart(const TaskId&, const Instance&, const ClassPolicy*, TimePoint now) const;
+    std::string_view holdOfInstance(const TaskId&, const Instance&, const ClassPolicy*, TimePoint now) const;
+    bool movesAfterLoss(const ClassPolicy* policy) const
+    {
+        return policy && policy->m_kind == ClassKind::Service && policy->m_onDomainLoss == OnDomainLoss::MoveAfterLoss
+            && m_otherDomains > 0;
+    }
+    bool contactIsRecent(TimePoint now) const { return m_contactAt && *m_contactAt + contactWindow >= now; }
+    void noteContact(TimePoint contact, TimePoint now);
+    void withholdWhileCutOff(const TaskId&, TimePoint now);
+    void considerTakeovers(TimePoint now);
+    bool mayTakeOver(const WorkloadSpec&, const TaskId&, const FailureDomainId& home, TimePoint now) const;
+    bool isSilent(const FailureDomainId&, const ClassPolicy&, TimePoint now) const;
+    void giveBack(const TaskId&, Instance&, TimePoint now);
     void releaseOwedHomes(TimePoint now);
-    bool runsHere(const TaskId&) const;
+    void foldHomes(const FailureDomainId& stream, const StreamRecord&, TimePoint now);
+    void writePresence(TimePoint now);
 
     // DomainSchedulerTasks.h: reports, commands, records, submissions.
     void applyReport(const WorkerId&, const ReportChanges&, TimePoint now);
     void taskSeen(const WorkerId&, const TaskReport&, TimePoint now);
-    void stopUnwanted(const WorkerId&, const TaskReport&, TimePoint now);
-    void stopDirectly(const WorkerId&, const TaskReport&, const std::string& reason, CountedReason, TimePoint now);
+    void taskFinal(const WorkerId&, const TaskReport&, TimePoint now);
+    bool isWanted(const TaskId&) const;
+    void stopDirectly(
+        const WorkerId&, const TaskId&, std::uint32_t attempt, const std::string& reason, CountedReason, TimePoint now);
+    void stopTasksOf(const JobId&, TimePoint now);
     void recordEnd(const WorkerId&, const TaskReport&, TimePoint now);
     void settle(const WorkerId&, const CommandFate&, TimePoint now);
+    void settleStop(const WorkerId&, const CommandFate&, TimePoint now);
     void runCell(TimePoint now);
     void carryOut(const placement::StartTask&, TimePoint now);
     void carryOut(const placement::StopTask&, TimePoint now);
@@ -237,29 +291,31 @@
     void carryOut(const placement::FinishJob&, TimePoint now);
     void enqueue(const WorkerId&, const WorkerCommand&, TimePoint now);
     void endJob(const JobId&, JobOutcome, const std::string& detail, TimePoint now);
+    void append(StreamRecordBody body, TimePoint now) { m_appends.add(domain(), std::move(body), now); }
     void confirmed(const StreamRecord&, TimePoint now);
     void folded(const JobAccepted&, TimePoint now);
     void folded(const JobEnded&, TimePoint now);
     void folded(const TaskEnded&, TimePoint now);
-    void folded(const HomeReleased&, TimePoint now);
+    void folded(const HomeReleased&, TimePoint) { }
     void folded(const HomeTaken&, TimePoint) { }
     void folded(const DomainPresent&, TimePoint) { }
-    void foldForeign(const FailureDomainId& stream, const StreamRecord&);
+    void submitMemoryJob(SubmissionNumber, const placement::JobRequest&, TimePoint now);
+    std::optional<Error> submissionError(const placement::JobRequest&, TimePoint now) const;
     void expireSubmissions(TimePoint now);
-    void failSubmission(const Submission&, TimePoint now);
+    void failSubmission(const Submission&, ErrorKind ifNotAppended, TimePoint now);
     void rewriteOldJobs(TimePoint now);
-    void writePresence(TimePoint now);
     void emitLease(const LeaseAction&, TimePoint now);
     void emitCommands(TimePoint now);
     void emitAppends(TimePoint now);
-    void reply(SubmissionNumber, const JobId&, Result<Unit>, bool durable);
-    void finishRelease(TimePoint now);
+    void reply(SubmissionNumber, const JobId&, const Result<Unit>&, bool durable);
 
     const WorkloadSpec* workloadOf(const TaskId&) const;
     const WorkloadSpec* findWorkload(const WorkloadId&) const;
     const ClassPolicy* classOf(const WorkloadSpec*) const;
     void addStatusOfWorkers(DomainSnapshot&, TimePoint now) const;
     void addStatusOfTasks(DomainSnapshot&, TimePoint now) const;
+    /// Age up to which a confirmed contact counts; the same as in Membership.
+    static constexpr Duration contactWindow = std::chrono::seconds(25);
     const FailureDomainId& domain() const { return m_settings.m_lease.m_failureDomain; }
 
     DomainSchedulerSettings m_settings;
@@ -269,6 +325,10 @@
     ClusterFile m_domainFile;
     std::map<WorkloadId, const WorkloadSpec*> m_workloads;
     std::map<ClassId, const ClassPolicy*> m_classes;
+    /// Domains of the file that are neither this one nor declared lost.
+    std::size_t m_otherDomains = 0;
+    /// Whether a service of the file has a class with onDomainLoss "moveAfterLoss".
+    bool m_hasMovingServices = false;
     /// Workers of this domain in the file, and those only in the previous set.
     std::map<WorkerId, WorkerSpec> m_currentWorkers;
     std::map<WorkerId, WorkerSpec> m_formerWorkers;
@@ -286,18 +346,28 @@
 
     Reach m_reach;
     std::map<WorkerId, HostView> m_hosts;
-    std::map<WorkerId, TimePoint> m_lastRenewalSent;
-    std::map<WorkerId, TimePoint> m_lastContactSent;
-    std::optional<TimePoint> m_streamReadAt;
-    std::map<FailureDomainId, TimePoint> m_foreignReadAt;
-    std::map<FailureDomainId, TimePoint> m_foreignPresence;
+    std::map<WorkerId, ContactSent> m_contactSent;
+    /// Since when the lease on a worker is not held.
+    std::map<WorkerId, TimePoint> m_unheldSince;
+    /// Instant up to which each stream is known to have been read.
+    std::map<FailureDomainId, TimePoint> m_streamReadAt;
+    /// Newest DomainPresent record of each stream, and when it was read.
+    std::map<FailureDomainId, std::pair<RecordId, TimePoint>> m_presence;
+    /// Confirmation of the first own DomainPresent record in the present period without a gap in the contact.
+    std::optional<TimePoint> m_presentSince;
+    std::optional<TimePoint> m_contactAt;
+    RecordId m_presenceRecord;
+    TimePoint m_presenceEmittedAt {};
 
     std::set<WorkerId> m_available;
     std::set<JobId> m_heldJobs;
     std::set<JobId> m_jobsInCell;
-    std::set<JobId> m_memoryJobs;
+    std::map<JobId, placement::JobRequest> m_memoryJobs;
     std::set<JobId> m_endingJobs;
     std::map<TaskId, Instance> m_instances;
+    std::map<TaskId, LiveTask> m_live;
+    std::vector<DelayedCommand> m_delayedCommands;
+    DomainLease::Role m_lastRole = DomainLease::Role::Standby;
     bool m_holdsChanged = true;
     TimePoint m_nextHoldCheck {};
     TimePoint m_recoverUntil {};
@@ -306,15 +376,20 @@
     TimePoint m_nextPresence {};
 
     std::map<JobId, Submission> m_submissions;
+    /// Deadlines of submissions in their order; entries of answered submissions are skipped.
+    std::deque<std::pair<TimePoint, JobId>> m_submissionOrder;
     std::vector<Cancellation> m_cancellations;
     /// Final states whose record is on its way, with the workers that wait for the acknowledgement.
     std::map<TaskAttempt, std::set<WorkerId>> m_endsInAppend;
-    std::set<std::pair<WorkerId, TaskAttempt>> m_directStops;
     std::set<std::pair<TaskId, std::uint64_t>> m_releasesInAppend;
+    std::set<TaskId> m_takeoversInAppend;
     std::vector<OwnershipAction> m_actions;
 };
 
 /// The scheduler with the real placement core.
 using DomainScheduler = BasicDomainScheduler<placement::Cell>;
 
+// Instantiated in DomainScheduler.cpp.
+extern template class BasicDomainScheduler<placement::Cell>;
+
 } // namespace sapphiredale::ownership
--- /dev/null
+++ b/src/ownership/DomainSchedulerTasks.h
@@ -0,0 +1,668 @@
+// Implementation of BasicDomainScheduler: worker reports and commands, log records, submissions and emitted actions.
+// Included by DomainSchedulerImpl.h only.
+#pragma once
+
+#include "ownership/DomainScheduler.h"
+
+namespace sapphiredale::ownership {
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::leaseGranted(
+    const WorkerId& worker, RequestNumber request, const LeaseGrant& grant, TimePoint now)
+{
+    if (!m_lease.granted(worker, request, grant.m_epoch, now))
+        return;
+    const auto host = m_hosts.find(worker);
+    if (host != m_hosts.end() && host->second.m_state == HostState::Gone) {
+        // The host list is wrong or late: the worker answers, so its absence starts anew.
+        host->second.m_goneSince = now;
+        host->second.m_endProven = false;
+        m_lease.setEnded(worker, false);
+    }
+    const ReportChanges changes = m_workers.merge(grant.m_report, now);
+    if (inTerm())
+        applyReport(worker, changes, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::leaseRejected(
+    const WorkerId& worker, RequestNumber request, const LeaseRejection& rejection, TimePoint now)
+{
+    m_lease.rejected(worker, request, rejection, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::leaseTimedOut(const WorkerId& worker, RequestNumber request, TimePoint now)
+{
+    m_lease.timedOut(worker, request, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::commandsAnswered(
+    const WorkerId& worker, RequestNumber request, const CommandsAnswer& answer, TimePoint now)
+{
+    const std::vector<CommandFate> fates = m_workers.answered(worker, request, answer, now);
+    if (const auto* refusal = std::get_if<CommandsRefusal>(&answer)) {
+        if (*refusal == CommandsRefusal::StaleEpoch)
+            m_lease.fenced(worker, now);
+        else
+            m_lease.renewSoon(worker, now);
+    }
+    if (!inTerm())
+        return;
+    for (const CommandFate& fate : fates)
+        settle(worker, fate, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::commandsTimedOut(const WorkerId& worker, RequestNumber request, TimePoint now)
+{
+    m_workers.timedOut(worker, request, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::applyReport(const WorkerId& worker, const ReportChanges& changes, TimePoint now)
+{
+    if (changes.m_restarted) {
+        forgetTasksOf(worker);
+        m_cell.removeWorker(worker, now);
+        const auto current = m_currentWorkers.find(worker);
+        if (current != m_currentWorkers.end())
+            m_cell.setWorker(current->second, now);
+    }
+    if (!changes.m_merged)
+        return;
+    if (m_guard.account(worker))
+        m_holdsChanged = true;
+    for (TaskReport report : changes.m_missing) {
+        if (!isFinal(report.m_state)) {
+            report.m_state = TaskState::Failed;
+            report.m_reason = "missing in the worker's full report";
+        }
+        taskFinal(worker, report, now);
+    }
+    for (const TaskReport& report : changes.m_changed)
+        taskSeen(worker, report, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::taskSeen(const WorkerId& worker, const TaskReport& report, TimePoint now)
+{
+    const TaskId& task = report.m_task;
+    m_guard.locate(task);
+    const auto former = m_formerWorkers.find(worker);
+    if (former != m_formerWorkers.end() && m_draining.insert(worker).second)
+        m_cell.setWorker(former->second, now);
+    if (isFinal(report.m_state)) {
+        taskFinal(worker, report, now);
+        return;
+    }
+
+    const auto live = m_live.find(task);
+    if (live != m_live.end() && live->second.m_worker != worker) {
+        const LiveTask other = live->second;
+        const std::string reason = "another attempt of the task runs on another worker";
+        if (other.m_attempt >= report.m_attempt) {
+            stopDirectly(worker, task, report.m_attempt, reason, CountedReason::DuplicateTaskStopped, now);
+            return;
+        }
+        stopDirectly(other.m_worker, task, other.m_attempt, reason, CountedReason::DuplicateTaskStopped, now);
+    }
+    m_live[task] = { worker, report.m_attempt };
+    m_cell.taskReported(worker, report, now);
+    if (!isWanted(task))
+        stopDirectly(worker, task, report.m_attempt, "the task is not to run in this domain",
+            CountedReason::UndeclaredTaskStopped, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::taskFinal(const WorkerId& worker, const TaskReport& report, TimePoint now)
+{
+    const auto live = m_live.find(report.m_task);
+    if (live != m_live.end() && live->second.m_worker == worker && live->second.m_attempt <= report.m_attempt)
+        m_live.erase(live);
+    m_cell.taskReported(worker, report, now);
+    recordEnd(worker, report, now);
+    withholdWhileCutOff(report.m_task, now);
+}
+
+template <CellType Cell> bool BasicDomainScheduler<Cell>::isWanted(const TaskId& task) const
+{
+    if (m_instances.contains(task))
+        return true;
+    const JobId job { std::string(ownerOfTask(task)) };
+    if (m_ledger.ended(job))
+        return false;
+    // A job without a record is one of durability "memory" that a former scheduler accepted.
+    return m_ledger.openJob(job) || m_memoryJobs.contains(job) || homeOfJob(job) == domain();
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::stopDirectly(const WorkerId& worker, const TaskId& task, std::uint32_t attempt,
+    const std::string& reason, CountedReason counted, TimePoint now)
+{
+    WorkerCommand command;
+    command.m_operation = CommandOperation::Stop;
+    command.m_task = task;
+    command.m_attempt = attempt;
+    command.m_reason = reason;
+    m_counters.add(counted);
+    enqueue(worker, command, now);
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::stopTasksOf(const JobId& job, TimePoint now)
+{
+    const TaskId first(job.value() + '/');
+    const TaskId last(job.value() + static_cast<char>('/' + 1));
+    const std::map<TaskId, LiveTask> live(m_live.lower_bound(first), m_live.lower_bound(last));
+    for (const auto& [task, place] : live)
+        stopDirectly(
+            place.m_worker, task, place.m_attempt, "the job has ended", CountedReason::UndeclaredTaskStopped, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::recordEnd(const WorkerId& worker, const TaskReport& report, TimePoint now)
+{
+    const TaskAttempt attempt { report.m_task, report.m_attempt };
+    if (m_ledger.hasEnd(attempt)) {
+        m_workers.acknowledge(worker, attempt, now);
+        return;
+    }
+    const auto [position, added] = m_endsInAppend.try_emplace(attempt);
+    position->second.insert(worker);
+    if (added)
+        append(TaskEnded { report.m_task, report.m_attempt, report.m_state, worker }, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::settle(const WorkerId& worker, const CommandFate& fate, TimePoint now)
+{
+    const WorkerCommand& command = fate.m_command;
+    if (fate.m_ok)
+        return;
+    switch (command.m_operation) {
+    case CommandOperation::Start: {
+        const auto live = m_live.find(command.m_task);
+        if (live == m_live.end() || live->second.m_worker != worker || live->second.m_attempt != command.m_attempt)
+            return;
+        m_live.erase(live);
+        m_cell.startRefused(command.m_task, command.m_attempt, worker, fate.m_reason, now);
+        return;
+    }
+    case CommandOperation::Stop:
+        settleStop(worker, fate, now);
+        return;
+    case CommandOperation::Checkpoint: {
+        WorkerCommand stop = command;
+        stop.m_operation = CommandOperation::Stop;
+        enqueue(worker, stop, now);
+        return;
+    }
+    case CommandOperation::Throttle:
+        return;
+    }
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::settleStop(const WorkerId& worker, const CommandFate& fate, TimePoint now)
+{
+    const WorkerCommand& command = fate.m_command;
+    const auto live = m_live.find(command.m_task);
+    if (live == m_live.end() || live->second.m_worker != worker || live->second.m_attempt != command.m_attempt)
+        return;
+    const auto& tasks = m_workers.tasks(worker);
+    const auto report = tasks.find(command.m_task);
+    if (report != tasks.end() && report->second.m_attempt == command.m_attempt && !isFinal(report->second.m_state)) {
+        m_delayedCommands.push_back({ now + std::chrono::seconds(1), worker, command });
+        return;
+    }
+    // The worker processes commands in order, so a task that it does not know neither runs nor will run.
+    TaskReport stopped;
+    stopped.m_task = command.m_task;
+    stopped.m_attempt = command.m_attempt;
+    stopped.m_state = TaskState::Stopped;
+    stopped.m_reason = fate.m_reason;
+    taskFinal(worker, stopped, now);
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::runCell(TimePoint now)
+{
+    // A carried out action can allow the next one, for example when a start is withdrawn before it was sent.
+    constexpr int mostRounds = 8;
+    for (int round = 0; round < mostRounds; ++round) {
+        const std::vector<placement::PlacementAction> actions = m_cell.step(now);
+        if (actions.empty())
+            return;
+        for (const placement::PlacementAction& action : actions)
+            std::visit([&](const auto& typed) { carryOut(typed, now); }, action);
+    }
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::carryOut(const placement::StartTask& start, TimePoint now)
+{
+    const auto workload = m_workloads.find(start.m_workload);
+    const ClassPolicy* policy = workload == m_workloads.end() ? nullptr : classOf(workload->second);
+    const auto instance = m_instances.find(start.m_task);
+    if (instance != m_instances.end()) {
+        const std::string_view hold = holdOfInstance(start.m_task, instance->second, policy, now);
+        if (!hold.empty()) {
+            m_cell.startRefused(start.m_task, start.m_attempt, start.m_worker, std::string(hold), now);
+            m_cell.withdrawInstance(start.m_task, now);
+            instance->second.m_submitted = false;
+            return;
+        }
+    }
+    if (m_ledger.ended(JobId(std::string(ownerOfTask(start.m_task))))) {
+        m_cell.startRefused(start.m_task, start.m_attempt, start.m_worker, "the job has ended", now);
+        return;
+    }
+
+    m_live[start.m_task] = { start.m_worker, start.m_attempt };
+    m_guard.locate(start.m_task);
+    WorkerCommand command;
+    command.m_operation = CommandOperation::Start;
+    command.m_task = start.m_task;
+    command.m_attempt = start.m_attempt;
+    command.m_resources = start.m_resources;
+    if (workload != m_workloads.end()) {
+        command.m_program = workload->second->m_program;
+        command.m_minion = workload->second->m_minion;
+        command.m_lapseStopSeconds = movesAfterLoss(policy) ? policy->m_lapseStopSeconds : 0;
+    }
+    enqueue(start.m_worker, command, now);
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::carryOut(const placement::StopTask& stop, TimePoint now)
+{
+    WorkerCommand command;
+    command.m_operation = CommandOperation::Stop;
+    command.m_task = stop.m_task;
+    command.m_attempt = stop.m_attempt;
+    command.m_reason = stop.m_reason;
+    enqueue(stop.m_worker, command, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::carryOut(const placement::CheckpointTask& checkpoint, TimePoint now)
+{
+    WorkerCommand command;
+    command.m_operation = CommandOperation::Checkpoint;
+    command.m_task = checkpoint.m_task;
+    command.m_attempt = checkpoint.m_attempt;
+    command.m_reason = checkpoint.m_reason;
+    enqueue(checkpoint.m_worker, command, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::carryOut(const placement::ThrottleTask& throttle, TimePoint now)
+{
+    WorkerCommand command;
+    command.m_operation = CommandOperation::Throttle;
+    command.m_task = throttle.m_task;
+    command.m_attempt = throttle.m_attempt;
+    command.m_cpuMillis = throttle.m_cpuMillis;
+    enqueue(throttle.m_worker, command, now);
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::carryOut(const placement::FailJob& failed, TimePoint now)
+{
+    endJob(failed.m_job, JobOutcome::Failed, failed.m_error.m_detail, now);
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::carryOut(const placement::FinishJob& finished, TimePoint now)
+{
+    endJob(finished.m_job, JobOutcome::Finished, {}, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::enqueue(const WorkerId& worker, const WorkerCommand& command, TimePoint now)
+{
+    const std::optional<CommandFate> fate = m_workers.enqueue(worker, command, now);
+    if (!fate)
+        return;
+    if (command.m_operation == CommandOperation::Start) {
+        settle(worker, *fate, now);
+        return;
+    }
+    // The start was never sent, so the task ends here.
+    TaskReport stopped;
+    stopped.m_task = command.m_task;
+    stopped.m_attempt = command.m_attempt;
+    stopped.m_state = TaskState::Stopped;
+    stopped.m_reason = command.m_reason;
+    taskFinal(worker, stopped, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::endJob(const JobId& job, JobOutcome outcome, const std::string& detail, TimePoint now)
+{
+    if (m_memoryJobs.erase(job) || !m_ledger.openJob(job) || !m_endingJobs.insert(job).second)
+        return;
+    append(JobEnded { job, outcome, detail }, now);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::appendFinished(const RecordId& id, AppendOutcome outcome, TimePoint now)
+{
+    const std::optional<StreamRecord> record = m_appends.finished(id, outcome, now);
+    if (record) {
+        confirmed(*record, now);
+        return;
+    }
+    if (outcome != AppendOutcome::Failed || m_appends.mayBeAppended(id))
+        return;
+    const auto submission = std::find_if(
+        m_submissions.begin(), m_submissions.end(), [&](const auto& entry) { return entry.second.m_record == id; });
+    if (submission != m_submissions.end()) {
+        failSubmission(submission->second, ErrorKind::LogUnavailable, now);
+        m_submissions.erase(submission);
+    }
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::recordRead(
+    const FailureDomainId& stream, const StreamRecord& record, TimePoint writtenAt, TimePoint now)
+{
+    foldHomes(stream, record, now);
+    const std::optional<StreamRecord> own = m_appends.readBack(record.m_id);
+    if (own)
+        confirmed(*own, now);
+    if (stream != domain())
+        return;
+    if (!m_ledger.fold(record, writtenAt)) {
+        m_counters.add(CountedReason::RecordRepeated, own ? 0 : 1);
+        return;
+    }
+    if (inTerm())
+        std::visit([&](const auto& body) { folded(body, now); }, record.m_body);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::streamCaughtUp(const FailureDomainId& stream, TimePoint queriedAt, TimePoint)
+{
+    TimePoint& readAt = m_streamReadAt.try_emplace(stream, queriedAt).first->second;
+    readAt = std::max(readAt, queriedAt);
+    m_holdsChanged = true;
+}
+
+/// An own record is in its stream; it is folded at once, its later reading changes nothing.
+template <CellType Cell> void BasicDomainScheduler<Cell>::confirmed(const StreamRecord& record, TimePoint now)
+{
+    if (record.m_id == m_presenceRecord) {
+        m_presenceRecord = {};
+        noteContact(m_presenceEmittedAt, now);
+        if (!m_presentSince)
+            m_presentSince = now;
+        return;
+    }
+    // Homes follow log order only, which is known when the record is read.
+    const bool isHome
+        = std::holds_alternative<HomeReleased>(record.m_body) || std::holds_alternative<HomeTaken>(record.m_body);
+    if (!isHome && m_ledger.fold(record, now) && inTerm())
+        std::visit([&](const auto& body) { folded(body, now); }, record.m_body);
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::folded(const JobAccepted& accepted, TimePoint now)
+{
+    const JobId& job = accepted.m_request.m_job;
+    const auto submission = m_submissions.find(job);
+    if (submission == m_submissions.end()) {
+        m_heldJobs.insert(job);
+        m_holdsChanged = true;
+        return;
+    }
+    const Submission accepting = submission->second;
+    m_submissions.erase(submission);
+    const Result<Unit> entered = enterJob(*m_ledger.openJob(job), now);
+    if (!succeeded(entered)) {
+        m_counters.add(CountedReason::SubmissionRefused);
+        endJob(job, JobOutcome::Failed, errorOf(entered).m_detail, now);
+    }
+    reply(accepting.m_number, job, entered, true);
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::folded(const JobEnded& ended, TimePoint now)
+{
+    const JobId& job = ended.m_job;
+    if (!m_endingJobs.erase(job) && m_jobsInCell.contains(job))
+        m_cell.cancelJob(job, now);
+    m_jobsInCell.erase(job);
+    m_heldJobs.erase(job);
+    stopTasksOf(job, now);
+    for (const Cancellation& cancellation : m_cancellations) {
+        if (cancellation.m_job == job)
+            reply(cancellation.m_number, job, Unit {}, true);
+    }
+    std::erase_if(m_cancellations, [&](const Cancellation& cancellation) { return cancellation.m_job == job; });
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::folded(const TaskEnded& ended, TimePoint now)
+{
+    const TaskAttempt attempt { ended.m_task, ended.m_attempt };
+    const auto waiting = m_endsInAppend.find(attempt);
+    if (waiting == m_endsInAppend.end())
+        return;
+    for (const WorkerId& worker : waiting->second) {
+        m_workers.acknowledge(worker, attempt, now);
+        m_lease.renewSoon(worker, now);
+    }
+    m_endsInAppend.erase(waiting);
+}
+
+template <CellType Cell>
+std::optional<Error> BasicDomainScheduler<Cell>::submissionError(
+    const placement::JobRequest& request, TimePoint now) const
+{
+    if (m_phase == Phase::Releasing || m_phase == Phase::Released)
+        return Error { ErrorKind::ShuttingDown, "the domain scheduler hands over" };
+    if (!isScheduler(now))
+        return Error { ErrorKind::NotScheduler, "this daemon is not the scheduler of " + domain().value() };
+    if (homeOfJob(request.m_job) != domain() || request.m_taskCount == 0)
+        return Error { ErrorKind::InvalidRequest, "the job names another home domain or no tasks" };
+    const WorkloadSpec* workload = findWorkload(request.m_workload);
+    const ClassPolicy* policy = classOf(workload);
+    if (!policy || policy->m_kind == ClassKind::Service)
+        return Error { ErrorKind::UnknownWorkload, "no batch or group workload " + request.m_workload.value() };
+    if (m_submissions.contains(request.m_job))
+        return Error { ErrorKind::OutcomeUnknown, "an earlier submission of the job is being recorded" };
+    if (m_submissions.size() >= m_settings.m_mostPendingSubmissions)
+        return Error { ErrorKind::Overloaded, "too many submissions wait for the log" };
+    return std::nullopt;
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::submitJob(SubmissionNumber number, const placement::JobRequest& request, TimePoint now)
+{
+    if (const std::optional<Error> error = submissionError(request, now)) {
+        m_counters.add(error->m_kind == ErrorKind::NotScheduler ? CountedReason::SubmissionNotScheduler
+                                                                : CountedReason::SubmissionRefused);
+        reply(number, request.m_job, *error, false);
+        return;
+    }
+    const bool recorded = m_ledger.openJob(request.m_job) || m_ledger.ended(request.m_job);
+    if (recorded || m_memoryJobs.contains(request.m_job)) {
+        m_counters.add(CountedReason::SubmissionRepeated);
+        reply(number, request.m_job, Unit {}, recorded);
+        return;
+    }
+    if (classOf(findWorkload(request.m_workload))->m_durability == Durability::Memory) {
+        submitMemoryJob(number, request, now);
+        return;
+    }
+    Submission submission { number, request, {}, now + m_settings.m_submissionTimeout };
+    submission.m_record = m_appends.add(domain(), JobAccepted { request }, now);
+    m_submissionOrder.emplace_back(submission.m_deadline, request.m_job);
+    m_submissions.emplace(request.m_job, submission);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::submitMemoryJob(
+    SubmissionNumber number, const placement::JobRequest& request, TimePoint now)
+{
+    const Result<Unit> entered = m_cell.submitJob(request, now);
+    if (succeeded(entered))
+        m_memoryJobs.emplace(request.m_job, request);
+    else
+        m_counters.add(CountedReason::SubmissionRefused);
+    reply(number, request.m_job, entered, false);
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::cancelJob(SubmissionNumber number, const JobId& job, TimePoint now)
+{
+    if (!isScheduler(now)) {
+        m_counters.add(CountedReason::SubmissionNotScheduler);
+        reply(number, job, Error { ErrorKind::NotScheduler, "this daemon is not the scheduler" }, false);
+    } else if (m_ledger.ended(job)) {
+        reply(number, job, Unit {}, true);
+    } else if (m_submissions.contains(job)) {
+        reply(number, job, Error { ErrorKind::OutcomeUnknown, "the job is being recorded" }, false);
+    } else if (m_memoryJobs.contains(job)) {
+        m_cell.cancelJob(job, now);
+        m_memoryJobs.erase(job);
+        reply(number, job, Unit {}, false);
+    } else if (m_ledger.openJob(job)) {
+        m_cancellations.push_back({ number, job, now + m_settings.m_submissionTimeout });
+        if (m_jobsInCell.contains(job))
+            m_cell.cancelJob(job, now);
+        else
+            stopTasksOf(job, now);
+        endJob(job, JobOutcome::Cancelled, "cancelled by the caller", now);
+    } else {
+        reply(number, job, Error { ErrorKind::NotFound, "no such job in " + domain().value() }, false);
+    }
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::expireSubmissions(TimePoint now)
+{
+    while (!m_submissionOrder.empty() && m_submissionOrder.front().first <= now) {
+        const auto submission = m_submissions.find(m_submissionOrder.front().second);
+        if (submission != m_submissions.end() && submission->second.m_deadline <= now) {
+            failSubmission(submission->second, ErrorKind::LogUnavailable, now);
+            m_submissions.erase(submission);
+        }
+        m_submissionOrder.pop_front();
+    }
+    std::erase_if(m_cancellations, [&](const Cancellation& cancellation) {
+        if (cancellation.m_deadline > now)
+            return false;
+        m_counters.add(CountedReason::SubmissionOutcomeUnknown);
+        reply(cancellation.m_number, cancellation.m_job,
+            Error { ErrorKind::OutcomeUnknown, "the cancellation is not recorded yet" }, false);
+        return true;
+    });
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::failSubmission(const Submission& submission, ErrorKind ifNotAppended, TimePoint)
+{
+    // "Not run" is true only if no copy of the record can be in the stream or on its way there.
+    const bool mayBeAppended = m_appends.mayBeAppended(submission.m_record);
+    m_appends.withdraw(submission.m_record);
+    const ErrorKind kind = mayBeAppended ? ErrorKind::OutcomeUnknown : ifNotAppended;
+    m_counters.add(mayBeAppended ? CountedReason::SubmissionOutcomeUnknown : CountedReason::SubmissionLogUnavailable);
+    reply(submission.m_number, submission.m_request.m_job, Error { kind, "the log did not confirm the job" }, false);
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::rewriteOldJobs(TimePoint now)
+{
+    if (now < m_nextRewriteCheck)
+        return;
+    m_nextRewriteCheck = now + std::chrono::minutes(1);
+    std::vector<JobId> old;
+    for (const auto& [job, open] : m_ledger.openJobs()) {
+        if (open.m_recordedAt + m_settings.m_rewriteAfter <= now && !m_endingJobs.contains(job))
+            old.push_back(job);
+    }
+    for (const JobId& job : old) {
+        const OpenJob* open = m_ledger.openJob(job);
+        append(JobAccepted { open->m_request }, now);
+        for (const auto& [task, end] : open->m_ends)
+            append(TaskEnded { end }, now);
+        m_ledger.refreshed(job, now);
+    }
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::emitLease(const LeaseAction& action, TimePoint now)
+{
+    const std::string& holder = m_settings.m_lease.m_holder;
+    if (const auto* release = std::get_if<LeaseRelease>(&action)) {
+        m_actions.emplace_back(
+            SendRelease { release->m_worker, m_workers.addressOf(release->m_worker), holder, release->m_epoch });
+        return;
+    }
+    const LeaseRequest& request = *std::get_if<LeaseRequest>(&action);
+    SendLease lease;
+    lease.m_request = request.m_request;
+    lease.m_worker = request.m_worker;
+    lease.m_holder = holder;
+    lease.m_epoch = request.m_epoch;
+    lease.m_ttl = request.m_ttl;
+    lease.m_wait = request.m_wait;
+    lease.m_deadline = request.m_deadline;
+    m_workers.complete(lease, now);
+    ContactSent& sent = m_contactSent[request.m_worker];
+    // Each contact counts once. A worker without a held lease is not told of any, so that its lapse can be assumed.
+    if (inTerm() && m_lease.holds(request.m_worker, now) && contactIsRecent(now) && *m_contactAt > sent.m_contact) {
+        lease.m_externalContact = true;
+        sent = { *m_contactAt, now };
+    }
+    m_actions.emplace_back(std::move(lease));
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::emitCommands(TimePoint now)
+{
+    for (const DelayedCommand& delayed : std::vector<DelayedCommand>(m_delayedCommands)) {
+        if (delayed.m_due <= now)
+            enqueue(delayed.m_worker, delayed.m_command, now);
+    }
+    std::erase_if(m_delayedCommands, [&](const DelayedCommand& delayed) { return delayed.m_due <= now; });
+    for (const WorkerId& worker : m_workers.workersWithCommands()) {
+        const std::uint64_t epoch = m_lease.epochOn(worker, now);
+        if (!epoch)
+            continue;
+        if (std::optional<SendCommands> batch = m_workers.nextBatch(worker, epoch, now))
+            m_actions.emplace_back(std::move(*batch));
+    }
+}
+
+template <CellType Cell> void BasicDomainScheduler<Cell>::emitAppends(TimePoint now)
+{
+    for (AppendRecord& append : m_appends.takeDue(now))
+        m_actions.emplace_back(std::move(append));
+}
+
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::reply(
+    SubmissionNumber number, const JobId& job, const Result<Unit>& result, bool durable)
+{
+    m_actions.emplace_back(ReplyToSubmitter { number, job, result, durable && succeeded(result) });
+}
+
+template <CellType Cell> const WorkloadSpec* BasicDomainScheduler<Cell>::findWorkload(const WorkloadId& name) const
+{
+    const auto found = m_workloads.find(name);
+    return found == m_workloads.end() ? nullptr : found->second;
+}
+
+template <CellType Cell> const WorkloadSpec* BasicDomainScheduler<Cell>::workloadOf(const TaskId& task) const
+{
+    const std::string owner(ownerOfTask(task));
+    if (const WorkloadSpec* service = findWorkload(WorkloadId(owner)))
+        return service;
+    const JobId job(owner);
+    if (const OpenJob* open = m_ledger.openJob(job))
+        return findWorkload(open->m_request.m_workload);
+    const auto memory = m_memoryJobs.find(job);
+    return memory == m_memoryJobs.end() ? nullptr : findWorkload(memory->second.m_workload);
+}
+
+template <CellType Cell> const ClassPolicy* BasicDomainScheduler<Cell>::classOf(const WorkloadSpec* workload) const
+{
+    if (!workload)
+        return nullptr;
+    const auto found = m_classes.find(workload->m_class);
+    return found == m_classes.end() ? nullptr : found->second;
+}
+
+} // namespace sapphiredale::ownership
--- a/src/ownership/HomeMap.h
+++ b/src/ownership/HomeMap.h
@@ -32,6 +32,7 @@
 struct HomeMove {
     TaskId m_task;
     FailureDomainId m_from;
+    /// Empty when the newer file does not declare the instance.
     FailureDomainId m_to;
     /// Configuration version that caused the move.
     std::uint64_t m_version = 0;
@@ -39,8 +40,9 @@
     friend bool operator==(const HomeMove&, const HomeMove&) = default;
 };
 
-/// Moves between two consecutive files; version is that of the newer file. An instance that the older file does not
-/// declare, or whose old home the newer file declares lost, does not move: it starts at its home at once.
+/// Moves between two consecutive files; version is that of the newer file. An instance that the newer file no longer
+/// declares moves to no domain, so that a later version that declares it again waits for the release. An instance that
+/// the older file does not declare, or whose old home the newer file declares lost or leaves out, does not move.
 std::vector<HomeMove> homeMoves(const ClusterFile& older, const ClusterFile& newer, std::uint64_t version);
 
 /// Moves that are not finished. It is fed with the moves of every version and with the release records of all streams,
@@ -53,6 +55,13 @@
     void released(const FailureDomainId& from, const TaskId&, std::uint64_t version);
     /// An operator declared the domain lost: it owes no release any more.
     void declareLost(const FailureDomainId&);
+    /// A domain took over the instance of a lost home, or gave it back. Repeated records have no effect.
+    void taken(const FailureDomainId& taker, const TaskId&, std::uint64_t takeover);
+    void takeoverReleased(const FailureDomainId& taker, const TaskId&, std::uint64_t takeover);
+    /// Domain that has taken the instance over and not given it back, with the number of the takeover.
+    std::optional<std::pair<FailureDomainId, std::uint64_t>> takenBy(const TaskId&) const;
+    /// Number of the next takeover of the instance.
+    std::uint64_t nextTakeover(const TaskId&) const;
 
     /// True when no unfinished move stands before a start of the instance at its home.
     bool mayStart(const TaskId&) const;
@@ -65,8 +74,15 @@
 private:
     /// Unfinished moves of an instance by version.
     std::map<TaskId, std::map<std::uint64_t, HomeMove>> m_pending;
-    /// Releases that were read before their move was known: greatest version for each instance and origin.
+    /// Greatest version released by each origin, so that a move that becomes known after its release is not pending.
     std::map<std::pair<TaskId, FailureDomainId>, std::uint64_t> m_released;
+    struct Takeover {
+        FailureDomainId m_taker;
+        std::uint64_t m_number = 0;
+        bool m_ended = false;
+    };
+    /// Newest takeover of each instance.
+    std::map<TaskId, Takeover> m_takeovers;
 };
 
 } // namespace sapphiredale::ownership
--- a/src/ownership/OwnershipActions.h
+++ b/src/ownership/OwnershipActions.h
@@ -94,8 +94,9 @@
     friend bool operator==(const SendCommands&, const SendCommands&) = default;
 };
 
-/// Append one record to the domain's stream; the caller batches records and reports appendFinished for each.
+/// Append one record to the stream of a domain; the caller batches records and reports appendFinished for each.
 struct AppendRecord {
+    FailureDomainId m_stream;
     StreamRecord m_record;
 
     friend bool operator==(const AppendRecord&, const AppendRecord&) = default;
--- a/src/ownership/StreamRecord.h
+++ b/src/ownership/StreamRecord.h
@@ -52,13 +52,17 @@
     friend bool operator==(const HomeReleased&, const HomeReleased&) = default;
 };
 
-/// The author's domain starts an instance whose home domain is lost (onDomainLoss "moveAfterLoss"). The home starts it
-/// again only after a HomeReleased record with the same takeover number.
+/// Another domain takes over an instance whose home domain is lost (onDomainLoss "moveAfterLoss"). The record is
+/// written to the stream of the home, where log order decides between several takers and the home itself: it is void if
+/// a DomainPresent record lies between m_lastPresence and it. The home starts the instance again only after a
+/// HomeReleased record with the same takeover number in its stream.
 struct HomeTaken {
     TaskId m_task;
-    FailureDomainId m_home;
+    FailureDomainId m_taker;
     /// Counts the takeovers of the instance, from 1.
     std::uint64_t m_takeover = 1;
+    /// Last DomainPresent record that the taker has read in the stream; empty for none.
+    RecordId m_lastPresence;
 
     friend bool operator==(const HomeTaken&, const HomeTaken&) = default;
 };
--- a/src/ownership/WorkerTable.h
+++ b/src/ownership/WorkerTable.h
@@ -89,9 +89,12 @@
     /// Worker that reports the task in a state that is not final, or nullptr.
     const WorkerId* workerRunning(const TaskId&) const;
     std::vector<WorkerId> workers() const;
+    std::vector<WorkerId> workersWithCommands() const;
+    std::string addressOf(const WorkerId&) const;
     bool hasPendingCommands() const;
     std::size_t pendingCommands(const WorkerId&) const;
-    std::optional<TimePoint> nextWake() const;
+    /// Next deadline after now. A batch that is due but has no lease waits for the lease.
+    std::optional<TimePoint> nextWake(TimePoint now) const;
     const Counters& counters() const { return m_counters; }
 
 private:
@@ -114,6 +117,8 @@
         Backoff m_backoff;
         /// Recorded final states with the earliest instant of their acknowledgement.
         std::map<TaskAttempt, TimePoint> m_acknowledgements;
+        /// Acknowledgements of the lease request in flight.
+        std::vector<TaskAttempt> m_sentAcknowledgements;
         /// Starts whose answer was lost, with the instant until which a late copy may arrive.
         std::map<TaskAttempt, TimePoint> m_lateStarts;
     };
@@ -121,6 +126,9 @@
     Session* find(const WorkerId&);
     const Session* find(const WorkerId&) const;
     void retryBatch(Session&, TimePoint now);
+    void deliverAcknowledgements(const WorkerId&, Session&);
+    void forgetIncarnation(const WorkerId&, Session&);
+    void mergeTasks(const WorkerId&, Session&, const WorkerReport&, ReportChanges&);
     void index(const WorkerId&, const TaskReport&);
     void removeFromIndex(const WorkerId&, const TaskId&);
 
