Add the placement core: queues, quotas, groups, preemption, quarantine, learning, explanations

The ownership and daemon packages need a working cell to integrate against. This is a first complete version behind the existing interface: capacity accounting with a bucketed index of workers, queues per workload with aged priorities and fair order between teams, all-or-nothing groups with claims and backfill, preemption with bounded search, quarantine of failing workers, bounded trust in reported usage, and explanations with a counter per reason. New in the interface: taskAbsent, counters, workerLoad, summary, and two settings of the cell.

--- a/src/placement/Cell.h
+++ b/src/placement/Cell.h
@@ -7,6 +7,7 @@
 #include "model/TaskReport.h"
 #include "model/Time.h"
 #include "placement/PlacementActions.h"
+#include "placement/Reason.h"
 
 #include <cstdint>
 #include <memory>
@@ -23,6 +24,11 @@
     std::uint64_t m_seed = 1;
     /// Most tasks that wait in the queue; a job beyond it is refused with QueueFull.
     std::uint32_t m_maxQueuedTasks = 200000;
+    /// Most actions of waiting tasks per step; zero sets no bound. With a bound nextWake() asks for a further step at
+    /// once, so that a burst does not delay the other work of the caller's thread.
+    std::uint32_t m_maxStartsPerStep = 0;
+    /// Half-life with which a decrease of reported usage is trusted; zero trusts every report at once.
+    Duration m_usageHalfLife = std::chrono::seconds(10);
 };
 
 /// A job as accepted from a caller.
@@ -48,6 +54,29 @@
     std::string m_release;
 };
 
+/// What a worker carries as the cell accounts for it.
+struct WorkerLoad {
+    Resources m_capacity;
+    /// Sum over its tasks of the larger of declared size and trusted usage.
+    Resources m_reserved;
+    std::uint32_t m_tasks = 0;
+    bool m_quarantined = false;
+    bool m_onProbation = false;
+};
+
+/// Totals for status pages and measurements.
+struct CellSummary {
+    std::uint32_t m_workers = 0;
+    std::uint32_t m_quarantinedWorkers = 0;
+    std::uint32_t m_waitingTasks = 0;
+    std::uint32_t m_activeTasks = 0;
+    Resources m_capacity;
+    Resources m_reserved;
+    /// Approximate bytes of the records of tasks and jobs, and of workers with their indices.
+    std::size_t m_taskBytes = 0;
+    std::size_t m_workerBytes = 0;
+};
+
 /// The placement core of one failure domain.
 class Cell {
 public:
@@ -80,6 +109,9 @@
     /// A task as reported by its worker, at recovery or later: takes over unknown tasks, updates state and use, frees
     /// resources at a final state. Reports that are late, repeated or of an older attempt have no effect.
     void taskReported(const WorkerId&, const TaskReport&, TimePoint now);
+    /// A full report of the worker does not list an attempt that should be there: its end is proven without a result,
+    /// and the task is queued again by the rules of its class.
+    void taskAbsent(const WorkerId&, const TaskId&, std::uint32_t attempt, TimePoint now);
     /// The worker refused a start command: the task did not start.
     void startRefused(const TaskId&, std::uint32_t attempt, const WorkerId&, const std::string& reason, TimePoint now);
 
@@ -90,6 +122,12 @@
 
     Explanation explain(const TaskId&) const;
 
+    /// Counters of refusals, waits, returns to the queue and actions, by reason.
+    const Counters& counters() const;
+    /// What is reserved on the worker and how many tasks it has; zero for an unknown worker.
+    WorkerLoad workerLoad(const WorkerId&) const;
+    CellSummary summary() const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- /dev/null
+++ b/src/placement/Quotas.cpp
@@ -0,0 +1,121 @@
+// Accounting of teams.
+
+#include "placement/Quotas.h"
+
+namespace sapphiredale::placement {
+
+namespace {
+
+    Resources excess(const Resources& used, const Resources& allowed)
+    {
+        return Resources::max(used - allowed, Resources {});
+    }
+
+} // namespace
+
+void Quotas::setTeams(const std::vector<TeamSpec>& specs)
+{
+    for (Team& team : m_teams) {
+        team.m_spec.m_guaranteed = {};
+        team.m_spec.m_limit = {};
+    }
+    for (const TeamSpec& spec : specs) {
+        const auto [entry, isNew] = m_names.try_emplace(spec.m_name, static_cast<TeamIndex>(m_teams.size()));
+        if (isNew)
+            m_teams.emplace_back();
+        m_teams[entry->second].m_spec = spec;
+    }
+    m_guaranteedSum = {};
+    m_fixedBorrowed = {};
+    for (const Team& team : m_teams) {
+        m_guaranteedSum += team.m_spec.m_guaranteed;
+        m_fixedBorrowed += excess(team.m_fixed, team.m_spec.m_guaranteed);
+    }
+    ++m_refunds;
+}
+
+void Quotas::setCapacity(const Resources& capacity)
+{
+    m_capacity = capacity;
+    ++m_refunds;
+}
+
+TeamIndex Quotas::find(const TeamId& name) const
+{
+    const auto entry = m_names.find(name);
+    return entry == m_names.end() ? noIndex : entry->second;
+}
+
+Reason Quotas::check(TeamIndex index, const Resources& amount, bool preemptible) const
+{
+    const Team& team = m_teams[index];
+    if (!(team.m_used + amount).fitsIn(team.m_spec.m_limit))
+        return Reason::QuotaLimit;
+    if (preemptible || (team.m_fixed + amount).fitsIn(team.m_spec.m_guaranteed))
+        return Reason::None;
+    const Resources& guaranteed = team.m_spec.m_guaranteed;
+    const Resources borrowed
+        = m_fixedBorrowed - excess(team.m_fixed, guaranteed) + excess(team.m_fixed + amount, guaranteed);
+    return borrowed.fitsIn(excess(m_capacity, m_guaranteedSum)) ? Reason::None : Reason::UnreclaimableShare;
+}
+
+void Quotas::updateFixed(TeamIndex index, const Resources& change)
+{
+    Team& team = m_teams[index];
+    m_fixedBorrowed -= excess(team.m_fixed, team.m_spec.m_guaranteed);
+    team.m_fixed += change;
+    m_fixedBorrowed += excess(team.m_fixed, team.m_spec.m_guaranteed);
+}
+
+void Quotas::charge(TeamIndex index, const Resources& amount, bool fixed)
+{
+    m_teams[index].m_used += amount;
+    if (fixed)
+        updateFixed(index, amount);
+}
+
+void Quotas::refund(TeamIndex index, const Resources& amount, bool fixed)
+{
+    m_teams[index].m_used -= amount;
+    ++m_teams[index].m_refunds;
+    if (fixed) {
+        updateFixed(index, Resources {} - amount);
+        ++m_refunds;
+    }
+}
+
+void Quotas::adjust(TeamIndex index, const Resources& change, bool fixed)
+{
+    m_teams[index].m_used += change;
+    if (change.hasNegative())
+        ++m_teams[index].m_refunds;
+    if (fixed)
+        updateFixed(index, change);
+}
+
+bool Quotas::isGuaranteed(TeamIndex index, const Resources& amount) const
+{
+    return (m_teams[index].m_used + amount).fitsIn(m_teams[index].m_spec.m_guaranteed);
+}
+
+bool Quotas::borrows(TeamIndex index) const
+{
+    return !m_teams[index].m_used.fitsIn(m_teams[index].m_spec.m_guaranteed);
+}
+
+double Quotas::share(TeamIndex index) const
+{
+    // A team without a guaranteed share is weighed as if it had a hundredth of the domain.
+    const Team& team = m_teams[index];
+    double largest = 0;
+    const auto consider = [&](std::int64_t used, std::int64_t guaranteed, std::int64_t capacity) {
+        if (used > 0)
+            largest = std::max(largest, double(used) / double(std::max({ guaranteed, capacity / 100, INT64_C(1) })));
+    };
+    consider(team.m_used.m_cpuMillis, team.m_spec.m_guaranteed.m_cpuMillis, m_capacity.m_cpuMillis);
+    consider(team.m_used.m_memoryMiB, team.m_spec.m_guaranteed.m_memoryMiB, m_capacity.m_memoryMiB);
+    consider(team.m_used.m_accelerators, team.m_spec.m_guaranteed.m_accelerators, m_capacity.m_accelerators);
+    return largest;
+}
+
+} // namespace sapphiredale::placement
--- /dev/null
+++ b/src/placement/TaskLifecycle.cpp
@@ -0,0 +1,580 @@
+// Transitions of tasks and jobs.
+
+#include "placement/TaskLifecycle.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace sapphiredale::placement {
+
+namespace {
+
+    /// Closed jobs are kept this long for late reports and explanations.
+    constexpr Duration closedJobRetention = std::chrono::minutes(10);
+    constexpr Duration firstBackoff = std::chrono::seconds(1);
+    constexpr Duration maxBackoff = std::chrono::seconds(60);
+    constexpr Duration refusedBackoff = std::chrono::milliseconds(100);
+    /// A stop that has no effect is requested again, since the command may have been lost.
+    constexpr Duration stopRepeat = std::chrono::seconds(30);
+    /// A checkpoint for urgent work that takes longer is replaced by a stop: the start must follow within 1.9 s.
+    constexpr Duration checkpointPatience = std::chrono::milliseconds(1000);
+
+    Duration backoffAfter(unsigned failures)
+    {
+        const unsigned doublings = std::min(failures > 0 ? failures - 1 : 0, 6U);
+        return std::min(firstBackoff * (1 << doublings), maxBackoff);
+    }
+
+    bool isPreemption(Reason cause) { return cause == Reason::Preempted || cause == Reason::ReclaimedShare; }
+
+} // namespace
+
+bool TaskLifecycle::isReclaimable(const Task& task) const
+{
+    if (task.m_workload == noIndex)
+        return false;
+    const ClassPolicy& policy = m_state.policyOf(task);
+    return task.m_backfill
+        || (policy.m_preemptible && !policy.m_urgent && task.m_preemptions < policy.m_maxPreemptions);
+}
+
+void TaskLifecycle::openJob(JobIndex jobIndex, std::uint32_t taskCount, TimePoint now)
+{
+    const std::string prefix = m_state.m_jobs[jobIndex].m_id.value() + "/";
+    m_state.m_jobs[jobIndex].m_open = taskCount;
+    std::vector<TaskIndex> ended;
+    for (std::uint32_t i = 0; i < taskCount; ++i) {
+        const TaskId id(prefix + std::to_string(i));
+        TaskIndex index = m_state.findTask(id);
+        if (index != noIndex) {
+            attach(index, jobIndex);
+        } else {
+            index = m_state.addTask(id);
+            Task& task = m_state.m_tasks[index];
+            task.m_job = jobIndex;
+            task.m_workload = m_state.m_jobs[jobIndex].m_workload;
+            task.m_phase = Phase::Waiting;
+            task.m_queuedAt = now;
+            ++m_state.m_waiting;
+            const auto early = m_state.m_earlyEnds.find(id);
+            if (early != m_state.m_earlyEnds.end()) {
+                task.m_attempt = task.m_finalAttempt = early->second.m_attempt;
+                if (early->second.m_state == TaskState::Ended)
+                    ended.push_back(index);
+            }
+        }
+        m_state.m_jobs[jobIndex].m_tasks.push_back(index);
+    }
+    for (const TaskIndex index : ended)
+        dropWaiting(index, Phase::Finished, now);
+    // Members of a group that still run are joined by the others, unless none of them runs.
+    queueJob(jobIndex);
+}
+
+void TaskLifecycle::queueJob(JobIndex index)
+{
+    const Job& job = m_state.m_jobs[index];
+    const bool together = startsTogether(m_state.policyOf(m_state.m_workloads[job.m_workload]).m_kind);
+    for (const TaskIndex task : job.m_tasks) {
+        if (m_state.m_tasks[task].m_phase != Phase::Waiting || m_state.m_tasks[task].m_inQueue)
+            continue;
+        m_queue.pushBack(task);
+        // The first waiting task of a group stands in the queue for all of them.
+        if (together)
+            return;
+    }
+}
+
+void TaskLifecycle::queueTask(TaskIndex index, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    task.m_phase = Phase::Waiting;
+    task.m_queuedAt = now;
+    ++m_state.m_waiting;
+    m_queue.pushBack(index);
+}
+
+void TaskLifecycle::occupy(TaskIndex index, WorkerIndex worker, const Resources& reserved)
+{
+    Task& task = m_state.m_tasks[index];
+    task.m_reserved = reserved;
+    m_state.m_workers.occupy(worker, index, task);
+    if (task.m_workload == noIndex)
+        return;
+    task.m_fixed = !m_state.policyOf(task).m_preemptible;
+    m_state.m_quotas.charge(m_state.m_workloads[task.m_workload].m_team, reserved, task.m_fixed);
+    Job& job = m_state.m_jobs[task.m_job];
+    ++job.m_active;
+    m_state.countRack(job, m_state.m_workers.at(worker).m_rack, 1);
+    m_state.m_workers.setReclaimable(task, isReclaimable(task));
+}
+
+void TaskLifecycle::start(TaskIndex index, WorkerIndex workerIndex, TimePoint now, bool backfill)
+{
+    Task& task = m_state.m_tasks[index];
+    assert(task.m_phase == Phase::Waiting);
+    const Workload& workload = m_state.m_workloads[task.m_workload];
+    const Resources need = task.m_claim != noIndex ? task.m_declared : m_state.needOf(workload);
+    if (task.m_inQueue)
+        m_queue.remove(index);
+    if (task.m_claim != noIndex)
+        unclaim(index);
+    --m_state.m_waiting;
+    assert(need.fitsIn(m_state.m_workers.at(workerIndex).unoccupied()));
+    task.m_phase = Phase::Starting;
+    task.m_cause = Reason::None;
+    task.m_attempt = std::max(task.m_attempt, task.m_finalAttempt) + 1;
+    task.m_declared = need;
+    task.m_since = task.m_usageAt = now;
+    task.m_throttled = task.m_escalated = task.m_overuses = task.m_sampled = false;
+    task.m_backfill = backfill;
+    Worker& worker = m_state.m_workers.mutableAt(workerIndex);
+    ++worker.m_starting;
+    if (backfill)
+        worker.m_backfilled += need;
+    m_quarantine.started(index, workerIndex);
+    occupy(index, workerIndex, need);
+    m_state.m_counters.count(Reason::Placed);
+    m_state.m_actions.emplace_back(
+        StartTask { *task.m_id, task.m_attempt, workload.m_spec.m_name, worker.m_spec.m_name, need });
+}
+
+void TaskLifecycle::adopt(TaskIndex index, WorkerIndex worker, const TaskReport& report, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    assert(!occupies(task.m_phase));
+    if (task.m_inQueue)
+        m_queue.remove(index);
+    if (task.m_claim != noIndex)
+        unclaim(index);
+    if (task.m_phase == Phase::Waiting || task.m_phase == Phase::Backoff)
+        --m_state.m_waiting;
+    task.m_attempt = report.m_attempt;
+    task.m_phase = report.m_state == TaskState::Starting ? Phase::Starting : Phase::Running;
+    task.m_declared = report.m_declared;
+    task.m_since = task.m_usageAt = now;
+    task.m_backfill = task.m_throttled = task.m_escalated = task.m_overuses = task.m_sampled = false;
+    task.m_cause = Reason::None;
+    if (task.m_phase == Phase::Starting)
+        ++m_state.m_workers.mutableAt(worker).m_starting;
+    occupy(index, worker, Resources::max(report.m_declared, report.m_usage));
+    if (report.m_state == TaskState::Checkpointing)
+        checkpointSeen(index, now);
+}
+
+void TaskLifecycle::attach(TaskIndex index, JobIndex jobIndex)
+{
+    Task& task = m_state.m_tasks[index];
+    assert(task.m_job == noIndex && occupies(task.m_phase));
+    Job& job = m_state.m_jobs[jobIndex];
+    task.m_job = jobIndex;
+    task.m_workload = job.m_workload;
+    task.m_fixed = !m_state.policyOf(task).m_preemptible;
+    m_state.m_quotas.charge(m_state.m_workloads[task.m_workload].m_team, task.m_reserved, task.m_fixed);
+    ++job.m_active;
+    m_state.countRack(job, m_state.m_workers.at(task.m_worker).m_rack, 1);
+    m_state.m_workers.setReclaimable(task, task.m_phase != Phase::Stopping && isReclaimable(task));
+}
+
+void TaskLifecycle::release(TaskIndex index)
+{
+    Task& task = m_state.m_tasks[index];
+    const WorkerIndex workerIndex = task.m_worker;
+    Worker& worker = m_state.m_workers.mutableAt(workerIndex);
+    if (task.m_phase == Phase::Starting)
+        --worker.m_starting;
+    if (task.m_backfill)
+        worker.m_backfilled -= task.m_declared;
+    if (task.m_overuses)
+        --worker.m_overusers;
+    if (task.m_workload != noIndex) {
+        m_state.m_quotas.refund(m_state.m_workloads[task.m_workload].m_team, task.m_reserved, task.m_fixed);
+        Job& job = m_state.m_jobs[task.m_job];
+        --job.m_active;
+        m_state.countRack(job, worker.m_rack, -1);
+    }
+    m_state.m_workers.vacate(workerIndex, task, m_state.m_tasks);
+    task.m_backfill = task.m_overuses = task.m_throttled = false;
+}
+
+void TaskLifecycle::requestStop(
+    TaskIndex index, Reason cause, bool checkpoint, TimePoint now, const std::string& detail)
+{
+    Task& task = m_state.m_tasks[index];
+    assert(occupies(task.m_phase));
+    if (task.m_phase == Phase::Stopping && (cause != Reason::Cancelled || task.m_cause == Reason::Cancelled))
+        return;
+    if (task.m_phase == Phase::Starting) {
+        // Nothing has run yet, so there is nothing to checkpoint.
+        --m_state.m_workers.mutableAt(task.m_worker).m_starting;
+        checkpoint = false;
+    }
+    m_state.m_workers.setReclaimable(task, false);
+    task.m_phase = Phase::Stopping;
+    task.m_cause = cause;
+    task.m_deadline = now + (checkpoint && isPreemption(cause) ? checkpointPatience : stopRepeat);
+    m_state.m_timers.push({ task.m_deadline, Timer::Kind::StopOverdue, index });
+    m_state.m_counters.count(cause);
+    const WorkerId& worker = m_state.m_workers.at(task.m_worker).m_spec.m_name;
+    if (checkpoint)
+        m_state.m_actions.emplace_back(CheckpointTask { *task.m_id, task.m_attempt, worker, detail });
+    else
+        m_state.m_actions.emplace_back(StopTask { *task.m_id, task.m_attempt, worker, detail });
+    if (cause == Reason::Cancelled || task.m_workload == noIndex || !stopsTogether(m_state.policyOf(task).m_kind))
+        return;
+    // Copied: the records may not move, but the recursion must not depend on it.
+    const std::vector<TaskIndex> members = m_state.m_jobs[task.m_job].m_tasks;
+    for (const TaskIndex member : members) {
+        const Phase phase = m_state.m_tasks[member].m_phase;
+        if (phase == Phase::Starting || phase == Phase::Running)
+            requestStop(member, isPreemption(cause) ? cause : Reason::GroupMemberLost, true, now, detail);
+    }
+}
+
+void TaskLifecycle::stopOverdue(TaskIndex index, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    if (task.m_phase != Phase::Stopping || task.m_deadline > now)
+        return;
+    if (isPreemption(task.m_cause) && !task.m_escalated) {
+        m_state.m_counters.count(Reason::CheckpointTooSlow);
+        task.m_escalated = true;
+    }
+    task.m_deadline = now + stopRepeat;
+    m_state.m_timers.push({ task.m_deadline, Timer::Kind::StopOverdue, index });
+    m_state.m_actions.emplace_back(StopTask { *task.m_id, task.m_attempt,
+        m_state.m_workers.at(task.m_worker).m_spec.m_name, std::string(nameOf(task.m_cause)) });
+}
+
+void TaskLifecycle::requeue(TaskIndex index, TimePoint now, Duration delay)
+{
+    Task& task = m_state.m_tasks[index];
+    ++m_state.m_waiting;
+    task.m_phase = Phase::Waiting;
+    task.m_queuedAt = now;
+    if (stopsTogether(m_state.policyOf(task).m_kind)) {
+        regroup(task.m_job, now, delay);
+    } else if (delay > Duration::zero()) {
+        task.m_phase = Phase::Backoff;
+        task.m_deadline = now + delay;
+        m_state.m_timers.push({ task.m_deadline, Timer::Kind::Backoff, index });
+    } else {
+        m_queue.pushFront(index);
+    }
+}
+
+void TaskLifecycle::regroup(JobIndex index, TimePoint now, Duration delay)
+{
+    const std::vector<TaskIndex> members = m_state.m_jobs[index].m_tasks;
+    for (const TaskIndex member : members) {
+        const Phase phase = m_state.m_tasks[member].m_phase;
+        if (phase == Phase::Starting || phase == Phase::Running)
+            requestStop(member, Reason::GroupMemberLost, true, now, "another task of the group ended early");
+    }
+    if (m_state.m_jobs[index].m_active > 0)
+        return;
+    // The first waiting member stands in the queue for the whole group.
+    for (const TaskIndex member : members) {
+        Task& task = m_state.m_tasks[member];
+        if (task.m_phase != Phase::Waiting)
+            continue;
+        if (delay > Duration::zero()) {
+            task.m_phase = Phase::Backoff;
+            task.m_deadline = now + delay;
+            m_state.m_timers.push({ task.m_deadline, Timer::Kind::Backoff, member });
+        } else if (!task.m_inQueue) {
+            m_queue.pushFront(member);
+        }
+        return;
+    }
+}
+
+void TaskLifecycle::backoffFired(TaskIndex index, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    if (task.m_phase != Phase::Backoff || task.m_deadline > now)
+        return;
+    task.m_phase = Phase::Waiting;
+    m_queue.pushFront(index);
+}
+
+void TaskLifecycle::attemptEnded(TaskIndex index, TaskState state, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    const WorkerIndex worker = task.m_worker;
+    const Reason cause = task.m_cause;
+    const bool wasStopping = task.m_phase == Phase::Stopping;
+    task.m_finalAttempt = task.m_attempt;
+    release(index);
+    if (task.m_workload == noIndex) {
+        if (!task.m_stray)
+            m_state.rememberEarlyEnd(*task.m_id, { state, task.m_attempt });
+        m_state.forgetTask(index);
+        return;
+    }
+    if (state == TaskState::Ended)
+        m_quarantine.succeeded(task, worker);
+    else if (state == TaskState::Failed && !wasStopping)
+        failedOn(index, worker, now);
+    else
+        m_quarantine.withoutResult(index, worker);
+
+    const ClassPolicy& policy = m_state.policyOf(task);
+    if (m_state.m_jobs[task.m_job].m_closed || cause == Reason::Cancelled) {
+        finishTask(index, state == TaskState::Ended ? Phase::Finished : Phase::Failed, now);
+    } else if (state == TaskState::Ended && !runsForever(policy.m_kind)) {
+        const JobIndex jobIndex = task.m_job;
+        finishTask(index, Phase::Finished, now);
+        // The last active member of a group can leave other members waiting to start again.
+        const Job& job = m_state.m_jobs[jobIndex];
+        if (stopsTogether(policy.m_kind) && job.m_active == 0 && job.m_open > 0 && !job.m_closed)
+            regroup(jobIndex, now, Duration::zero());
+    } else if (state == TaskState::Failed) {
+        retryAfterFailure(index, Reason::TaskFailed, now);
+    } else if (wasStopping && cause != Reason::OveruseStop) {
+        task.m_cause = cause;
+        if (isPreemption(cause) && task.m_preemptions < 255)
+            ++task.m_preemptions;
+        requeue(index, now, Duration::zero());
+    } else if (wasStopping) {
+        retryAfterFailure(index, Reason::OveruseStop, now);
+    } else {
+        retryAfterFailure(index, Reason::StoppedUnasked, now);
+    }
+}
+
+void TaskLifecycle::failedOn(TaskIndex index, WorkerIndex worker, TimePoint now)
+{
+    m_state.m_tasks[index].m_avoid = worker;
+    m_quarantine.failed(m_state.m_tasks[index], worker, now);
+}
+
+void TaskLifecycle::retryAfterFailure(TaskIndex index, Reason reason, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    const ClassPolicy& policy = m_state.policyOf(task);
+    m_state.m_counters.count(reason);
+    task.m_cause = reason;
+    task.m_failures = static_cast<std::uint8_t>(std::min(task.m_failures + 1, 255));
+    if (runsForever(policy.m_kind) || task.m_failures < policy.m_maxAttempts) {
+        requeue(index, now, backoffAfter(task.m_failures));
+        return;
+    }
+    m_state.m_counters.count(Reason::AttemptsUsedUp);
+    const std::string detail = "task " + task.m_id->value() + " ended without success "
+        + std::to_string(task.m_failures) + " times, the last time: " + std::string(nameOf(reason));
+    const JobIndex job = task.m_job;
+    finishTask(index, Phase::Failed, now);
+    failJob(job, ErrorKind::Internal, detail, now);
+}
+
+void TaskLifecycle::stopStray(const TaskId& id, WorkerIndex worker, const TaskReport& report, TimePoint now)
+{
+    const TaskIndex index = m_state.addStray(id);
+    Task& task = m_state.m_tasks[index];
+    task.m_attempt = report.m_attempt;
+    task.m_phase = Phase::Running;
+    task.m_declared = report.m_declared;
+    task.m_since = task.m_usageAt = now;
+    occupy(index, worker, Resources::max(report.m_declared, report.m_usage));
+    requestStop(index, Reason::StrayStopped, false, now, "another attempt of the task is in force");
+}
+
+void TaskLifecycle::checkpointSeen(TaskIndex index, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    m_state.m_workers.setReclaimable(task, false);
+    task.m_phase = Phase::Stopping;
+    task.m_cause = Reason::Preempted;
+    task.m_deadline = now + stopRepeat;
+    m_state.m_timers.push({ task.m_deadline, Timer::Kind::StopOverdue, index });
+}
+
+void TaskLifecycle::supersede(TaskIndex index, TimePoint now)
+{
+    const Task old = m_state.m_tasks[index];
+    if (old.m_phase == Phase::Starting || old.m_phase == Phase::Running || old.m_phase == Phase::Stopping)
+        m_quarantine.withoutResult(index, old.m_worker);
+    release(index);
+    m_state.m_tasks[index].m_phase = Phase::Failed;
+    TaskReport report;
+    report.m_attempt = old.m_attempt;
+    report.m_declared = old.m_declared;
+    report.m_usage = old.m_reserved;
+    stopStray(*old.m_id, old.m_worker, report, now);
+}
+
+void TaskLifecycle::suspendCharges()
+{
+    for (const Task& task : m_state.m_tasks) {
+        if (occupies(task.m_phase) && task.m_workload != noIndex)
+            m_state.m_quotas.refund(m_state.m_workloads[task.m_workload].m_team, task.m_reserved, task.m_fixed);
+    }
+}
+
+void TaskLifecycle::resumeCharges()
+{
+    for (Task& task : m_state.m_tasks) {
+        if (!occupies(task.m_phase) || task.m_workload == noIndex)
+            continue;
+        task.m_fixed = !m_state.policyOf(task).m_preemptible;
+        m_state.m_quotas.charge(m_state.m_workloads[task.m_workload].m_team, task.m_reserved, task.m_fixed);
+        m_state.m_workers.setReclaimable(task, task.m_phase != Phase::Stopping && isReclaimable(task));
+    }
+}
+
+void TaskLifecycle::attemptLost(TaskIndex index, Reason reason, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    const Reason cause = task.m_cause;
+    m_quarantine.withoutResult(index, task.m_worker);
+    release(index);
+    if (task.m_workload == noIndex) {
+        m_state.forgetTask(index);
+        return;
+    }
+    if (m_state.m_jobs[task.m_job].m_closed || cause == Reason::Cancelled)
+        finishTask(index, Phase::Failed, now);
+    else
+        retryAfterFailure(index, reason, now);
+}
+
+void TaskLifecycle::startRefused(TaskIndex index, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    const WorkerIndex worker = task.m_worker;
+    const Reason cause = task.m_cause;
+    task.m_finalAttempt = task.m_attempt;
+    release(index);
+    failedOn(index, worker, now);
+    if (m_state.m_jobs[task.m_job].m_closed || cause == Reason::Cancelled) {
+        finishTask(index, Phase::Failed, now);
+        return;
+    }
+    m_state.m_counters.count(Reason::StartRefused);
+    task.m_cause = Reason::StartRefused;
+    requeue(index, now, refusedBackoff);
+}
+
+void TaskLifecycle::finishTask(TaskIndex index, Phase phase, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    task.m_phase = phase;
+    const JobIndex jobIndex = task.m_job;
+    Job& job = m_state.m_jobs[jobIndex];
+    if (job.m_isService) {
+        std::erase(job.m_tasks, index);
+        m_state.forgetTask(index);
+        return;
+    }
+    --job.m_open;
+    if (job.m_open == 0 && !job.m_closed && phase == Phase::Finished) {
+        m_state.m_counters.count(Reason::Finished);
+        m_state.m_actions.emplace_back(FinishJob { job.m_id });
+        closeJob(jobIndex, now);
+    }
+}
+
+void TaskLifecycle::dropWaiting(TaskIndex index, Phase phase, TimePoint now)
+{
+    Task& task = m_state.m_tasks[index];
+    if (task.m_inQueue)
+        m_queue.remove(index);
+    if (task.m_claim != noIndex)
+        unclaim(index);
+    --m_state.m_waiting;
+    finishTask(index, phase, now);
+}
+
+void TaskLifecycle::closeJob(JobIndex index, TimePoint now)
+{
+    Job& job = m_state.m_jobs[index];
+    job.m_closed = true;
+    job.m_closedAt = now;
+    m_state.m_closedJobs.push_back(index);
+}
+
+void TaskLifecycle::failJob(JobIndex index, ErrorKind kind, const std::string& detail, TimePoint now)
+{
+    if (m_state.m_jobs[index].m_closed)
+        return;
+    m_state.m_actions.emplace_back(FailJob { m_state.m_jobs[index].m_id, Error { kind, detail } });
+    cancelJob(index, now);
+}
+
+void TaskLifecycle::cancelJob(JobIndex index, TimePoint now)
+{
+    closeJob(index, now);
+    // The records do not move during the loop, since no task or job is added.
+    for (const TaskIndex task : m_state.m_jobs[index].m_tasks) {
+        const Phase phase = m_state.m_tasks[task].m_phase;
+        if (occupies(phase))
+            requestStop(task, Reason::Cancelled, false, now, "cancelled");
+        else if (phase == Phase::Waiting || phase == Phase::Backoff)
+            dropWaiting(task, Phase::Failed, now);
+    }
+}
+
+void TaskLifecycle::withdraw(TaskIndex index, TimePoint now)
+{
+    const Phase phase = m_state.m_tasks[index].m_phase;
+    if (occupies(phase))
+        requestStop(index, Reason::Cancelled, false, now, "withdrawn");
+    else
+        dropWaiting(index, Phase::Failed, now);
+}
+
+void TaskLifecycle::claim(TaskIndex index, WorkerIndex worker, TimePoint until)
+{
+    Task& task = m_state.m_tasks[index];
+    assert(task.m_phase == Phase::Waiting && task.m_claim == noIndex);
+    if (task.m_inQueue)
+        m_queue.remove(index);
+    task.m_claim = worker;
+    task.m_declared = m_state.needOf(m_state.m_workloads[task.m_workload]);
+    task.m_deadline = until;
+    m_state.m_claimants.push_back(index);
+    m_state.m_workers.claim(worker, index, task.m_declared);
+    m_state.countRack(m_state.m_jobs[task.m_job], m_state.m_workers.at(worker).m_rack, 1);
+    m_state.m_timers.push({ until, Timer::Kind::Claim, index });
+}
+
+void TaskLifecycle::unclaim(TaskIndex index)
+{
+    Task& task = m_state.m_tasks[index];
+    const WorkerIndex worker = task.m_claim;
+    task.m_claim = noIndex;
+    std::erase(m_state.m_claimants, index);
+    m_state.m_workers.unclaim(worker, index, task.m_declared);
+    m_state.countRack(m_state.m_jobs[task.m_job], m_state.m_workers.at(worker).m_rack, -1);
+}
+
+void TaskLifecycle::returnToQueue(TaskIndex index)
+{
+    unclaim(index);
+    m_queue.pushFront(index);
+}
+
+void TaskLifecycle::forgetClosedJobs(TimePoint now)
+{
+    // Bounded per step; a job with tasks that still stop goes back to the end.
+    for (int i = 0; i < 64 && !m_state.m_closedJobs.empty(); ++i) {
+        const JobIndex index = m_state.m_closedJobs.front();
+        Job& job = m_state.m_jobs[index];
+        if (now - job.m_closedAt < closedJobRetention)
+            return;
+        m_state.m_closedJobs.pop_front();
+        if (job.m_active > 0) {
+            job.m_closedAt = now;
+            m_state.m_closedJobs.push_back(index);
+            continue;
+        }
+        for (const TaskIndex task : job.m_tasks)
+            m_state.forgetTask(task);
+        m_state.m_jobNames.erase(job.m_id);
+        job = Job {};
+        m_state.m_freeJobs.push_back(index);
+    }
+}
+
+} // namespace sapphiredale::placement
