--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -80,6 +80,30 @@
             reader.finish();
         }
 
+        /// Reads an optional array of objects; the function reads one of them into a new element.
+        template <typename T, typename Function>
+        void sections(std::string_view name, std::vector<T>& values, Function function)
+        {
+            const json::value* member = find(name);
+            if (!member)
+                return;
+            if (!member->is_array()) {
+                fault(name, "must be an array");
+                return;
+            }
+            const json::array& array = member->get_array();
+            for (std::size_t i = 0; i < array.size(); ++i) {
+                const std::string element = std::string(name) + "/" + std::to_string(i);
+                if (!array[i].is_object()) {
+                    fault(element, "must be an object");
+                    continue;
+                }
+                SectionReader reader(array[i].get_object(), pathOf(element), m_faults);
+                function(reader, values.emplace_back());
+                reader.finish();
+            }
+        }
+
         void fault(std::string_view name, std::string problem)
         {
             m_faults.push_back({ pathOf(name), std::move(problem) });
@@ -135,20 +159,6 @@
                 fault(name, "must be \"address:port\" with a numeric IP address");
         }
 
-        void read(std::string_view name, const json::value& member, std::vector<Endpoint>& value)
-        {
-            if (!member.is_array()) {
-                fault(name, "must be an array");
-                return;
-            }
-            const json::array& array = member.get_array();
-            for (std::size_t i = 0; i < array.size(); ++i) {
-                Endpoint endpoint;
-                read(std::string(name) + "/" + std::to_string(i), array[i], endpoint);
-                value.push_back(std::move(endpoint));
-            }
-        }
-
         const json::object& m_object;
         std::string m_path;
         std::vector<SettingsFault>& m_faults;
@@ -163,6 +173,13 @@
         reader.required("relay", settings.m_relay);
     }
 
+    void readPeer(SectionReader& reader, PeerSettings& settings)
+    {
+        reader.required("daemon", settings.m_daemon);
+        reader.required("failureDomain", settings.m_failureDomain);
+        reader.required("address", settings.m_address);
+    }
+
     void readPlatform(SectionReader& reader, PlatformSettings& settings)
     {
         reader.required("log", settings.m_log);
@@ -214,7 +231,7 @@
         reader.required("failureDomain", settings.m_failureDomain);
         reader.required("region", settings.m_region);
         reader.section("listeners", true, [&](SectionReader& r) { readListeners(r, settings.m_listeners); });
-        reader.optional("peers", settings.m_peers);
+        reader.sections("peers", settings.m_peers, readPeer);
         reader.section("platform", true, [&](SectionReader& r) { readPlatform(r, settings.m_platform); });
         reader.section("leases", false, [&](SectionReader& r) { readLeases(r, settings.m_leases); });
         reader.section("limits", false, [&](SectionReader& r) { readLimits(r, settings.m_limits); });
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -88,14 +88,25 @@
     friend bool operator==(const LogSettings&, const LogSettings&) = default;
 };
 
+/// Another daemon that this daemon contacts at its start.
+struct PeerSettings {
+    DaemonId m_daemon;
+    FailureDomainId m_failureDomain;
+    /// Its peer listener.
+    Endpoint m_address;
+
+    friend bool operator==(const PeerSettings&, const PeerSettings&) = default;
+};
+
 /// All settings of a daemon.
 struct Settings {
     DaemonId m_daemon;
     FailureDomainId m_failureDomain;
     RegionId m_region;
     ListenerSettings m_listeners;
-    /// Peer listeners of other daemons; at least one must be reachable for this daemon to join the others.
-    std::vector<Endpoint> m_peers;
+    /// Other daemons; at least one must be reachable for this daemon to join the others. Further ones introduce
+    /// themselves.
+    std::vector<PeerSettings> m_peers;
     PlatformSettings m_platform;
     LeaseSettings m_leases;
     LimitSettings m_limits;
--- a/tests/daemon/SettingsTest.cpp
+++ b/tests/daemon/SettingsTest.cpp
@@ -19,7 +19,7 @@
         "daemon": "d1", "failureDomain": "aalst-hal", "region": "vlaanderen",
         "listeners": { "callers": "127.0.0.1:8001", "operators": "127.0.0.1:9001", "peers": "127.0.0.1:6001",
             "relay": "[::1]:6101" },
-        "peers": [ "127.0.0.1:6002", ],
+        "peers": [ { "daemon": "d2", "failureDomain": "lokeren", "address": "127.0.0.1:6002" }, ],
         "platform": { "log": "127.0.0.1:7000", "hostList": "127.0.0.1:7000" },
     })";
 
