--- a/src/routing/Admission.h
+++ b/src/routing/Admission.h
@@ -34,8 +34,8 @@
 
     /// Priority of a class; greater is served first. Unknown classes have priority zero.
     void setClassPriority(const ClassId&, std::int32_t priority);
-    /// Present capacity: slots that serve this queue and the usual service time.
-    void setCapacity(std::uint32_t slots, Duration serviceTime);
+    /// Present capacity: slots that serve this queue, the usual service time and one that few requests exceed.
+    void setCapacity(std::uint32_t slots, Duration serviceTime, Duration highServiceTime);
 
     /// A queued request that loses its place, or a new one that is not accepted.
     struct Refusal {
@@ -100,6 +100,7 @@
     std::unordered_map<RequestTicket, Place> m_places;
     std::uint32_t m_slots = 1;
     Duration m_serviceTime {};
+    Duration m_highServiceTime {};
 };
 
 } // namespace sapphiredale::routing
--- a/src/routing/ClaimTable.h
+++ b/src/routing/ClaimTable.h
@@ -112,24 +112,24 @@
     std::size_t bodyBytes() const { return m_bodyBytes; }
 
 private:
-    /// The winning claim of a key and the claims that lost against it.
+    /// The winning claim of a key with its outcome.
     struct Claim {
         ClaimRecord m_winner;
         std::optional<OutcomeRecord> m_outcome;
-        std::unordered_map<RecordId, ClaimVerdict::Kind> m_losers;
-        bool m_bodyDropped = false;
     };
 
     void applyClaim(const ClaimRecord&);
     void applyOutcome(const OutcomeRecord&);
+    void refuse(const RecordId& claim, ClaimVerdict::Kind);
     void expire();
 
     ClaimTableSettings m_settings;
     std::unordered_map<std::string, Claim> m_claims;
     /// Expiry times of the claims, in order.
     std::multimap<WallTime, std::string> m_expiry;
-    /// Claims that were refused without a claim of their key, the oldest first; bounded by maxKeys.
-    std::deque<std::pair<RecordId, ClaimVerdict::Kind>> m_refused;
+    /// Claims that did not win, at most maxKeys of them; the oldest are forgotten first.
+    std::unordered_map<RecordId, ClaimVerdict::Kind> m_refused;
+    std::deque<RecordId> m_refusedOrder;
     std::uint64_t m_nextOffset = 0;
     WallTime m_logTime {};
     std::size_t m_bodyBytes = 0;
--- a/src/routing/MinionTable.h
+++ b/src/routing/MinionTable.h
@@ -5,7 +5,9 @@
 #include "model/Time.h"
 #include "routing/ChoicePolicy.h"
 #include "routing/MinionLeaseTable.h"
+#include "routing/RoutingTypes.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -33,6 +35,8 @@
     Duration m_busyPause = std::chrono::milliseconds(20);
 };
 
+inline constexpr std::uint32_t unlimitedAllowance = 0xffffffff;
+
 /// One held minion.
 struct MinionState {
     HeldMinion m_lease;
@@ -42,6 +46,8 @@
     std::uint32_t m_outstanding = 0;
     /// Moving average of the service time in microseconds.
     double m_latencyMicros = 0;
+    /// Moving average of the absolute deviation from it.
+    double m_deviationMicros = 0;
     std::uint32_t m_samples = 0;
     std::uint32_t m_failuresInRow = 0;
     std::uint32_t m_successesInRow = 0;
@@ -49,8 +55,8 @@
     std::uint32_t m_ejections = 0;
     /// The minion gets nothing before this instant.
     TimePoint m_ejectedUntil;
-    /// Most slots used after a readmission; the lease's slots when healthy.
-    std::uint32_t m_allowance = 0;
+    /// Most slots used after a readmission; unlimited when healthy.
+    std::uint32_t m_allowance = unlimitedAllowance;
     bool m_slow = false;
 
     /// Slots occupied by this daemon and by former holders.
@@ -91,8 +97,10 @@
     /// Slots of held minions that are not leaving, and those of them that are free now.
     std::uint32_t totalSlots(TimePoint now) const;
     std::uint32_t freeSlots(TimePoint now) const;
-    /// Mean service time over the held minions, weighted by their slots; zero when unknown.
+    /// Service time of the held minions, weighted by their throughput; zero when unknown.
     Duration serviceTime() const;
+    /// Service time that few requests exceed: the mean and three times the mean deviation.
+    Duration highServiceTime() const;
     std::uint64_t ejections() const { return m_ejectionCount; }
 
 private:
@@ -104,8 +112,12 @@
     MinionState* minionOf(SlotSerial);
     bool available(const MinionState&, TimePoint now) const;
     void eject(MinionState&, TimePoint now);
+    void noteFailure(MinionState&, TimePoint now);
+    void noteSuccess(MinionState&);
+    void noteLatency(MinionState&, double micros);
     bool mayEjectForAnswers(TimePoint now) const;
     void updateSlow();
+    void collect(TimePoint now, bool slow, std::vector<Candidate>&) const;
 
     MinionHealthSettings m_settings;
     std::vector<MinionState> m_minions;
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -10,6 +10,7 @@
 #include "routing/RoutingTypes.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -122,11 +123,16 @@
     std::optional<RouteDecision> tryMinion(RequestTicket, Request&, TimePoint now);
     std::optional<RouteDecision> tryPeer(RequestTicket, Request&, TimePoint now);
     RouteDecision forwardOrQueue(RequestTicket, TimePoint now);
+    std::optional<RouteDecision> tryBusyPeer(RequestTicket, Request&, TimePoint now);
     RouteDecision sendToPeer(RequestTicket, Request&, std::uint32_t index);
+    bool isUsable(const Peer&, TimePoint now) const;
+    bool isOwnDomain(const Peer&) const;
     RouteDecision refuse(RequestTicket, ErrorKind, std::string detail);
     ErrorKind finalKind(const Request&, AttemptFailure, TimePoint now) const;
     void noteFailure(Request&, AttemptFailure, TimePoint now);
-    bool anyHolder(TimePoint now) const;
+    /// True when a daemon that the request may reach holds a minion, free or not.
+    bool canBeServed(const Request&, TimePoint now) const;
+    void refuseExpired();
     void updateCapacity(TimePoint now);
     void dispatch(TimePoint now);
 
--- a/src/routing/RoutingTypes.h
+++ b/src/routing/RoutingTypes.h
@@ -38,6 +38,8 @@
     /// "address:port".
     std::string m_address;
     std::uint64_t m_epoch = 0;
+    /// Most connections for requests that this daemon may have open to the minion.
+    std::uint32_t m_connections = 1;
 
     friend bool operator==(const ForwardToMinion&, const ForwardToMinion&) = default;
 };
