--- a/src/peer/PeerTransport.cpp
+++ b/src/peer/PeerTransport.cpp
@@ -3,6 +3,7 @@
 #include "peer/PeerTransport.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cassert>
 #include <chrono>
 #include <cstring>
@@ -128,6 +129,8 @@
                 m_queue.clear();
                 m_statistics.update([dropped](auto& values) { values.m_droppedClosed += dropped; });
             }
+            if (m_aio)
+                nng_aio_stop(m_aio);
             if (m_isOpen)
                 nng_close(m_socket);
             if (m_aio)
@@ -241,6 +244,8 @@
         nng_listener listener = NNG_LISTENER_INITIALIZER;
         // nng closes a connection that announces a longer message, before it allocates memory for it.
         code = nng_socket_set_size(m_socket, NNG_OPT_RECVMAXSZ, maxMessageBytes);
+        if (code == 0)
+            code = nng_aio_alloc(&m_receiveAio, nullptr, nullptr);
         if (code == 0)
             code = nng_listen(m_socket, ("tcp://" + address).c_str(), &listener, 0);
         int port = 0;
@@ -315,10 +320,17 @@
             connections.swap(m_connections);
             m_isClosed = true;
         }
-        if (wasOpen)
-            nng_close(m_socket);
+        // nng 1.5.2 can wait for ever in nng_close for a receive operation that starts at the same time. So the operation
+        // is stopped first, and the socket is closed when none can start.
+        m_isStopping = true;
+        if (m_receiveAio)
+            nng_aio_stop(m_receiveAio);
         if (m_thread.joinable())
             m_thread.join();
+        if (wasOpen)
+            nng_close(m_socket);
+        if (m_receiveAio)
+            nng_aio_free(std::exchange(m_receiveAio, nullptr));
         for (const auto& [daemon, connection] : connections)
             connection->close();
     }
@@ -358,17 +370,18 @@
     void receiveLoop()
     {
         for (;;) {
-            nng_msg* received = nullptr;
-            const int code = nng_recvmsg(m_socket, &received, 0);
-            if (code == NNG_ECLOSED)
+            nng_recv_aio(m_socket, m_receiveAio);
+            nng_aio_wait(m_receiveAio);
+            const int code = nng_aio_result(m_receiveAio);
+            const MessagePointer message(code == 0 ? nng_aio_get_msg(m_receiveAio) : nullptr);
+            if (m_isStopping)
                 return;
             if (code != 0) {
                 // Only a lack of memory is left; a pause lets other threads release some.
                 std::this_thread::sleep_for(std::chrono::milliseconds(10));
                 continue;
             }
-            const MessagePointer message(received);
-            take({ static_cast<const std::byte*>(nng_msg_body(received)), nng_msg_len(received) });
+            take({ static_cast<const std::byte*>(nng_msg_body(message.get())), nng_msg_len(message.get()) });
         }
     }
 
@@ -404,6 +417,9 @@
     std::string m_listenAddress;
     Statistics m_statistics;
     nng_socket m_socket = NNG_SOCKET_INITIALIZER;
+    /// Used by the receive thread; stopped by close().
+    nng_aio* m_receiveAio = nullptr;
+    std::atomic<bool> m_isStopping = false;
     std::thread m_thread;
 
     /// Guards everything below.
