--- a/src/placement/Dispatcher.cpp
+++ b/src/placement/Dispatcher.cpp
@@ -166,7 +166,7 @@
         const bool mayStart = worker.m_health == Health::Good || worker.m_probationTask == noIndex;
         const Workload& workload = m_state.m_workloads[task.m_workload];
         if (mayStart && task.m_declared.fitsIn(worker.unoccupied())
-            && m_state.m_quotas.check(workload.m_team, task.m_declared, m_state.policyOf(task).m_preemptible)
+            && m_state.m_quotas.checkClaimed(workload.m_team, task.m_declared, m_state.policyOf(task).m_preemptible)
                 == Reason::None)
             m_lifecycle.start(index, task.m_claim, now);
     }
--- a/src/placement/GroupAdmission.cpp
+++ b/src/placement/GroupAdmission.cpp
@@ -12,6 +12,7 @@
     constexpr Duration claimLifetime = std::chrono::seconds(60);
     constexpr Duration retryInterval = std::chrono::milliseconds(200);
     constexpr std::size_t maxPlansPerAttempt = 64;
+    constexpr unsigned maxMovesPerStep = 16;
     constexpr unsigned drainSample = 48;
     constexpr unsigned backfillSample = 16;
 
@@ -235,20 +236,27 @@
         return;
     collectMembers(m_holder);
     bool backfilled = false;
+    bool complete = true;
+    unsigned moves = 0;
     Resources all;
     for (const TaskIndex member : m_members) {
         const Task& task = m_state.m_tasks[member];
         const Worker& worker = m_state.m_workers.at(task.m_claim);
         if (!worker.m_available || worker.m_health == Health::Quarantined)
             return abandon();
-        if (!worker.m_claimed.fitsIn(worker.unoccupied() + worker.m_backfilled))
-            return;
-        backfilled |= !worker.m_claimed.fitsIn(worker.unoccupied());
         all += task.m_declared;
+        if (worker.m_claimed.fitsIn(worker.unoccupied() + worker.m_backfilled)) {
+            backfilled |= !worker.m_claimed.fitsIn(worker.unoccupied());
+            continue;
+        }
+        // Capacity that became free elsewhere serves the group sooner than its claim.
+        complete = complete && moves++ < maxMovesPerStep && moveClaim(member);
     }
+    if (!complete)
+        return;
     const Task& first = m_state.m_tasks[m_members.front()];
     const TeamIndex team = m_state.m_workloads[first.m_workload].m_team;
-    if (m_state.m_quotas.check(team, all, m_state.policyOf(first).m_preemptible) != Reason::None)
+    if (m_state.m_quotas.checkClaimed(team, all, m_state.policyOf(first).m_preemptible) != Reason::None)
         return;
     if (backfilled)
         return endBackfill(now);
@@ -258,6 +266,21 @@
         m_lifecycle.start(member, m_state.m_tasks[member].m_claim, now);
 }
 
+bool GroupAdmission::moveClaim(TaskIndex index)
+{
+    const Task& task = m_state.m_tasks[index];
+    const Job& job = m_state.m_jobs[task.m_job];
+    const TimePoint until = task.m_deadline;
+    const CellScore score(m_state.m_weights.m_waiting, m_state.m_weights.m_packing);
+    const WorkerIndex worker = m_selector.select(m_state.m_workers, task.m_declared, score,
+        [&](WorkerIndex, const Worker& candidate) { return m_state.rackAllows(job, candidate.m_rack); });
+    if (worker == noIndex)
+        return false;
+    m_lifecycle.unclaim(index);
+    m_lifecycle.claim(index, worker, until);
+    return true;
+}
+
 void GroupAdmission::endBackfill(TimePoint now)
 {
     m_expectedStart = now; // No further backfill.
--- a/src/placement/GroupAdmission.h
+++ b/src/placement/GroupAdmission.h
@@ -51,6 +51,8 @@
     void rollBack(const Resources& need);
     void holdAssignment(const Resources& need, TimePoint now);
     bool mayReplaceHolder(const Task&, TimePoint now) const;
+    /// Moves an unsatisfied claim to free capacity on another worker.
+    bool moveClaim(TaskIndex);
     void endBackfill(TimePoint now);
 
     CellState& m_state;
--- a/src/placement/Quotas.cpp
+++ b/src/placement/Quotas.cpp
@@ -48,8 +48,25 @@
 
 Reason Quotas::check(TeamIndex index, const Resources& amount, bool preemptible) const
 {
-    const Team& team = m_teams[index];
-    if (!(team.m_used + amount).fitsIn(team.m_spec.m_limit))
+    return checkAmount(m_teams[index], m_teams[index].m_used + m_teams[index].m_claimed, amount, preemptible);
+}
+
+Reason Quotas::checkClaimed(TeamIndex index, const Resources& amount, bool preemptible) const
+{
+    return checkAmount(m_teams[index], m_teams[index].m_used, amount, preemptible);
+}
+
+void Quotas::claim(TeamIndex index, const Resources& amount) { m_teams[index].m_claimed += amount; }
+
+void Quotas::unclaim(TeamIndex index, const Resources& amount)
+{
+    m_teams[index].m_claimed -= amount;
+    ++m_teams[index].m_refunds;
+}
+
+Reason Quotas::checkAmount(const Team& team, const Resources& used, const Resources& amount, bool preemptible) const
+{
+    if (!(used + amount).fitsIn(team.m_spec.m_limit))
         return Reason::QuotaLimit;
     if (preemptible || (team.m_fixed + amount).fitsIn(team.m_spec.m_guaranteed))
         return Reason::None;
@@ -95,7 +112,8 @@
 
 bool Quotas::isGuaranteed(TeamIndex index, const Resources& amount) const
 {
-    return (m_teams[index].m_used + amount).fitsIn(m_teams[index].m_spec.m_guaranteed);
+    const Team& team = m_teams[index];
+    return (team.m_used + team.m_claimed + amount).fitsIn(team.m_spec.m_guaranteed);
 }
 
 bool Quotas::borrows(TeamIndex index) const
--- a/src/placement/Quotas.h
+++ b/src/placement/Quotas.h
@@ -22,6 +22,10 @@
     /// None when the team may take the amount now, else QuotaLimit or UnreclaimableShare. Work that cannot be preempted
     /// borrows only what no team's guarantee covers, since a guarantee could not be restored by preemption.
     Reason check(TeamIndex, const Resources& amount, bool preemptible) const;
+    /// The same for the start of work that holds a claim.
+    Reason checkClaimed(TeamIndex, const Resources& amount, bool preemptible) const;
+    void claim(TeamIndex, const Resources& amount);
+    void unclaim(TeamIndex, const Resources& amount);
     void charge(TeamIndex, const Resources& amount, bool fixed);
     void refund(TeamIndex, const Resources& amount, bool fixed);
 
@@ -37,6 +41,7 @@
     std::uint64_t refunds(TeamIndex index) const { return m_refunds + m_teams[index].m_refunds; }
 
 private:
+    Reason checkAmount(const Team&, const Resources& used, const Resources& amount, bool preemptible) const;
     void updateFixed(TeamIndex, const Resources& change);
 
     std::vector<Team> m_teams;
--- a/src/placement/Records.h
+++ b/src/placement/Records.h
@@ -147,6 +147,8 @@
     Resources m_used;
     /// Part of the use that cannot be preempted.
     Resources m_fixed;
+    /// Claimed by waiting tasks that will start; not available to other tasks of the team.
+    Resources m_claimed;
     std::uint64_t m_refunds = 0;
 };
 
--- a/src/placement/TaskLifecycle.cpp
+++ b/src/placement/TaskLifecycle.cpp
@@ -409,12 +409,16 @@
     for (const Task& task : m_state.m_tasks) {
         if (occupies(task.m_phase) && task.m_workload != noIndex)
             m_state.m_quotas.refund(m_state.m_workloads[task.m_workload].m_team, task.m_reserved, task.m_fixed);
+        if (task.m_claim != noIndex)
+            m_state.m_quotas.unclaim(m_state.m_workloads[task.m_workload].m_team, task.m_declared);
     }
 }
 
 void TaskLifecycle::resumeCharges()
 {
     for (Task& task : m_state.m_tasks) {
+        if (task.m_claim != noIndex)
+            m_state.m_quotas.claim(m_state.m_workloads[task.m_workload].m_team, task.m_declared);
         if (!occupies(task.m_phase) || task.m_workload == noIndex)
             continue;
         task.m_fixed = !m_state.policyOf(task).m_preemptible;
@@ -535,6 +539,7 @@
     task.m_deadline = until;
     m_state.m_claimants.push_back(index);
     m_state.m_workers.claim(worker, index, task.m_declared);
+    m_state.m_quotas.claim(m_state.m_workloads[task.m_workload].m_team, task.m_declared);
     m_state.countRack(m_state.m_jobs[task.m_job], m_state.m_workers.at(worker).m_rack, 1);
     m_state.m_timers.push({ until, Timer::Kind::Claim, index });
 }
@@ -546,6 +551,7 @@
     task.m_claim = noIndex;
     std::erase(m_state.m_claimants, index);
     m_state.m_workers.unclaim(worker, index, task.m_declared);
+    m_state.m_quotas.unclaim(m_state.m_workloads[task.m_workload].m_team, task.m_declared);
     m_state.countRack(m_state.m_jobs[task.m_job], m_state.m_workers.at(worker).m_rack, -1);
 }
 
