--- a/src/ownership/DomainScheduler.h
+++ b/src/ownership/DomainScheduler.h
@@ -271,7 +271,7 @@
     void foldHomes(const FailureDomainId& stream, const StreamRecord&, TimePoint now);
     void writePresence(TimePoint now);
 
-    // DomainSchedulerTasks.h: reports, commands, records, submissions.
+    // DomainSchedulerTasks.h and DomainSchedulerJobs.h: reports, commands, records, submissions.
     void applyReport(const WorkerId&, const ReportChanges&, TimePoint now);
     void taskSeen(const WorkerId&, const TaskReport&, TimePoint now);
     void taskFinal(const WorkerId&, const TaskReport&, TimePoint now);
--- a/src/ownership/DomainSchedulerImpl.h
+++ b/src/ownership/DomainSchedulerImpl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "ownership/DomainSchedulerHomes.h"
+#include "ownership/DomainSchedulerJobs.h"
 #include "ownership/DomainSchedulerStatus.h"
 #include "ownership/DomainSchedulerTasks.h"
 #include "ownership/DomainSchedulerTerm.h"
--- a/src/ownership/Membership.h
+++ b/src/ownership/Membership.h
@@ -119,10 +119,11 @@
 
     /// Domains of the active file that are not declared lost.
     void setDomains(const std::vector<FailureDomainId>&, TimePoint now);
+    /// A new version is announced to every peer at the next step.
     void setConfiguration(const ConfigurationMark&);
     void setFreeSlots(const WorkloadId&, std::uint32_t free);
-    void setLeaving() { m_leaving = true; }
-    void setSchedulerEpoch(std::uint64_t epoch) { m_schedulerEpoch = epoch; }
+    void setLeaving();
+    void setSchedulerEpoch(std::uint64_t epoch);
     /// The platform's host list was read.
     void hostsListed(const std::vector<ListedHost>&, TimePoint now);
     /// The log confirmed a request that was sent at sentAt.
@@ -157,6 +158,8 @@
         bool m_listed = false;
         DaemonView m_view;
         std::uint64_t m_process = 0;
+        /// Process that m_process replaced; its late messages are ignored.
+        std::uint64_t m_formerProcess = 0;
         std::uint64_t m_sequence = 0;
         /// Greatest own sequence that the peer acknowledged.
         std::uint64_t m_acknowledged = 0;
@@ -169,6 +172,7 @@
 
     Duration intervalTo(const Peer&) const;
     void learn(Peer&, const Heartbeat&, TimePoint now);
+    void sendSoon();
     void noteEvidence(const Peer&, const Heartbeat&, TimePoint now);
     Heartbeat heartbeatFor(Peer&, TimePoint now);
     void updateSuspicion(TimePoint now);
@@ -178,6 +182,8 @@
     TimePoint m_startedAt;
     std::vector<FailureDomainId> m_domains;
     std::map<DaemonId, Peer> m_peers;
+    /// Last direct sign of life of each domain, and the last one including what other daemons report.
+    std::map<FailureDomainId, TimePoint> m_direct;
     std::map<FailureDomainId, TimePoint> m_evidence;
     ConfigurationMark m_configuration;
     std::uint64_t m_configurationChangedAt = 1;
--- a/src/ownership/QuotaShares.cpp
+++ b/src/ownership/QuotaShares.cpp
@@ -72,6 +72,7 @@
     // Every daemon must divide in the same order, whatever the order in the file.
     std::sort(domains.begin(), domains.end());
     std::vector<Resources> capacity;
+    capacity.reserve(domains.size());
     for (const FailureDomainId& name : domains)
         capacity.push_back(declaredCapacity(file, name));
 
