--- a/src/configuration/ConfigurationFold.cpp
+++ b/src/configuration/ConfigurationFold.cpp
@@ -231,10 +231,8 @@
         return;
     const WallTime time = timeOfFirstRecordFrom(state.m_nextOffset, logTime);
     m_anchorTime = m_anchorTime ? std::max(*m_anchorTime, time) : time;
-    while (!m_recent.empty() && m_recent.front().m_offset < state.m_nextOffset) {
-        m_recentBytes -= m_recent.front().m_apply ? m_recent.front().m_apply->m_content.size() : 0;
-        m_recent.pop_front();
-    }
+    while (!m_recent.empty() && m_recent.front().m_offset < state.m_nextOffset)
+        dropOldestRecent();
     m_recentFrom = std::max(m_recentFrom, state.m_nextOffset);
 }
 
@@ -357,12 +355,16 @@
 {
     m_recentBytes += record.m_apply ? record.m_apply->m_content.size() : 0;
     m_recent.push_back(std::move(record));
-    while (m_recent.size() > maxRecentRecords || m_recentBytes > maxRecentBytes) {
-        const RecentRecord& oldest = m_recent.front();
-        m_recentBytes -= oldest.m_apply ? oldest.m_apply->m_content.size() : 0;
-        m_recentFrom = oldest.m_offset + 1;
-        m_recent.pop_front();
-    }
+    while (m_recent.size() > maxRecentRecords || m_recentBytes > maxRecentBytes)
+        dropOldestRecent();
+}
+
+void ConfigurationFold::dropOldestRecent()
+{
+    const RecentRecord& oldest = m_recent.front();
+    m_recentBytes -= oldest.m_apply ? oldest.m_apply->m_content.size() : 0;
+    m_recentFrom = oldest.m_offset + 1;
+    m_recent.pop_front();
 }
 
 void ConfigurationFold::setOutcome(const RecordId& id, RecordOutcome outcome)
--- a/src/configuration/ConfigurationFold.h
+++ b/src/configuration/ConfigurationFold.h
@@ -133,6 +133,7 @@
     /// Takes over a state with the kept records after it; false when this would be a step back.
     bool takeOver(const ConfigurationState&);
     void remember(RecentRecord);
+    void dropOldestRecent();
     void setOutcome(const RecordId&, RecordOutcome);
     WallTime timeOfFirstRecordFrom(std::uint64_t offset, WallTime fallback) const;
 
