--- a/src/forwarding/Attempt.cpp
+++ b/src/forwarding/Attempt.cpp
@@ -141,10 +141,8 @@
     if (m_exchange->m_bodyRead) {
         if (!m_exchange->m_first.empty() || message.has_content_length())
             appendFraming(m_exchange->m_first.size(), block);
-    } else if (const auto length = m_request->content_length()) {
-        appendFraming(*length, block);
     } else {
-        appendFraming(std::nullopt, block);
+        appendFraming(contentLength(*m_request), block);
     }
     block += "\r\n";
     return block;
--- a/src/forwarding/Forwarding.cpp
+++ b/src/forwarding/Forwarding.cpp
@@ -85,10 +85,9 @@
         co_return true;
     if (!co_await continueBody())
         co_return false;
-    const std::optional<std::uint64_t> length
-        = m_request->content_length() ? std::optional<std::uint64_t>(*m_request->content_length()) : std::nullopt;
+    const std::optional<std::uint64_t> length = contentLength(*m_request);
     const std::size_t bufferSize = m_server.m_settings.m_bufferSize;
-    exchange.m_first.resize(length ? std::min<std::uint64_t>(*length, bufferSize) : bufferSize);
+    exchange.m_first.resize(std::min<std::uint64_t>(length.value_or(bufferSize), bufferSize));
     error_code error;
     begin(Wait::Caller, steadyNow() + m_server.m_settings.m_stallTimeout);
     const std::size_t size = co_await readBody<true>(
@@ -166,7 +165,7 @@
         co_await respond(std::move(response));
         co_return false;
     }
-    m_exchange->m_claim.emplace();
+    m_exchange->m_claim = std::make_unique<ClaimOutcome>();
     m_exchange->m_claim->m_claim = answer->m_claim;
     m_exchange->m_claim->m_key = key;
     co_return true;
@@ -222,7 +221,7 @@
     co_await waitForEvent();
     if (!m_dispatched)
         co_return false;
-    decision = *std::move(m_dispatched);
+    decision = std::move(m_dispatched).value_or(routing::Refuse {});
     m_dispatched.reset();
     co_return true;
 }
--- a/src/forwarding/MessageReader.h
+++ b/src/forwarding/MessageReader.h
@@ -9,6 +9,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 
 namespace sapphiredale::forwarding {
 
@@ -21,6 +23,14 @@
 /// Bytes asked for by one read.
 inline constexpr std::size_t readSize = 4096;
 
+/// Declared length of the body, or none.
+template <bool isRequest>
+std::optional<std::uint64_t> contentLength(const http::parser<isRequest, http::buffer_body>& parser)
+{
+    const boost::optional<std::uint64_t> length = parser.content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 /// Reads until the header is complete. error is end_of_stream when the stream ended before its first byte.
 template <bool isRequest>
 Awaitable<void> readHeader(
--- a/src/forwarding/RequestBackend.cpp
+++ b/src/forwarding/RequestBackend.cpp
@@ -41,7 +41,7 @@
     return {};
 }
 
-void RequestHooks::handle(LocalRequest request, LocalHandler handler)
+void RequestHooks::handle(const LocalRequest& request, const LocalHandler& handler)
 {
     handler(problemResponse(ErrorKind::NotFound, request.m_target));
 }
--- a/src/forwarding/RequestBackend.h
+++ b/src/forwarding/RequestBackend.h
@@ -105,7 +105,7 @@
     /// The routing of a service, or none when the active file has no such workload with minions.
     virtual std::shared_ptr<ServiceRouting> service(const WorkloadId&) = 0;
     /// Claims a non-repeatable request. The handler is called once, from any thread. The default refuses.
-    virtual void claim(const ClaimRequest&, ClaimHandler handler)
+    virtual void claim(const ClaimRequest&, const ClaimHandler& handler)
     {
         ClaimAnswer answer;
         answer.m_error = { ErrorKind::LogUnavailable, "claims are not available" };
@@ -113,7 +113,7 @@
     }
     virtual void recordOutcome(const ClaimOutcome&) { }
     /// Serves a path outside /v1/services/. The handler is called once, from any thread. The default answers NotFound.
-    virtual void handle(LocalRequest, LocalHandler);
+    virtual void handle(const LocalRequest&, const LocalHandler&);
     /// A request was answered with an error of this table instead of an answer of a minion.
     virtual void refused(ErrorKind) { }
     /// A request was answered by a minion or a peer daemon; the time is from the last byte of its header to the end of
--- a/src/forwarding/Session.cpp
+++ b/src/forwarding/Session.cpp
@@ -129,7 +129,7 @@
 
 Awaitable<bool> Session::readRequest()
 {
-    m_request.emplace();
+    m_request = std::make_unique<RequestParser>();
     m_request->header_limit(m_server.m_settings.m_maxHeader);
     m_request->body_limit(m_server.m_settings.m_maxBody);
     m_stop = Stop::None;
--- a/src/forwarding/Session.h
+++ b/src/forwarding/Session.h
@@ -70,7 +70,7 @@
         bool m_mayHaveRun = false;
         bool m_headerSent = false;
         TimePoint m_started;
-        std::optional<ClaimOutcome> m_claim;
+        std::unique_ptr<ClaimOutcome> m_claim;
     };
 
     /// \name Session.cpp: requests and their answers
@@ -132,7 +132,7 @@
     Timer m_event;
     bool m_fromPeer;
     beast::flat_buffer m_buffer;
-    std::optional<RequestParser> m_request;
+    std::unique_ptr<RequestParser> m_request;
     std::unique_ptr<Exchange> m_exchange;
     /// Connection of the attempt under way.
     UpstreamPointer m_upstream;
--- a/src/model/Time.h
+++ b/src/model/Time.h
@@ -12,7 +12,7 @@
     using period = std::micro;
     using duration = std::chrono::duration<rep, period>;
     using time_point = std::chrono::time_point<CoreClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): name required of clocks
 };
 
 /// Length of time in microseconds. State stores deadlines (TimePoint); durations appear only in settings.
--- a/src/routing/ClaimTable.cpp
+++ b/src/routing/ClaimTable.cpp
@@ -95,7 +95,8 @@
         const auto claim = m_claims.find(m_expiry.begin()->second);
         if (claim != m_claims.end()
             && claim->second.m_winner.m_deadline + m_settings.m_keepAfterDeadline <= m_logTime) {
-            m_bodyBytes -= claim->second.m_outcome ? claim->second.m_outcome->m_body.size() : 0;
+            if (const std::optional<OutcomeRecord>& outcome = claim->second.m_outcome)
+                m_bodyBytes -= outcome->m_body.size();
             m_claims.erase(claim);
         }
         m_expiry.erase(m_expiry.begin());
@@ -110,10 +111,12 @@
     const auto refused = m_refused.find(claim);
     if (refused == m_refused.end())
         return {};
-    if (refused->second != ClaimVerdict::Kind::MayHaveRun || known == m_claims.end() || !known->second.m_outcome
-        || !known->second.m_outcome->m_complete)
-        return { refused->second, std::nullopt };
-    return { ClaimVerdict::Kind::Replay, known->second.m_outcome };
+    if (refused->second == ClaimVerdict::Kind::MayHaveRun && known != m_claims.end()) {
+        const std::optional<OutcomeRecord>& outcome = known->second.m_outcome;
+        if (outcome && outcome->m_complete)
+            return { ClaimVerdict::Kind::Replay, outcome };
+    }
+    return { refused->second, std::nullopt };
 }
 
 } // namespace sapphiredale::routing
--- a/tests/forwarding/ForwardingKit.h
+++ b/tests/forwarding/ForwardingKit.h
@@ -27,7 +27,7 @@
         return name.value() == "desk" ? m_shard : nullptr;
     }
 
-    void claim(const ClaimRequest& request, ClaimHandler handler) override
+    void claim(const ClaimRequest& request, const ClaimHandler& handler) override
     {
         ClaimAnswer answer;
         {
