Cover the new messages in the codec test

Cause: the test lists every message kind and failed to compile after the protocol grew. Change: the new fields and messages are in its list. Conclusion: a field that the conversion forgets is still found.

--- a/tests/peer/MessageCodecTest.cpp
+++ b/tests/peer/MessageCodecTest.cpp
@@ -32,7 +32,8 @@
         const WallTime deadline(std::chrono::milliseconds(-5));
         const RecordedOutcome outcome { 201, "text/plain", std::string("a\0b", 3) };
         Heartbeat heartbeat { DaemonId("d1"), FailureDomainId("aalst-hal"), RegionId("vlaanderen"), "127.0.0.1:1",
-            "127.0.0.1:2", "127.0.0.1:3", "0.1.0", 7, 8, true, true, { { WorkloadId("trial-planner"), 3 } }, true, 9 };
+            "127.0.0.1:2", "127.0.0.1:3", "0.1.0", 7, 8, true, true, { { WorkloadId("trial-planner"), 3 } }, true, 9,
+            10, 11, 12, true, true, { FailureDomainId("lokeren") }, "127.0.0.1:4", 13 };
         const TaskRow task { TaskId("j/0"), WorkloadId("w"), WorkerId("k"), 2, "running", "r", { 1, 2, 3 },
             { -4, 5, 6 } };
         const WorkerRow worker { WorkerId("k"), RackId("r"), "live", 4, { 1, 2, 3 }, { 4, 5, 6 }, { 7, 8, 9 } };
@@ -43,9 +44,12 @@
             JobStatusReply { JobId("j"), JobState::Failed, WorkloadId("w"), 1, 2, 3, "detail", error },
             ClaimRequest { "key", RecordId("c"), deadline, 6 },
             ClaimReply { RecordId("c"), ClaimVerdict::Recorded, outcome, {} },
-            ClaimOutcome { "key", RecordId("c"), outcome }, TasksQuery { TaskId("j/0"), 5, WorkloadId("w") },
-            TasksReply { { task, task }, true, error }, WorkersQuery { WorkerId("k"), 5 },
-            WorkersReply { { worker }, true, error } };
+            ClaimOutcome { "key", RecordId("c"), outcome, true, true },
+            TasksQuery { TaskId("j/0"), 5, WorkloadId("w") }, TasksReply { { task, task }, true, error },
+            WorkersQuery { WorkerId("k"), 5 }, WorkersReply { { worker }, true, error }, MinionsQuery { 7 },
+            MinionsReply { 8, true, { { MinionId("w/0"), WorkloadId("w"), "127.0.0.1:5", 8, 64 } }, error },
+            ExplainQuery { TaskId("j/0") },
+            ExplainReply { TaskId("j/0"), "waiting", WorkerId("k"), "quota", "detail", "release", error } };
         std::vector<Envelope> envelopes;
         for (Payload& payload : payloads)
             envelopes.push_back(envelopeOf(std::move(payload)));
