--- a/src/daemon/ClaimDriver.cpp
+++ b/src/daemon/ClaimDriver.cpp
@@ -103,24 +103,23 @@
     }
 }
 
-void ClaimDriver::claim(const forwarding::ClaimRequest& request, forwarding::ClaimHandler handler)
+void ClaimDriver::claim(const forwarding::ClaimRequest& request, const forwarding::ClaimHandler& handler)
 {
     const std::optional<FailureDomainId> home = homeOf(request.m_key);
     if (!home) {
         forwarding::ClaimAnswer refused;
         refused.m_error = { ErrorKind::NotReady, "no file is in force" };
-        m_runtime.post([handler = std::move(handler), refused] { handler(refused); });
+        m_runtime.post([handler, refused] { handler(refused); });
         return;
     }
     const routing::ClaimRecord record { newRecordId(), request.m_key, request.m_fingerprint, request.m_deadline };
     if (*home != m_settings.m_failureDomain) {
-        claimRemotely(*home, record, std::move(handler));
+        claimRemotely(*home, record, handler);
         return;
     }
-    claimHere(
-        record, [this, id = record.m_id, handler = std::move(handler)](const Result<routing::ClaimVerdict>& verdict) {
-            answer(id, verdict, handler);
-        });
+    claimHere(record, [this, id = record.m_id, handler](const Result<routing::ClaimVerdict>& verdict) {
+        answer(id, verdict, handler);
+    });
 }
 
 std::optional<FailureDomainId> ClaimDriver::homeOf(const std::string& key) const
@@ -187,7 +186,7 @@
 }
 
 void ClaimDriver::claimRemotely(
-    const FailureDomainId& home, const routing::ClaimRecord& record, forwarding::ClaimHandler handler)
+    const FailureDomainId& home, const routing::ClaimRecord& record, const forwarding::ClaimHandler& handler)
 {
     const std::vector<DaemonId> daemons
         = m_peers.withMembership([&](const ownership::Membership& membership) { return membership.liveDaemons(home); });
@@ -195,34 +194,33 @@
     refused.m_claim = record.m_id;
     if (daemons.empty()) {
         refused.m_error = { ErrorKind::DomainUnreachable, "no daemon of " + home.value() + " can be reached" };
-        m_runtime.post([handler = std::move(handler), refused] { handler(refused); });
+        m_runtime.post([handler, refused] { handler(refused); });
         return;
     }
     const DaemonId& daemon = *rendezvousChoice<DaemonId>(record.m_key, daemons);
     const peer::ClaimRequest call { record.m_key, record.m_id, record.m_deadline, record.m_fingerprint };
-    m_peers.call(daemon, call, callTimeout,
-        [refused, handler = std::move(handler)](const Result<peer::Payload>& result) mutable {
-            if (!succeeded(result)) {
-                // The request was not forwarded by anyone, whatever became of the claim.
-                refused.m_error = { ErrorKind::DomainUnreachable, errorOf(result).m_detail };
-                handler(refused);
-                return;
-            }
-            const auto& reply = std::get<peer::ClaimReply>(valueOf(result));
-            forwarding::ClaimAnswer answer = refused;
-            answer.m_error = reply.m_error.value_or(Error { ErrorKind::LogUnavailable, "the claim was refused" });
-            if (reply.m_verdict == peer::ClaimVerdict::Won)
-                answer.m_kind = forwarding::ClaimAnswer::Kind::Won;
-            if (reply.m_verdict == peer::ClaimVerdict::MayHaveRun)
-                answer.m_error = errorFor(Kind::MayHaveRun);
-            if (reply.m_verdict == peer::ClaimVerdict::Recorded && reply.m_outcome) {
-                answer.m_kind = forwarding::ClaimAnswer::Kind::Replay;
-                answer.m_status = reply.m_outcome->m_httpStatus;
-                answer.m_contentType = reply.m_outcome->m_contentType;
-                answer.m_body = reply.m_outcome->m_body;
-            }
-            handler(answer);
-        });
+    m_peers.call(daemon, call, callTimeout, [refused, handler](const Result<peer::Payload>& result) mutable {
+        if (!succeeded(result)) {
+            // The request was not forwarded by anyone, whatever became of the claim.
+            refused.m_error = { ErrorKind::DomainUnreachable, errorOf(result).m_detail };
+            handler(refused);
+            return;
+        }
+        const auto& reply = std::get<peer::ClaimReply>(valueOf(result));
+        forwarding::ClaimAnswer answer = refused;
+        answer.m_error = reply.m_error.value_or(Error { ErrorKind::LogUnavailable, "the claim was refused" });
+        if (reply.m_verdict == peer::ClaimVerdict::Won)
+            answer.m_kind = forwarding::ClaimAnswer::Kind::Won;
+        if (reply.m_verdict == peer::ClaimVerdict::MayHaveRun)
+            answer.m_error = errorFor(Kind::MayHaveRun);
+        if (reply.m_verdict == peer::ClaimVerdict::Recorded && reply.m_outcome) {
+            answer.m_kind = forwarding::ClaimAnswer::Kind::Replay;
+            answer.m_status = reply.m_outcome->m_httpStatus;
+            answer.m_contentType = reply.m_outcome->m_contentType;
+            answer.m_body = reply.m_outcome->m_body;
+        }
+        handler(answer);
+    });
 }
 
 void ClaimDriver::answer(
--- a/src/daemon/ClaimDriver.h
+++ b/src/daemon/ClaimDriver.h
@@ -33,7 +33,7 @@
     /// A record of this domain's stream was read, of whatever type.
     void recordRead(const platform::LogRecord&);
 
-    void claim(const forwarding::ClaimRequest&, forwarding::ClaimHandler);
+    void claim(const forwarding::ClaimRequest&, const forwarding::ClaimHandler&);
     void recordOutcome(const forwarding::ClaimOutcome&);
 
     /// ClaimRequest and ClaimOutcome of another daemon.
@@ -50,7 +50,7 @@
 
     std::optional<FailureDomainId> homeOf(const std::string& key) const;
     void claimHere(const routing::ClaimRecord&, VerdictHandler);
-    void claimRemotely(const FailureDomainId& home, const routing::ClaimRecord&, forwarding::ClaimHandler);
+    void claimRemotely(const FailureDomainId& home, const routing::ClaimRecord&, const forwarding::ClaimHandler&);
     void appended(const RecordId&, const Result<std::uint64_t>&);
     void expire();
     void append(const routing::OutcomeRecord&);
--- a/src/daemon/JobService.cpp
+++ b/src/daemon/JobService.cpp
@@ -82,7 +82,7 @@
     m_file = std::move(file);
 }
 
-void JobService::handle(forwarding::LocalRequest request, forwarding::LocalHandler handler)
+void JobService::handle(const forwarding::LocalRequest& request, const forwarding::LocalHandler& handler)
 {
     const std::string_view target = request.m_target;
     if (target == prefix) {
--- a/src/daemon/JobService.h
+++ b/src/daemon/JobService.h
@@ -25,7 +25,7 @@
     void configure(std::shared_ptr<const configuration::FileInForce>);
 
     /// POST /v1/jobs, GET and DELETE /v1/jobs/{job}.
-    void handle(forwarding::LocalRequest, forwarding::LocalHandler);
+    void handle(const forwarding::LocalRequest&, const forwarding::LocalHandler&);
     /// SubmitJob, CancelJob and JobStatus of another daemon.
     void called(const peer::Envelope&);
 
--- a/src/daemon/OperatorApi.cpp
+++ b/src/daemon/OperatorApi.cpp
@@ -196,7 +196,7 @@
 {
 }
 
-void OperatorApi::handle(LocalRequest request, LocalHandler handler)
+void OperatorApi::handle(const LocalRequest& request, const LocalHandler& handler)
 {
     static constexpr Route routes[] = {
         { "PUT", "/v1/configuration", &OperatorApi::putConfiguration },
--- a/src/daemon/OperatorApi.h
+++ b/src/daemon/OperatorApi.h
@@ -28,7 +28,7 @@
     /// \name forwarding::RequestHooks
     /// @{
     std::shared_ptr<forwarding::ServiceRouting> service(const WorkloadId&) override { return nullptr; }
-    void handle(forwarding::LocalRequest, forwarding::LocalHandler) override;
+    void handle(const forwarding::LocalRequest&, const forwarding::LocalHandler&) override;
     void refused(ErrorKind) override;
     /// @}
 
--- a/src/daemon/RequestDriver.cpp
+++ b/src/daemon/RequestDriver.cpp
@@ -159,20 +159,20 @@
     return shardOf(workload);
 }
 
-void RequestDriver::claim(const forwarding::ClaimRequest& request, forwarding::ClaimHandler handler)
+void RequestDriver::claim(const forwarding::ClaimRequest& request, const forwarding::ClaimHandler& handler)
 {
-    m_claims.claim(request, std::move(handler));
+    m_claims.claim(request, handler);
 }
 
 void RequestDriver::recordOutcome(const forwarding::ClaimOutcome& outcome) { m_claims.recordOutcome(outcome); }
 
-void RequestDriver::handle(forwarding::LocalRequest request, forwarding::LocalHandler handler)
+void RequestDriver::handle(const forwarding::LocalRequest& request, const forwarding::LocalHandler& handler)
 {
     if (!m_ready) {
         handler(forwarding::problemResponse(ErrorKind::NotReady, "no file is in force on this daemon"));
         return;
     }
-    m_jobs.handle(std::move(request), std::move(handler));
+    m_jobs.handle(request, handler);
 }
 
 void RequestDriver::refused(ErrorKind kind)
--- a/src/daemon/RequestDriver.h
+++ b/src/daemon/RequestDriver.h
@@ -49,9 +49,9 @@
     /// \name forwarding::RequestHooks
     /// @{
     std::shared_ptr<forwarding::ServiceRouting> service(const WorkloadId&) override;
-    void claim(const forwarding::ClaimRequest&, forwarding::ClaimHandler) override;
+    void claim(const forwarding::ClaimRequest&, const forwarding::ClaimHandler&) override;
     void recordOutcome(const forwarding::ClaimOutcome&) override;
-    void handle(forwarding::LocalRequest, forwarding::LocalHandler) override;
+    void handle(const forwarding::LocalRequest&, const forwarding::LocalHandler&) override;
     void refused(ErrorKind) override;
     void answered(unsigned status, Duration) override;
     /// @}
--- a/src/daemon/SchedulerDriver.cpp
+++ b/src/daemon/SchedulerDriver.cpp
@@ -206,7 +206,7 @@
     });
     run([&](ownership::DomainScheduler& scheduler, TimePoint instant) {
         scheduler.setCandidates(view.m_live, instant);
-        scheduler.setReach(view.m_reach);
+        scheduler.setReach(view.m_reach, instant);
         std::set<DaemonId> schedulers;
         for (const ownership::DaemonView& daemon : view.m_daemons) {
             if (daemon.m_description.m_failureDomain != m_settings.m_failureDomain)
@@ -234,16 +234,18 @@
 
 void SchedulerDriver::recordRead(const FailureDomainId& stream, const platform::LogRecord& record)
 {
-    const auto decoded = ownership::decodeStreamRecord(record.m_data);
+    const Result<ownership::StreamRecord> decoded = ownership::decodeRecord(record.m_data);
     if (!succeeded(decoded)) {
-        m_log.write(LogEvent::ProtocolError,
-            { { "stream", stream }, { "offset", record.m_offset }, { "detail", errorOf(decoded).m_detail } });
+        // Records of other types share the stream; those of newer versions are skipped as well.
+        const Error& error = errorOf(decoded);
+        if (error.m_kind != ErrorKind::NotFound) {
+            m_log.write(LogEvent::ProtocolError,
+                { { "stream", stream }, { "offset", record.m_offset }, { "detail", error.m_detail } });
+        }
         return;
     }
-    if (!valueOf(decoded))
-        return;
     run([&](ownership::DomainScheduler& scheduler, TimePoint instant) {
-        scheduler.recordRead(stream, *valueOf(decoded), instant);
+        scheduler.recordRead(stream, valueOf(decoded), instant);
     });
 }
 
@@ -458,7 +460,7 @@
 {
     if (const auto* ended = std::get_if<ownership::JobEnded>(&append.m_record.m_body))
         m_log.write(LogEvent::JobEnded, { { "job", ended->m_job }, { "detail", ended->m_detail } });
-    m_appender.append(ownership::encodeStreamRecord(append.m_record),
+    m_appender.append(ownership::encodeRecord(append.m_record),
         [this, id = append.m_record.m_id](const Result<std::uint64_t>& result) {
             run([&](ownership::DomainScheduler& scheduler, TimePoint instant) {
                 using ownership::AppendOutcome;
