--- a/src/placement/CellState.cpp
+++ b/src/placement/CellState.cpp
@@ -103,6 +103,21 @@
     return Resources::max(workload.m_spec.m_resources, workload.m_learned);
 }
 
+Resources CellState::needOf(const Task& task) const
+{
+    const Workload& workload = m_workloads[task.m_workload];
+    const Resources need = needOf(workload);
+    if (!task.m_hasGrown)
+        return need;
+    // What was seen must not make the task unplaceable.
+    const Resources& limit = m_quotas.at(workload.m_team).m_spec.m_limit;
+    const Resources largest = m_workers.largestCapacity();
+    const Resources grown { std::min({ task.m_reserved.m_cpuMillis, limit.m_cpuMillis, largest.m_cpuMillis }),
+        std::min({ task.m_reserved.m_memoryMiB, limit.m_memoryMiB, largest.m_memoryMiB }), 0 };
+    const Resources all = Resources::max(need, grown);
+    return m_workers.fitsSomeShape(all) ? all : need;
+}
+
 std::int64_t CellState::agedPriority(const Task& task, TimePoint now) const
 {
     const ClassPolicy& policy = policyOf(task);
--- a/src/placement/CellState.h
+++ b/src/placement/CellState.h
@@ -83,8 +83,10 @@
     TaskIndex findStray(const TaskId&, std::uint32_t attempt, WorkerIndex) const;
     void forgetTask(TaskIndex);
     JobIndex addJob(const JobId&, WorkloadIndex);
-    /// Size that a new start of the workload reserves.
+    /// Size that a first start of a task of the workload reserves.
     Resources needOf(const Workload&) const;
+    /// Size that the next start of the waiting task reserves: at least what an earlier attempt grew to.
+    Resources needOf(const Task&) const;
     /// Priority with aging of a task that has waited since its m_queuedAt.
     std::int64_t agedPriority(const Task&, TimePoint now) const;
     /// Expected end of a running task, by learned or declared run time.
--- a/src/placement/Dispatcher.cpp
+++ b/src/placement/Dispatcher.cpp
@@ -13,6 +13,9 @@
     constexpr unsigned maxSearchesPerStep = 8;
     /// Urgent work looks for victims again soon: it must start within 1.9 s.
     constexpr Duration urgentRetry = std::chrono::milliseconds(50);
+    /// Other work waits before it preempts, the longer the more the operators weigh packing against waiting: short
+    /// shortages pass by themselves, and each preemption costs a checkpoint.
+    constexpr double longestPatienceSeconds = 30;
     constexpr Duration searchRetry = std::chrono::milliseconds(1000);
     constexpr Duration quotaRetry = std::chrono::seconds(60);
     /// Victims have a second for the checkpoint and are stopped then; after this time another worker is chosen.
@@ -80,14 +83,7 @@
 
 void Dispatcher::relieve(WorkerIndex index, TimePoint now)
 {
-    const auto isPressed = [&] {
-        const Worker& worker = m_state.m_workers.at(index);
-        const Resources free = worker.unoccupied();
-        // Reports lag behind, so overuse is ended before the last twentieth of the capacity is taken.
-        return free.m_cpuMillis * 20 < worker.m_spec.m_capacity.m_cpuMillis
-            || free.m_memoryMiB * 20 < worker.m_spec.m_capacity.m_memoryMiB;
-    };
-    if (m_state.m_workers.at(index).m_overusers == 0 || !isPressed())
+    if (m_state.m_workers.at(index).m_overusers == 0 || !m_state.m_workers.at(index).unoccupied().hasNegative())
         return;
     std::vector<TaskIndex> overusers;
     for (const TaskIndex task : m_state.m_workers.at(index).m_tasks) {
@@ -112,9 +108,7 @@
     const Worker& worker = m_state.m_workers.at(index);
     Resources released;
     for (const TaskIndex task : overusers) {
-        const Resources free = worker.unoccupied() + released;
-        if (free.m_cpuMillis * 20 >= worker.m_spec.m_capacity.m_cpuMillis
-            && free.m_memoryMiB * 20 >= worker.m_spec.m_capacity.m_memoryMiB)
+        if (!(worker.unoccupied() + released).hasNegative())
             return;
         const Resources over = m_state.m_tasks[task].m_reserved - m_state.m_tasks[task].m_declared;
         if (endOveruse(task, now))
@@ -234,7 +228,7 @@
     const ClassPolicy& policy = m_state.policyOf(workload);
     if (startsTogether(policy.m_kind))
         return m_groups.tryAdmit(index, now);
-    const Resources need = m_state.needOf(workload);
+    const Resources need = m_state.needOf(task);
     const Reason quota = m_state.m_quotas.check(workload.m_team, need, policy.m_preemptible);
     if (quota != Reason::None)
         return placeOverQuota(workloadIndex, index, need, quota, now);
@@ -270,18 +264,25 @@
     return false;
 }
 
+Duration Dispatcher::patience() const
+{
+    const double sum = m_state.m_weights.m_waiting + m_state.m_weights.m_packing;
+    const double packing = sum > 0 ? m_state.m_weights.m_packing / sum : 0.5;
+    return Duration(static_cast<std::int64_t>(packing * longestPatienceSeconds * 1e6));
+}
+
 bool Dispatcher::placeByPreemption(
     TaskIndex index, const Resources& need, const Preemption::Rights& rights, TimePoint now)
 {
     if (!rights.m_urgent) {
-        if (m_searchesLeft == 0)
+        if (m_searchesLeft == 0 || now - m_state.m_tasks[index].m_queuedAt < patience())
             return false;
         --m_searchesLeft;
     }
     const std::optional<PreemptionPlan> plan = m_preemption.plan(m_state.m_tasks[index], need, rights);
     if (!plan)
         return false;
-    m_lifecycle.claim(index, plan->m_worker, now + preemptionClaimLifetime);
+    m_lifecycle.claim(index, plan->m_worker, need, now + preemptionClaimLifetime);
     m_preemption.carryOut(*plan, m_state.m_tasks[index], rights, now);
     m_state.m_counters.count(Reason::WaitingForClaim);
     return true;
@@ -297,7 +298,7 @@
     const auto [worker, at] = m_groups.drainWorker(task, need, now);
     if (worker == noIndex)
         return false;
-    m_lifecycle.claim(index, worker, now + drainClaimLifetime);
+    m_lifecycle.claim(index, worker, need, now + drainClaimLifetime);
     m_state.m_counters.count(Reason::WaitingForClaim);
     return true;
 }
--- a/src/placement/Dispatcher.h
+++ b/src/placement/Dispatcher.h
@@ -55,6 +55,8 @@
     bool place(WorkloadIndex, TimePoint now);
     bool placeOverQuota(WorkloadIndex, TaskIndex, const Resources& need, Reason, TimePoint now);
     bool placeByPreemption(TaskIndex, const Resources& need, const Preemption::Rights&, TimePoint now);
+    /// Time that work which is not urgent waits before it preempts.
+    Duration patience() const;
     bool placeByDraining(TaskIndex, const Resources& need, TimePoint now);
     WorkerIndex selectWorker(const Task&, const Resources& need);
     void blockForCapacity(WorkloadIndex, const Task&, const Resources& need, TimePoint now);
--- a/src/placement/Explainer.cpp
+++ b/src/placement/Explainer.cpp
@@ -97,7 +97,7 @@
 
 void Explainer::explainBlocked(const Task& task, const Workload& workload, Explanation& result) const
 {
-    const Resources need = m_state.needOf(workload);
+    const Resources need = m_state.needOf(task);
     const Team& team = m_state.m_quotas.at(workload.m_team);
     result.m_reason = std::string(nameOf(workload.m_wait));
     switch (workload.m_wait) {
--- a/src/placement/GroupAdmission.cpp
+++ b/src/placement/GroupAdmission.cpp
@@ -146,8 +146,11 @@
     const Task& task = m_state.m_tasks[representative];
     const WorkloadIndex workloadIndex = task.m_workload;
     const Workload& workload = m_state.m_workloads[workloadIndex];
-    const Resources need = m_state.needOf(workload);
     collectMembers(task.m_job);
+    // All members start with the size of the largest.
+    Resources need;
+    for (const TaskIndex member : m_members)
+        need = Resources::max(need, m_state.needOf(m_state.m_tasks[member]));
     const Resources all = need * static_cast<std::int64_t>(m_members.size());
     const Reason quota = m_state.m_quotas.check(workload.m_team, all, m_state.policyOf(task).m_preemptible);
     if (quota != Reason::None) {
@@ -159,6 +162,7 @@
         for (const auto& [member, worker] : assignment) {
             m_state.m_workers.unclaim(worker, member, need, false);
             m_state.countRack(m_state.m_jobs[m_state.m_tasks[member].m_job], m_state.m_workers.at(worker).m_rack, -1);
+            m_lifecycle.claim(member, worker, need, now);
             m_lifecycle.start(member, worker, now);
         }
         return true;
@@ -193,7 +197,7 @@
     for (const auto& [task, worker] : assignment) {
         m_state.m_workers.unclaim(worker, task, need, false);
         m_state.countRack(m_state.m_jobs[m_holder], m_state.m_workers.at(worker).m_rack, -1);
-        m_lifecycle.claim(task, worker, now + claimLifetime);
+        m_lifecycle.claim(task, worker, need, now + claimLifetime);
     }
     const std::vector<PreemptionPlan> plans = std::exchange(m_plans, {});
     for (const PreemptionPlan& plan : plans) {
@@ -271,13 +275,14 @@
     const Task& task = m_state.m_tasks[index];
     const Job& job = m_state.m_jobs[task.m_job];
     const TimePoint until = task.m_deadline;
+    const Resources need = task.m_declared;
     const CellScore score(m_state.m_weights.m_waiting, m_state.m_weights.m_packing);
-    const WorkerIndex worker = m_selector.select(m_state.m_workers, task.m_declared, score,
+    const WorkerIndex worker = m_selector.select(m_state.m_workers, need, score,
         [&](WorkerIndex, const Worker& candidate) { return m_state.rackAllows(job, candidate.m_rack); });
     if (worker == noIndex)
         return false;
     m_lifecycle.unclaim(index);
-    m_lifecycle.claim(index, worker, until);
+    m_lifecycle.claim(index, worker, need, until);
     return true;
 }
 
--- a/src/placement/Quarantine.cpp
+++ b/src/placement/Quarantine.cpp
@@ -73,6 +73,8 @@
     remember(m_state.m_workloads[task.m_workload].m_failedOn, index, keptWorkers);
     if (worker.m_health == Health::Quarantined)
         return;
+    if (worker.m_evidence.empty())
+        worker.m_evidenceSince = task.m_since;
     remember(worker.m_evidence, task.m_job, 2 * jobsForQuarantine);
     if (worker.m_health == Health::Probation) {
         // One more failure of a job that does not fail elsewhere suffices on probation.
--- a/src/placement/Records.h
+++ b/src/placement/Records.h
@@ -68,6 +68,8 @@
     bool m_fixed = false;
     /// Reserves more than it declared.
     bool m_overuses = false;
+    /// An earlier attempt reserved more than it declared; m_reserved keeps that amount while the task waits.
+    bool m_hasGrown = false;
     /// Its usage was counted as a sample of its workload.
     bool m_sampled = false;
     std::uint8_t m_preemptions = 0;
@@ -182,6 +184,8 @@
     TaskIndex m_probationTask = noIndex;
     /// Distinct jobs with a failure here since the last success.
     std::vector<JobIndex> m_evidence;
+    /// Start of the evidence; tasks from before do not speak for the worker.
+    TimePoint m_evidenceSince {};
     /// Position in the two grids.
     std::uint32_t m_freeBucket = noIndex;
     std::uint32_t m_freeSlot = 0;
--- a/src/placement/ReportHandler.cpp
+++ b/src/placement/ReportHandler.cpp
@@ -77,8 +77,11 @@
     if (task.m_failures > 0 && task.m_phase == Phase::Running && now - task.m_since >= stableRun
         && runsForever(m_state.policyOf(task).m_kind))
         task.m_failures = 0; // The next restart of a service begins with a short delay again.
-    const bool inDoubt = !worker.m_evidence.empty() || worker.m_health == Health::Probation;
-    if (inDoubt && task.m_phase == Phase::Running && now - task.m_since >= stableRun)
+    // Tasks that started before the first failure do not show that the worker still starts tasks well.
+    const bool isWitness = worker.m_health == Health::Probation
+        ? worker.m_probationTask == index
+        : !worker.m_evidence.empty() && task.m_since > worker.m_evidenceSince;
+    if (isWitness && task.m_phase == Phase::Running && now - task.m_since >= stableRun)
         m_quarantine.succeeded(task, task.m_worker);
     m_learning.usageReported(task, report.m_usage, now);
 }
--- a/src/placement/TaskLifecycle.cpp
+++ b/src/placement/TaskLifecycle.cpp
@@ -114,7 +114,7 @@
     Task& task = m_state.m_tasks[index];
     assert(task.m_phase == Phase::Waiting);
     const Workload& workload = m_state.m_workloads[task.m_workload];
-    const Resources need = task.m_claim != noIndex ? task.m_declared : m_state.needOf(workload);
+    const Resources need = task.m_claim != noIndex ? task.m_declared : m_state.needOf(task);
     if (task.m_inQueue)
         m_queue.remove(index);
     if (task.m_claim != noIndex)
@@ -194,6 +194,7 @@
         m_state.countRack(job, worker.m_rack, -1);
     }
     m_state.m_workers.vacate(workerIndex, task, m_state.m_tasks);
+    task.m_hasGrown |= task.m_overuses;
     task.m_backfill = task.m_overuses = task.m_throttled = false;
 }
 
@@ -304,6 +305,8 @@
     const WorkerIndex worker = task.m_worker;
     const Reason cause = task.m_cause;
     const bool wasStopping = task.m_phase == Phase::Stopping;
+    // A task that outgrew its size can fail for that reason: no evidence against its worker.
+    const bool overused = task.m_overuses;
     task.m_finalAttempt = task.m_attempt;
     release(index);
     if (task.m_workload == noIndex) {
@@ -312,9 +315,9 @@
         m_state.forgetTask(index);
         return;
     }
-    if (state == TaskState::Ended)
+    if (state == TaskState::Ended && task.m_since >= m_state.m_workers.at(worker).m_evidenceSince)
         m_quarantine.succeeded(task, worker);
-    else if (state == TaskState::Failed && !wasStopping)
+    else if (state == TaskState::Failed && !wasStopping && !overused)
         failedOn(index, worker, now);
     else
         m_quarantine.withoutResult(index, worker);
@@ -528,14 +531,14 @@
         dropWaiting(index, Phase::Failed, now);
 }
 
-void TaskLifecycle::claim(TaskIndex index, WorkerIndex worker, TimePoint until)
+void TaskLifecycle::claim(TaskIndex index, WorkerIndex worker, const Resources& amount, TimePoint until)
 {
     Task& task = m_state.m_tasks[index];
     assert(task.m_phase == Phase::Waiting && task.m_claim == noIndex);
     if (task.m_inQueue)
         m_queue.remove(index);
     task.m_claim = worker;
-    task.m_declared = m_state.needOf(m_state.m_workloads[task.m_workload]);
+    task.m_declared = amount;
     task.m_deadline = until;
     m_state.m_claimants.push_back(index);
     m_state.m_workers.claim(worker, index, task.m_declared);
--- a/src/placement/TaskLifecycle.h
+++ b/src/placement/TaskLifecycle.h
@@ -52,7 +52,7 @@
     void withdraw(TaskIndex, TimePoint now);
 
     /// Claims capacity on a worker for a waiting task, which leaves its queue.
-    void claim(TaskIndex, WorkerIndex, TimePoint until);
+    void claim(TaskIndex, WorkerIndex, const Resources& amount, TimePoint until);
     /// Gives up a claim; the task is not queued by this.
     void unclaim(TaskIndex);
     /// Gives up a claim and queues the task again, with its place by waiting time.
--- a/src/placement/WaitingQueue.cpp
+++ b/src/placement/WaitingQueue.cpp
@@ -79,7 +79,7 @@
 {
     if (workload.m_wait == Reason::QuotaLimit || workload.m_wait == Reason::UnreclaimableShare)
         return workload.m_seenRefunds != m_state.m_quotas.refunds(workload.m_team);
-    const Resources need = m_state.needOf(workload);
+    const Resources need = m_state.needOf(m_state.m_tasks[workload.m_head]);
     return std::any_of(m_state.m_workers.dirty().begin(), m_state.m_workers.dirty().end(), [&](WorkerIndex index) {
         const Worker& worker = m_state.m_workers.at(index);
         return worker.m_freeBucket != noIndex && need.fitsIn(worker.free());
