Test the domain scheduler against failures and adapt it to the real cell

Tasks that are missing in a full report are passed on as absent, instances that do not belong to the domain are withdrawn, and ends recorded on removed workers are still counted. Before, an end recorded on a worker that is no longer in the file would have been ignored by the cell, and the task run again.

--- a/src/ownership/CellConcept.h
+++ b/src/ownership/CellConcept.h
@@ -14,7 +14,8 @@
 ///
 /// Contract beyond the signatures: taskReported for a task that was not submitted reserves its resources, and a later
 /// submitJob or submitInstance adopts it instead of queueing it again. A final state reported for a task of a submitted
-/// job that waits counts as the end of that attempt.
+/// job that waits counts as the end of that attempt; the worker has to be known. A task whose owner is a service of the
+/// file is adopted as an instance, so it has to be withdrawn if it is not to run.
 template <typename T>
 concept CellType = std::movable<T> && std::constructible_from<T, const placement::CellSettings&> && requires(T cell,
     const T constCell, const ClusterFile& file, const WorkerSpec& spec, const WorkerId& worker,
@@ -38,6 +39,7 @@
         cell.withdrawInstance(task, now)
         } -> std::same_as<bool>;
     cell.taskReported(worker, report, now);
+    cell.taskAbsent(worker, task, std::uint32_t {}, now);
     cell.startRefused(task, std::uint32_t {}, worker, reason, now);
     {
         cell.step(now)
--- a/src/ownership/DomainScheduler.h
+++ b/src/ownership/DomainScheduler.h
@@ -289,6 +289,7 @@
     void carryOut(const placement::ThrottleTask&, TimePoint now);
     void carryOut(const placement::FailJob&, TimePoint now);
     void carryOut(const placement::FinishJob&, TimePoint now);
+    void endUnsent(const WorkerId&, const TaskId&, std::uint32_t attempt, TimePoint now);
     void enqueue(const WorkerId&, const WorkerCommand&, TimePoint now);
     void endJob(const JobId&, JobOutcome, const std::string& detail, TimePoint now);
     void append(StreamRecordBody body, TimePoint now) { m_appends.add(domain(), std::move(body), now); }
@@ -316,6 +317,9 @@
     void addStatusOfTasks(DomainSnapshot&, TimePoint now) const;
     /// Age up to which a confirmed contact counts; the same as in Membership.
     static constexpr Duration contactWindow = std::chrono::seconds(25);
+    /// Bounds the rate of steps that no input asks for.
+    static constexpr Duration leastCellInterval = std::chrono::milliseconds(5);
+    void considerCell(TimePoint& wake, TimePoint now) const;
     const FailureDomainId& domain() const { return m_settings.m_lease.m_failureDomain; }
 
     DomainSchedulerSettings m_settings;
--- a/src/ownership/DomainSchedulerHomes.h
+++ b/src/ownership/DomainSchedulerHomes.h
@@ -34,9 +34,11 @@
     if (!inTerm())
         return;
     for (const auto& [task, live] : std::map<TaskId, LiveTask>(m_live)) {
-        if (!isWanted(task))
-            stopDirectly(live.m_worker, task, live.m_attempt, "the file does not place the instance in this domain",
-                CountedReason::UndeclaredTaskStopped, now);
+        if (isWanted(task))
+            continue;
+        m_cell.withdrawInstance(task, now);
+        stopDirectly(live.m_worker, task, live.m_attempt, "the file does not place the instance in this domain",
+            CountedReason::UndeclaredTaskStopped, now);
     }
 }
 
--- a/src/ownership/DomainSchedulerTasks.h
+++ b/src/ownership/DomainSchedulerTasks.h
@@ -74,12 +74,13 @@
         return;
     if (m_guard.account(worker))
         m_holdsChanged = true;
-    for (TaskReport report : changes.m_missing) {
-        if (!isFinal(report.m_state)) {
-            report.m_state = TaskState::Failed;
-            report.m_reason = "missing in the worker's full report";
-        }
-        taskFinal(worker, report, now);
+    for (const TaskReport& report : changes.m_missing) {
+        const auto live = m_live.find(report.m_task);
+        if (live == m_live.end() || live->second.m_worker != worker || live->second.m_attempt != report.m_attempt)
+            continue;
+        m_live.erase(live);
+        m_cell.taskAbsent(worker, report.m_task, report.m_attempt, now);
+        withholdWhileCutOff(report.m_task, now);
     }
     for (const TaskReport& report : changes.m_changed)
         taskSeen(worker, report, now);
@@ -103,6 +104,7 @@
         const LiveTask other = live->second;
         const std::string reason = "another attempt of the task runs on another worker";
         if (other.m_attempt >= report.m_attempt) {
+            m_cell.taskReported(worker, report, now);
             stopDirectly(worker, task, report.m_attempt, reason, CountedReason::DuplicateTaskStopped, now);
             return;
         }
@@ -110,9 +112,11 @@
     }
     m_live[task] = { worker, report.m_attempt };
     m_cell.taskReported(worker, report, now);
-    if (!isWanted(task))
-        stopDirectly(worker, task, report.m_attempt, "the task is not to run in this domain",
-            CountedReason::UndeclaredTaskStopped, now);
+    if (isWanted(task))
+        return;
+    m_cell.withdrawInstance(task, now);
+    stopDirectly(worker, task, report.m_attempt, "the task is not to run in this domain",
+        CountedReason::UndeclaredTaskStopped, now);
 }
 
 template <CellType Cell>
@@ -243,17 +247,16 @@
     const auto workload = m_workloads.find(start.m_workload);
     const ClassPolicy* policy = workload == m_workloads.end() ? nullptr : classOf(workload->second);
     const auto instance = m_instances.find(start.m_task);
-    if (instance != m_instances.end()) {
-        const std::string_view hold = holdOfInstance(start.m_task, instance->second, policy, now);
-        if (!hold.empty()) {
-            m_cell.startRefused(start.m_task, start.m_attempt, start.m_worker, std::string(hold), now);
-            m_cell.withdrawInstance(start.m_task, now);
-            instance->second.m_submitted = false;
-            return;
-        }
+    const JobId job { std::string(ownerOfTask(start.m_task)) };
+    if (instance != m_instances.end() && !instanceMayStart(start.m_task, instance->second, policy, now)) {
+        m_cell.withdrawInstance(start.m_task, now);
+        instance->second.m_submitted = false;
+        endUnsent(start.m_worker, start.m_task, start.m_attempt, now);
+        return;
     }
-    if (m_ledger.ended(JobId(std::string(ownerOfTask(start.m_task))))) {
-        m_cell.startRefused(start.m_task, start.m_attempt, start.m_worker, "the job has ended", now);
+    if (m_ledger.ended(job)) {
+        m_cell.cancelJob(job, now);
+        endUnsent(start.m_worker, start.m_task, start.m_attempt, now);
         return;
     }
 
@@ -272,8 +275,26 @@
     enqueue(start.m_worker, command, now);
 }
 
+/// Tells the cell that an attempt that was never sent to its worker is over.
+template <CellType Cell>
+void BasicDomainScheduler<Cell>::endUnsent(
+    const WorkerId& worker, const TaskId& task, std::uint32_t attempt, TimePoint now)
+{
+    TaskReport stopped;
+    stopped.m_task = task;
+    stopped.m_attempt = attempt;
+    stopped.m_state = TaskState::Stopped;
+    m_cell.taskReported(worker, stopped, now);
+}
+
 template <CellType Cell> void BasicDomainScheduler<Cell>::carryOut(const placement::StopTask& stop, TimePoint now)
 {
+    const auto live = m_live.find(stop.m_task);
+    const bool isLive
+        = live != m_live.end() && live->second.m_worker == stop.m_worker && live->second.m_attempt == stop.m_attempt;
+    // Attempts that ended before they were sent need no command; strays are known by the worker's report.
+    if (!isLive && !m_workers.tasks(stop.m_worker).contains(stop.m_task))
+        return;
     WorkerCommand command;
     command.m_operation = CommandOperation::Stop;
     command.m_task = stop.m_task;
--- a/src/ownership/DomainSchedulerTerm.h
+++ b/src/ownership/DomainSchedulerTerm.h
@@ -96,8 +96,11 @@
     for (const auto& [name, spec] : m_currentWorkers) {
         m_draining.erase(name);
         const auto known = before.find(name);
-        if (known == before.end() || known->second != spec)
-            m_cell.setWorker(spec, now);
+        if (known != before.end() && known->second == spec)
+            continue;
+        // A changed description can reset the availability in the cell.
+        m_cell.setWorker(spec, now);
+        m_available.erase(name);
     }
     for (const auto& [name, spec] : m_formerWorkers) {
         if (before.contains(name))
@@ -383,7 +386,14 @@
         report.m_task = task;
         report.m_attempt = end.m_attempt;
         report.m_state = end.m_state;
-        m_cell.taskReported(end.m_worker, report, now);
+        if (m_currentWorkers.contains(end.m_worker)) {
+            m_cell.taskReported(end.m_worker, report, now);
+            continue;
+        }
+        // The cell knows no removed worker, and another one must not be blamed for the failure.
+        if (report.m_state == TaskState::Failed)
+            report.m_state = TaskState::Stopped;
+        m_cell.taskReported(m_currentWorkers.begin()->first, report, now);
     }
     const TaskId first(job.value() + '/');
     const TaskId last(job.value() + static_cast<char>('/' + 1));
@@ -433,6 +443,13 @@
     return std::exchange(m_actions, {});
 }
 
+template <CellType Cell> void BasicDomainScheduler<Cell>::considerCell(TimePoint& wake, TimePoint now) const
+{
+    const std::optional<TimePoint> cell = m_cell.nextWake();
+    if (cell)
+        wake = std::min(wake, std::max(*cell, now + leastCellInterval));
+}
+
 template <CellType Cell> TimePoint BasicDomainScheduler<Cell>::nextWake(TimePoint now) const
 {
     // Host states, holds and lapses are checked once per second.
@@ -446,7 +463,7 @@
         consider(m_workers.nextWake(now));
         consider(m_appends.nextWake());
         if (m_phase == Phase::Active)
-            consider(m_cell.nextWake());
+            considerCell(wake, now);
         if (m_phase == Phase::Recovering)
             consider(m_recoverUntil);
         for (const DelayedCommand& delayed : m_delayedCommands)
--- a/tests/ownership/FakeCell.h
+++ b/tests/ownership/FakeCell.h
@@ -81,6 +81,10 @@
         if (ended == static_cast<std::ptrdiff_t>(count->second))
             m_actions.emplace_back(placement::FinishJob { job });
     }
+    void taskAbsent(const WorkerId& worker, const TaskId& id, std::uint32_t attempt, TimePoint now)
+    {
+        startRefused(id, attempt, worker, {}, now);
+    }
     void startRefused(const TaskId& id, std::uint32_t attempt, const WorkerId& worker, const std::string&, TimePoint)
     {
         Task& task = m_tasks[id];
--- a/tests/ownership/World.h
+++ b/tests/ownership/World.h
@@ -14,17 +14,21 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using TestScheduler = BasicDomainScheduler<FakeCell>;
 
 /// Daemons, workers and streams that exchange messages with a delay of one millisecond.
-class World {
+template <CellType Cell> class BasicWorld {
 public:
+    using TestScheduler = BasicDomainScheduler<Cell>;
+
     struct Node {
         FailureDomainId m_domain;
         std::unique_ptr<TestScheduler> m_scheduler;
         bool m_dead = false;
         /// A paused daemon runs no code; what arrives waits until it resumes.
         bool m_paused = false;
+        /// The daemon pauses between the decision on its next commands and their sending.
+        bool m_pauseBeforeCommands = false;
+        std::vector<OwnershipAction> m_outbox;
         /// Cut off from the log and from daemons of other domains.
         bool m_cutOff = false;
         std::vector<std::function<void()>> m_inbox;
@@ -67,11 +71,14 @@
         memory.m_name = ClassId("memory");
         memory.m_durability = Durability::Memory;
         file.m_classes = { service, moving, batch, memory };
+        const Resources plenty { 10000000, 10000000, 0 };
+        file.m_teams.push_back({ TeamId("team"), plenty, plenty });
         for (const auto& [name, policy, instances] :
             { std::tuple("monitor", "service", 2U), std::tuple("mover", "moving", domains.size() > 1 ? 4U : 0U),
                 std::tuple("score", "batch", 0U), std::tuple("quick", "memory", 0U) }) {
             WorkloadSpec workload;
             workload.m_name = WorkloadId(name);
+            workload.m_team = TeamId("team");
             workload.m_class = ClassId(policy);
             workload.m_instances = instances;
             workload.m_resources = { 1000, 100, 0 };
@@ -171,6 +178,8 @@
     {
         Node& node = m_nodes.at(name);
         node.m_paused = false;
+        for (const OwnershipAction& action : std::exchange(node.m_outbox, {}))
+            std::visit([&](const auto& typed) { perform(name, typed); }, action);
         for (const auto& message : std::exchange(node.m_inbox, {}))
             message();
     }
@@ -197,6 +206,14 @@
         if (node.m_dead || node.m_paused)
             return;
         for (const OwnershipAction& action : node.m_scheduler->step(m_now)) {
+            if (node.m_pauseBeforeCommands && std::holds_alternative<SendCommands>(action)) {
+                node.m_pauseBeforeCommands = false;
+                node.m_paused = true;
+            }
+            if (node.m_paused) {
+                node.m_outbox.push_back(action);
+                continue;
+            }
             if (m_observe)
                 m_observe(name, action);
             std::visit([&](const auto& typed) { perform(name, typed); }, action);
@@ -371,4 +388,6 @@
     std::map<std::string, std::map<FailureDomainId, TimePoint>> m_evidence;
 };
 
+using World = BasicWorld<FakeCell>;
+
 } // namespace sapphiredale::ownership
