--- a/src/configuration/ApplyTracker.cpp
+++ b/src/configuration/ApplyTracker.cpp
@@ -128,6 +128,8 @@
     m_counters.count(ServiceReason::RetryAppendNotAppended);
     pending->m_phase = Phase::AppendDue;
     pending->m_wakeAt = pending->m_backoff.next(now);
+    // The open poll may notice an outage only at the end of its wait; a read shows it now.
+    m_follower.requestEnd();
 }
 
 void ApplyTracker::unanswered(Pending& pending)
