Place records read from the log on the time line of the core

Cause: the scheduler needs the age of a record, and only the log's clock is shared. Change: the driver converts the log's time of a record to core time. Result: builds. Conclusion: no daemon clock takes part in the age of a record except its distance to the log's.

--- a/src/daemon/SchedulerDriver.cpp
+++ b/src/daemon/SchedulerDriver.cpp
@@ -245,7 +245,9 @@
         return;
     }
     run([&](ownership::DomainScheduler& scheduler, TimePoint instant) {
-        scheduler.recordRead(stream, valueOf(decoded), instant);
+        // The log's clock is the only one that all daemons share; its distance from now places the record here.
+        const TimePoint writtenAt = instant + std::chrono::duration_cast<Duration>(record.m_time - wallNow());
+        scheduler.recordRead(stream, valueOf(decoded), writtenAt, instant);
     });
 }
 
