--- a/src/platform/PlatformTypes.h
+++ b/src/platform/PlatformTypes.h
@@ -204,6 +204,7 @@
 struct MinionLeaseRequest {
     DaemonId m_holder;
     std::uint64_t m_epoch = 0;
+    /// Length of the lease; zero releases it.
     Duration m_ttl {};
     /// Longest time that the minion holds the answer back while nothing changes.
     Duration m_wait {};
@@ -213,12 +214,10 @@
 
 struct MinionLeaseGrant {
     std::uint64_t m_epoch = 0;
-    /// All requests that occupy a slot.
+    /// Requests that occupy a slot and whose end the holder cannot see by itself: they were started under an earlier
+    /// epoch, or their connection has closed.
     std::uint32_t m_inFlight = 0;
-    /// Those of m_inFlight that the holder cannot see end by itself: they were started under an earlier epoch, or their
-    /// connection has closed.
-    std::uint32_t m_formerInFlight = 0;
-    /// All open connections, the one of this call included.
+    /// Open connections that last carried an earlier epoch.
     std::uint32_t m_connections = 0;
     std::uint32_t m_slots = 0;
     /// The minion starts no new request.
