Follow the minion lease answer of the platform package

Cause: the answer now counts the requests and connections of former holders itself. Change: the driver passes the counts on; its own estimate of former connections is gone. Conclusion: only the minion knows which connections are old.

--- a/src/daemon/RequestDriver.cpp
+++ b/src/daemon/RequestDriver.cpp
@@ -245,16 +245,8 @@
             m_table.rejected(request, { refusal->m_holder, refusal->m_epoch, refusal->m_expiresIn }, instant);
         } else {
             const auto& grant = std::get<platform::MinionLeaseGrant>(valueOf(result));
-            Lease& lease = m_leases[request.m_minion];
-            // One of the connections is that of the lease itself. Connections of this daemon to the minion can hide
-            // among the others after the first grant, so the number of foreign ones never grows within an epoch.
-            const std::uint32_t others = grant.m_connections > 0 ? grant.m_connections - 1 : 0;
-            lease.m_formerConnections
-                = lease.m_epoch == grant.m_epoch ? std::min(lease.m_formerConnections, others) : others;
-            lease.m_epoch = grant.m_epoch;
             m_table.granted(request,
-                { grant.m_epoch, grant.m_formerInFlight, lease.m_formerConnections, grant.m_slots, grant.m_leaving },
-                instant);
+                { grant.m_epoch, grant.m_inFlight, grant.m_connections, grant.m_slots, grant.m_leaving }, instant);
         }
     }
     applyChanges();
--- a/src/daemon/RequestDriver.h
+++ b/src/daemon/RequestDriver.h
@@ -59,12 +59,8 @@
 private:
     using Shard = forwarding::ServiceShard;
     struct Lease {
-        WorkloadId m_workload;
         std::string m_address;
         std::unique_ptr<platform::HttpMinionControl> m_control;
-        /// Epoch of the newest grant, and connections that belonged to others when it was first granted.
-        std::uint64_t m_epoch = 0;
-        std::uint32_t m_formerConnections = 0;
     };
 
     std::shared_ptr<Shard> shardOf(const WorkloadId&) const;
