Bound the time an alarm is armed for

Cause: idle daemons used a whole core until they held a lease on a minion. A core that waits for nothing returns TimePoint::max(); its conversion to nanoseconds overflowed, and the alarm fired at once, again and again. Ruled out: log polling and heartbeats (8.5 KB sent to the log and 31 heartbeats in the same time).

--- a/src/daemon/Runtime.cpp
+++ b/src/daemon/Runtime.cpp
@@ -2,12 +2,19 @@
 
 #include "daemon/Runtime.h"
 
+#include <algorithm>
+
 namespace sapphiredale::daemon {
 
 namespace {
 
+    /// Longest time that an alarm is armed for. A core that waits for nothing returns TimePoint::max(), which does not
+    /// fit into the nanoseconds of the steady clock.
+    constexpr Duration longestAlarm = std::chrono::hours(1);
+
     std::chrono::steady_clock::time_point toSteady(TimePoint instant)
     {
+        instant = std::min(instant, now() + longestAlarm);
         return std::chrono::steady_clock::time_point(
             std::chrono::duration_cast<std::chrono::steady_clock::duration>(instant.time_since_epoch()));
     }
