Fill a chosen worker with the best suited task of equal rank

The order of the queues now compares shares and arrival in coarse steps, and once a worker is chosen, up to 64 queues of equal rank are compared for the one that leaves least of it free. The penalty for concurrent starts begins at eight.

--- a/bench/bench_placement.cpp
+++ b/bench/bench_placement.cpp
@@ -276,6 +276,18 @@
             Target::atMost(0.99));
     }
 
+    /// Reports every start as running.
+    void reportStarts(Cell& cell, const std::vector<placement::PlacementAction>& actions, TimePoint now)
+    {
+        for (const placement::PlacementAction& action : actions) {
+            if (const auto* start = std::get_if<placement::StartTask>(&action)) {
+                cell.taskReported(start->m_worker,
+                    TaskReport { start->m_task, start->m_attempt, TaskState::Running, {}, start->m_resources, {}, {} },
+                    now);
+            }
+        }
+    }
+
     /// Tasks of many sizes that arrive one by one until the sum reaches a part of the cell.
     void measurePacking(BenchReport& report, const CellShape& shape)
     {
@@ -289,7 +301,7 @@
             LoadGenerator generator(FLAGS_seed + std::uint64_t(run));
             Load load = generator.file(shape, 8);
             for (TeamSpec& team : load.m_file.m_teams)
-                team.m_limit = team.m_guaranteed = shape.m_worker * shape.m_workers;
+                team.m_limit = shape.m_worker * shape.m_workers;
             Cell cell { CellSettings {} };
             TimePoint now { std::chrono::hours(1) };
             cell.setPolicies(load.m_file, now);
@@ -308,9 +320,12 @@
                 cell.submitJob({ JobId("p" + std::to_string(tasks.size())), spec.m_name, 1 }, now);
                 tasks.push_back(spec.m_resources);
                 sum += spec.m_resources;
-                now += std::chrono::milliseconds(10);
-                cell.step(now);
+                // 5,000 arrivals per second, and a step every 50 ms.
+                now += std::chrono::microseconds(200);
+                if (tasks.size() % 250 == 0)
+                    reportStarts(cell, cell.step(now), now);
             }
+            reportStarts(cell, cell.step(now), now);
             unplaced += cell.summary().m_waitingTasks;
             for (const WorkerSpec& worker : workersOf(shape))
                 used += cell.workerLoad(worker.m_name).m_tasks > 0 ? 1 : 0;
--- a/src/placement/CellState.cpp
+++ b/src/placement/CellState.cpp
@@ -112,7 +112,9 @@
     // What was seen must not make the task unplaceable.
     const Resources& limit = m_quotas.at(workload.m_team).m_spec.m_limit;
     const Resources largest = m_workers.largestCapacity();
-    const Resources grown { std::min({ task.m_reserved.m_cpuMillis, limit.m_cpuMillis, largest.m_cpuMillis }),
+    const bool throttles = policyOf(workload).m_onOveruse == OnOveruse::Throttle;
+    const std::int64_t processors = throttles ? need.m_cpuMillis : task.m_reserved.m_cpuMillis;
+    const Resources grown { std::min({ processors, limit.m_cpuMillis, largest.m_cpuMillis }),
         std::min({ task.m_reserved.m_memoryMiB, limit.m_memoryMiB, largest.m_memoryMiB }), 0 };
     const Resources all = Resources::max(need, grown);
     return m_workers.fitsSomeShape(all) ? all : need;
--- a/src/placement/Dispatcher.cpp
+++ b/src/placement/Dispatcher.cpp
@@ -17,6 +17,10 @@
     /// shortages pass by themselves, and each preemption costs a checkpoint.
     constexpr double longestPatienceSeconds = 30;
     constexpr Duration searchRetry = std::chrono::milliseconds(1000);
+    /// Queues of equal rank that are compared for the one that fills a chosen worker best.
+    constexpr std::size_t maxCompanions = 64;
+    /// Steps of a guaranteed share in which the use of teams is compared.
+    constexpr double shareSteps = 20;
     constexpr Duration quotaRetry = std::chrono::seconds(60);
     /// Victims have a second for the checkpoint and are stopped then; after this time another worker is chosen.
     constexpr Duration preemptionClaimLifetime = std::chrono::seconds(5);
@@ -32,7 +36,15 @@
 {
     const Workload& workload = m_state.m_workloads[index];
     const Task& head = m_state.m_tasks[workload.m_head];
-    return { m_state.agedPriority(head, now), m_state.m_quotas.share(workload.m_team), head.m_queuedAt, index };
+    const double share = m_state.m_quotas.share(workload.m_team);
+    const auto second = std::chrono::floor<std::chrono::seconds>(head.m_queuedAt.time_since_epoch()).count();
+    // Processors and memory in units of the cell's ratio of memory to processors.
+    const Resources need = m_state.needOf(head);
+    const Resources& total = m_state.m_workers.totalCapacity();
+    const double size = double(need.m_cpuMillis) / double(std::max<std::int64_t>(1, total.m_cpuMillis))
+        + double(need.m_memoryMiB) / double(std::max<std::int64_t>(1, total.m_memoryMiB));
+    return { m_state.agedPriority(head, now), static_cast<std::int64_t>(share * shareSteps), second, size,
+        head.m_queuedAt, index };
 }
 
 void Dispatcher::step(TimePoint now)
@@ -191,6 +203,7 @@
         // Starts of the same team since the entry was made have lowered its rank.
         const Entry entry = entryOf(index, now);
         const bool overtaken = !m_heap.empty() && entry < m_heap.front();
+        m_current = entry;
         if (!overtaken && !place(index, now)) {
             workload.m_inReadyList = false;
             continue;
@@ -208,6 +221,32 @@
         m_state.m_ready.push_back(entry.m_workload);
 }
 
+TaskIndex Dispatcher::betterFilling(TaskIndex index, WorkerIndex workerIndex, const Resources& need) const
+{
+    const Worker& worker = m_state.m_workers.at(workerIndex);
+    const auto leftover = [&](const Resources& amount) {
+        const Leftover left(worker, worker.free(), amount);
+        return std::max(left.m_cpu, left.m_memory);
+    };
+    TaskIndex best = index;
+    double least = leftover(need);
+    for (std::size_t i = 0; i < m_heap.size() && i < maxCompanions; ++i) {
+        const Entry& entry = m_heap[i];
+        const Workload& workload = m_state.m_workloads[entry.m_workload];
+        if (!entry.hasRankOf(m_current) || workload.m_queued == 0 || startsTogether(m_state.policyOf(workload).m_kind))
+            continue;
+        const Task& task = m_state.m_tasks[workload.m_head];
+        const Resources other = m_state.needOf(task);
+        if (!other.fitsIn(worker.free()) || leftover(other) >= least || task.m_avoid == workerIndex
+            || !m_state.rackAllows(m_state.m_jobs[task.m_job], worker.m_rack)
+            || m_state.m_quotas.check(workload.m_team, other, m_state.policyOf(workload).m_preemptible) != Reason::None)
+            continue;
+        best = workload.m_head;
+        least = leftover(other);
+    }
+    return best;
+}
+
 WorkerIndex Dispatcher::selectWorker(const Task& task, const Resources& need)
 {
     const Job& job = m_state.m_jobs[task.m_job];
@@ -234,7 +273,7 @@
         return placeOverQuota(workloadIndex, index, need, quota, now);
     const WorkerIndex worker = selectWorker(task, need);
     if (worker != noIndex) {
-        m_lifecycle.start(index, worker, now);
+        m_lifecycle.start(betterFilling(index, worker, need), worker, now);
         return true;
     }
     const WorkerIndex backfill = m_groups.backfillWorker(task, need, now);
--- a/src/placement/Scoring.h
+++ b/src/placement/Scoring.h
@@ -51,14 +51,15 @@
     }
 };
 
-/// Prefers workers that start few tasks at the moment, and leaves large free amounts whole for large tasks.
+/// Prefers workers that do not start many tasks at the moment, and leaves large free amounts whole for large tasks.
 struct WaitingScore {
     double operator()(const Worker& worker, const Resources& free, const Resources& need) const
     {
         const Leftover left(worker, free, need);
         const double wasted = need.m_accelerators == 0 && worker.m_spec.m_capacity.m_accelerators > 0 ? 0.5 : 0;
-        return 1 - 0.25 * std::max(left.m_cpu, left.m_memory) - 0.05 * double(std::min(worker.m_starting, 10U))
-            - wasted;
+        // Starts in excess of a few at a time slow each other down.
+        const double crowd = 0.02 * std::clamp(double(worker.m_starting) - 8, 0.0, 10.0);
+        return 1 - 0.25 * std::max(left.m_cpu, left.m_memory) - crowd - wasted;
     }
 };
 
--- a/src/placement/UsageLearning.cpp
+++ b/src/placement/UsageLearning.cpp
@@ -85,6 +85,9 @@
     seen.m_cpuMillis = std::min(seen.m_cpuMillis, bound.m_cpuMillis);
     seen.m_memoryMiB = std::min(seen.m_memoryMiB, bound.m_memoryMiB);
     seen.m_accelerators = declared.m_accelerators;
+    // Processor time can be throttled: a start does not wait for more than half a worker of what it did not declare.
+    if (m_state.policyOf(workload).m_onOveruse == OnOveruse::Throttle)
+        seen.m_cpuMillis = std::min(seen.m_cpuMillis, std::max(declared.m_cpuMillis, capacity.m_cpuMillis / 2));
     // Moves a quarter of the way to what the overusing tasks need: the typical overuse counts, not the largest.
     const auto approach
         = [](std::int64_t from, std::int64_t to) { return to > from ? from + (to - from + 3) / 4 : from; };
