--- a/bench/bench_placement.cpp
+++ b/bench/bench_placement.cpp
@@ -110,7 +110,7 @@
                 const double elapsed = step();
                 if (latencies)
                     latencies->push_back(elapsed);
-            } while (m_cell.nextWake() && *m_cell.nextWake() <= m_now);
+            } while (m_cell.nextWake().value_or(TimePoint::max()) <= m_now);
             return m_starts - before;
         }
 
