--- a/src/daemon/RequestDriver.cpp
+++ b/src/daemon/RequestDriver.cpp
@@ -159,20 +159,20 @@
     return shardOf(workload);
 }
 
-void RequestDriver::claim(const forwarding::ClaimRequest& request, forwarding::ClaimHandler handler)
+void RequestDriver::claim(const forwarding::ClaimRequest& request, const forwarding::ClaimHandler& handler)
 {
-    m_claims.claim(request, std::move(handler));
+    m_claims.claim(request, handler);
 }
 
 void RequestDriver::recordOutcome(const forwarding::ClaimOutcome& outcome) { m_claims.recordOutcome(outcome); }
 
-void RequestDriver::handle(forwarding::LocalRequest request, forwarding::LocalHandler handler)
+void RequestDriver::handle(const forwarding::LocalRequest& request, const forwarding::LocalHandler& handler)
 {
     if (!m_ready) {
         handler(forwarding::problemResponse(ErrorKind::NotReady, "no file is in force on this daemon"));
         return;
     }
-    m_jobs.handle(std::move(request), std::move(handler));
+    m_jobs.handle(request, handler);
 }
 
 void RequestDriver::refused(ErrorKind kind)
@@ -245,16 +245,8 @@
             m_table.rejected(request, { refusal->m_holder, refusal->m_epoch, refusal->m_expiresIn }, instant);
         } else {
             const auto& grant = std::get<platform::MinionLeaseGrant>(valueOf(result));
-            Lease& lease = m_leases[request.m_minion];
-            // One of the connections is that of the lease itself. Connections of this daemon to the minion can hide
-            // among the others after the first grant, so the number of foreign ones never grows within an epoch.
-            const std::uint32_t others = grant.m_connections > 0 ? grant.m_connections - 1 : 0;
-            lease.m_formerConnections
-                = lease.m_epoch == grant.m_epoch ? std::min(lease.m_formerConnections, others) : others;
-            lease.m_epoch = grant.m_epoch;
             m_table.granted(request,
-                { grant.m_epoch, grant.m_formerInFlight, lease.m_formerConnections, grant.m_slots, grant.m_leaving },
-                instant);
+                { grant.m_epoch, grant.m_inFlight, grant.m_connections, grant.m_slots, grant.m_leaving }, instant);
         }
     }
     applyChanges();
--- a/src/daemon/RequestDriver.h
+++ b/src/daemon/RequestDriver.h
@@ -49,9 +49,9 @@
     /// \name forwarding::RequestHooks
     /// @{
     std::shared_ptr<forwarding::ServiceRouting> service(const WorkloadId&) override;
-    void claim(const forwarding::ClaimRequest&, forwarding::ClaimHandler) override;
+    void claim(const forwarding::ClaimRequest&, const forwarding::ClaimHandler&) override;
     void recordOutcome(const forwarding::ClaimOutcome&) override;
-    void handle(forwarding::LocalRequest, forwarding::LocalHandler) override;
+    void handle(const forwarding::LocalRequest&, const forwarding::LocalHandler&) override;
     void refused(ErrorKind) override;
     void answered(unsigned status, Duration) override;
     /// @}
@@ -59,12 +59,8 @@
 private:
     using Shard = forwarding::ServiceShard;
     struct Lease {
-        WorkloadId m_workload;
         std::string m_address;
         std::unique_ptr<platform::HttpMinionControl> m_control;
-        /// Epoch of the newest grant, and connections that belonged to others when it was first granted.
-        std::uint64_t m_epoch = 0;
-        std::uint32_t m_formerConnections = 0;
     };
 
     std::shared_ptr<Shard> shardOf(const WorkloadId&) const;
