Add the HTTP clients of the platform with tests against the stand-in

Each connection carries one call at a time and is closed with every call that fails, so a late answer reaches no other call. Errors tell by their kind whether a call may have run.

--- a/cmake/SapphirePackage.cmake
+++ b/cmake/SapphirePackage.cmake
@@ -1,11 +1,13 @@
 # Declares a package library from src/<name> and its test program from tests/<name>.
+# TEST_DEPENDS names packages that only the tests need.
 # A package without sources becomes an interface library, a package without tests has no test program.
 function(sapphire_package name)
-    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES;TEST_DEPENDS" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp
         ${CMAKE_SOURCE_DIR}/src/${name}/generated/*.cc)
     set(target sapphire_${name})
     list(TRANSFORM ARG_DEPENDS PREPEND sapphire_)
+    list(TRANSFORM ARG_TEST_DEPENDS PREPEND sapphire_)
     if(sources)
         add_library(${target} STATIC ${sources})
         set(scope PUBLIC)
@@ -24,7 +26,7 @@
     if(tests)
         add_executable(test_${name} ${tests} ${CMAKE_SOURCE_DIR}/tests/TestMain.cpp)
         target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR})
-        target_link_libraries(test_${name} PRIVATE ${target} cppunit)
+        target_link_libraries(test_${name} PRIVATE ${target} ${ARG_TEST_DEPENDS} cppunit)
         add_test(NAME ${name} COMMAND test_${name} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
         set_tests_properties(${name} PROPERTIES TIMEOUT 600)
     endif()
@@ -32,7 +34,7 @@
 
 # Declares a program from programs/<name>.cpp; the programs hold a main function and nothing else.
 function(sapphire_program name)
-    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES;TEST_DEPENDS" ${ARGN})
     if(NOT EXISTS ${CMAKE_SOURCE_DIR}/programs/${name}.cpp)
         return()
     endif()
--- /dev/null
+++ b/src/platform/HttpChannel.cpp
@@ -0,0 +1,372 @@
+// Connection, deadlines, queue and reconnection of a channel.
+
+#include "platform/HttpChannel.h"
+
+#include "model/Rendezvous.h"
+
+#include <algorithm>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <charconv>
+#include <deque>
+#include <optional>
+#include <utility>
+
+namespace sapphiredale::platform {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+    constexpr std::uint32_t maxHeaderBytes = 8 << 10;
+
+    /// Parses "address:port" or "[address]:port".
+    std::optional<tcp::endpoint> parseEndpoint(const std::string& text)
+    {
+        const std::size_t colon = text.rfind(':');
+        if (colon == std::string::npos)
+            return std::nullopt;
+        std::string host = text.substr(0, colon);
+        if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+            host = host.substr(1, host.size() - 2);
+        std::uint16_t port = 0;
+        const char* end = text.data() + text.size();
+        const auto [parsed, error] = std::from_chars(text.data() + colon + 1, end, port);
+        error_code addressError;
+        const auto address = asio::ip::make_address(host, addressError);
+        if (addressError || error != std::errc() || parsed != end)
+            return std::nullopt;
+        return tcp::endpoint(address, port);
+    }
+
+} // namespace
+
+/// State of the channel; all members are used on the strand only.
+class HttpChannel::Impl : public std::enable_shared_from_this<HttpChannel::Impl> {
+public:
+    Impl(asio::io_context& context, const HttpSettings& settings, ClientKind kind, ErrorKind unreachable)
+        : m_strand(asio::make_strand(context))
+        , m_settings(settings)
+        , m_kind(kind)
+        , m_unreachable(unreachable)
+        , m_endpoint(parseEndpoint(settings.m_address))
+        , m_backoffTimer(m_strand)
+    {
+    }
+
+    void enqueue(HttpCall call, AnswerHandler handler)
+    {
+        auto pending = std::make_shared<Pending>(m_strand, std::move(call), std::move(handler));
+        if (m_closed)
+            return complete(pending, Error { ErrorKind::ShuttingDown, "the client is closed" });
+        if (m_queue.size() >= m_settings.m_maxQueuedCalls)
+            return complete(pending, Error { ErrorKind::Overloaded, "too many calls wait for the connection" });
+        pending->m_deadline.expires_after(pending->m_call.m_timeout);
+        pending->m_deadline.async_wait([self = shared_from_this(), pending](error_code error) {
+            if (!error)
+                self->expire(pending);
+        });
+        m_queue.push_back(pending);
+        startNext();
+    }
+
+    void close()
+    {
+        m_closed = true;
+        const auto queue = std::move(m_queue);
+        m_queue.clear();
+        if (const auto active = std::move(m_active))
+            complete(active, failure(*active, { ErrorKind::ShuttingDown, "the client was closed" }));
+        m_active.reset();
+        disconnect();
+        m_backoffTimer.cancel();
+        for (const auto& pending : queue)
+            complete(pending, Error { ErrorKind::ShuttingDown, "the client was closed" });
+    }
+
+private:
+    struct Pending {
+        Pending(const asio::strand<asio::io_context::executor_type>& strand, HttpCall call, AnswerHandler handler)
+            : m_call(std::move(call))
+            , m_handler(std::move(handler))
+            , m_deadline(strand)
+        {
+        }
+
+        HttpCall m_call;
+        /// Empty once the call has been completed.
+        AnswerHandler m_handler;
+        asio::steady_timer m_deadline;
+        /// True once a byte may have reached the server, also when the call is sent again afterwards.
+        bool m_sent = false;
+        bool m_retried = false;
+    };
+    using PendingPointer = std::shared_ptr<Pending>;
+    using Parser = http::response_parser<http::string_body>;
+
+    /// One connection with the buffers of its operations. Each operation owns the link that it uses, so that one that
+    /// ends late can touch neither a newer connection nor the buffers of another call.
+    struct Link {
+        explicit Link(const asio::strand<asio::io_context::executor_type>& strand)
+            : m_socket(strand)
+        {
+        }
+
+        tcp::socket m_socket;
+        boost::beast::flat_buffer m_input;
+        std::string m_output;
+        std::optional<Parser> m_parser;
+        /// The present call is not the first one on this connection.
+        bool m_reused = false;
+    };
+    using LinkPointer = std::shared_ptr<Link>;
+
+    static void complete(const PendingPointer& pending, Result<HttpAnswer> result)
+    {
+        if (!pending->m_handler)
+            return;
+        const AnswerHandler handler = std::move(pending->m_handler);
+        pending->m_handler = nullptr;
+        pending->m_deadline.cancel();
+        handler(std::move(result));
+    }
+
+    /// The error for a call that has not been answered: kind NotRun as given while nothing was sent, else unknown.
+    static Error failure(const Pending& pending, Error notSent)
+    {
+        if (pending.m_sent)
+            return { ErrorKind::OutcomeUnknown, std::move(notSent.m_detail) };
+        return notSent;
+    }
+
+    void startNext()
+    {
+        if (m_active || m_queue.empty() || m_closed)
+            return;
+        m_active = m_queue.front();
+        m_queue.pop_front();
+        startActive();
+    }
+
+    void startActive()
+    {
+        if (!m_endpoint)
+            return fail({ ErrorKind::InvalidRequest, "\"" + m_settings.m_address + "\" is not an address and port" });
+        if (m_link) {
+            m_link->m_reused = true;
+            return write();
+        }
+        if (m_failures == 0 || asio::steady_timer::clock_type::now() >= m_notBefore)
+            return connect();
+        m_backoffTimer.expires_at(m_notBefore);
+        m_backoffTimer.async_wait([self = shared_from_this(), active = m_active](error_code error) {
+            if (!error && self->m_active == active)
+                self->connect();
+        });
+    }
+
+    void connect()
+    {
+        m_link = std::make_shared<Link>(m_strand);
+        m_link->m_socket.async_connect(*m_endpoint, [self = shared_from_this(), link = m_link](error_code error) {
+            if (self->m_link == link)
+                self->connected(error);
+        });
+    }
+
+    void connected(error_code error)
+    {
+        if (error) {
+            disconnect();
+            backOff();
+            return fail(failure(
+                *m_active, { m_unreachable, "cannot connect to " + m_settings.m_address + ": " + error.message() }));
+        }
+        error_code ignored;
+        m_link->m_socket.set_option(tcp::no_delay(true), ignored);
+        write();
+    }
+
+    std::string requestText() const
+    {
+        const HttpCall& call = m_active->m_call;
+        std::string text = call.m_method + ' ' + call.m_target + " HTTP/1.1\r\nHost:\r\n";
+        if (!m_link->m_reused && !m_settings.m_daemon.empty())
+            text += "Sapphire-Daemon: " + m_settings.m_failureDomain.value() + '/' + m_settings.m_daemon.value()
+                + "\r\n";
+        if (!call.m_body.empty())
+            text += "Content-Length: " + std::to_string(call.m_body.size()) + "\r\n";
+        return text + "\r\n" + call.m_body;
+    }
+
+    void write()
+    {
+        m_link->m_output = requestText();
+        const bool sentBefore = std::exchange(m_active->m_sent, true);
+        asio::async_write(m_link->m_socket, asio::buffer(m_link->m_output),
+            [self = shared_from_this(), link = m_link, sentBefore](error_code error, std::size_t bytes) {
+                self->account(bytes, 0);
+                if (self->m_link == link)
+                    self->written(error, sentBefore || bytes > 0);
+            });
+    }
+
+    /// `sent` is false when no byte has been accepted by a socket: nothing has left this host then.
+    void written(error_code error, bool sent)
+    {
+        if (error) {
+            m_active->m_sent = sent;
+            return broken("cannot send: " + error.message());
+        }
+        read();
+    }
+
+    void read()
+    {
+        m_link->m_parser.emplace();
+        m_link->m_parser->body_limit(m_settings.m_maxResponseBytes);
+        m_link->m_parser->header_limit(maxHeaderBytes);
+        http::async_read(m_link->m_socket, m_link->m_input, *m_link->m_parser,
+            [self = shared_from_this(), link = m_link](error_code error, std::size_t bytes) {
+                self->account(0, bytes);
+                if (self->m_link == link)
+                    self->received(error, bytes);
+            });
+    }
+
+    void received(error_code error, std::size_t bytes)
+    {
+        if (error && bytes == 0)
+            return broken("the connection closed before the answer: " + error.message());
+        if (error) {
+            disconnect();
+            return fail({ ErrorKind::AnswerTruncated, "the answer is incomplete or malformed: " + error.message() });
+        }
+        m_failures = 0;
+        const bool keepAlive = m_link->m_parser->get().keep_alive();
+        auto message = m_link->m_parser->release();
+        // Bytes beyond the answer belong to no call of this channel.
+        if (!keepAlive || m_link->m_input.size() > 0)
+            disconnect();
+        finish(HttpAnswer { message.result_int(), std::move(message.body()) });
+    }
+
+    /// The connection failed before any byte of the answer.
+    void broken(const std::string& detail)
+    {
+        const bool reused = m_link->m_reused;
+        disconnect();
+        // A kept connection may have been closed by the server while it was idle; this says nothing about the server.
+        if (reused && !m_active->m_retried && (m_active->m_call.m_repeatable || !m_active->m_sent)) {
+            m_active->m_retried = true;
+            return startActive();
+        }
+        backOff();
+        fail(failure(*m_active, { m_unreachable, detail }));
+    }
+
+    void fail(Error error) { finish(std::move(error)); }
+
+    void finish(Result<HttpAnswer> result)
+    {
+        const PendingPointer active = std::move(m_active);
+        m_active.reset();
+        complete(active, std::move(result));
+        startNext();
+    }
+
+    void expire(const PendingPointer& pending)
+    {
+        if (!pending->m_handler)
+            return;
+        if (pending == m_active) {
+            disconnect();
+            m_backoffTimer.cancel();
+            const bool sent = pending->m_sent;
+            return fail({ sent ? ErrorKind::DeadlineExceededMayHaveRun : ErrorKind::DeadlineExceeded,
+                sent ? "no answer before the deadline" : "not sent before the deadline" });
+        }
+        std::erase(m_queue, pending);
+        complete(pending, Error { ErrorKind::DeadlineExceeded, "not sent before the deadline" });
+    }
+
+    void disconnect()
+    {
+        if (!m_link)
+            return;
+        error_code ignored;
+        m_link->m_socket.close(ignored);
+        m_link.reset();
+    }
+
+    void backOff()
+    {
+        m_failures = std::min(m_failures + 1, 20U);
+        Duration wait = m_settings.m_backoffMin;
+        for (unsigned i = 1; i < m_failures && wait < m_settings.m_backoffMax; ++i)
+            wait *= 2;
+        wait = std::min(wait, m_settings.m_backoffMax);
+        const std::uint64_t random = stableHash(m_settings.m_address, m_settings.m_seed + ++m_draws);
+        wait -= Duration(static_cast<Duration::rep>(random % static_cast<std::uint64_t>(wait.count() / 2 + 1)));
+        m_notBefore = asio::steady_timer::clock_type::now() + wait;
+    }
+
+    void account(std::size_t sent, std::size_t received) const
+    {
+        if (m_settings.m_traffic)
+            m_settings.m_traffic->transferred(m_kind, sent, received);
+    }
+
+    const asio::strand<asio::io_context::executor_type> m_strand;
+    const HttpSettings m_settings;
+    const ClientKind m_kind;
+    const ErrorKind m_unreachable;
+    const std::optional<tcp::endpoint> m_endpoint;
+    asio::steady_timer m_backoffTimer;
+    /// Null when there is no connection. It is closed with every call that fails, so that a link serves one call at a
+    /// time and completions of another link are ignored.
+    LinkPointer m_link;
+    /// The call that uses the connection.
+    PendingPointer m_active;
+    std::deque<PendingPointer> m_queue;
+    bool m_closed = false;
+    unsigned m_failures = 0;
+    std::uint64_t m_draws = 0;
+    asio::steady_timer::time_point m_notBefore;
+
+    friend class HttpChannel;
+};
+
+HttpChannel::HttpChannel(
+    asio::io_context& context, const HttpSettings& settings, ClientKind kind, ErrorKind unreachable)
+    : m_impl(std::make_shared<Impl>(context, settings, kind, unreachable))
+{
+}
+
+HttpChannel::~HttpChannel() { close(); }
+
+void HttpChannel::send(HttpCall call, AnswerHandler handler)
+{
+    asio::post(m_impl->m_strand, [impl = m_impl, call = std::move(call), handler = std::move(handler)]() mutable {
+        impl->enqueue(std::move(call), std::move(handler));
+    });
+}
+
+void HttpChannel::close()
+{
+    asio::post(m_impl->m_strand, [impl = m_impl] { impl->close(); });
+}
+
+} // namespace sapphiredale::platform
