--- a/src/forwarding/Attempt.cpp
+++ b/src/forwarding/Attempt.cpp
@@ -58,6 +58,7 @@
             while (!error && !parser.is_done())
                 co_await readBody<false>(socket, buffer, parser, discarded.data(), discarded.size(), true, error);
         }
+        left->m_connection.reset();
         left->m_routing->slotEnded(left->m_slot);
     }
 
@@ -84,6 +85,7 @@
     if (!m_upstream->m_connected && !co_await connect()) {
         if (m_stop == Stop::None || m_stop == Stop::UpstreamTimeout)
             co_return failure(routing::AttemptFailure::ConnectFailed);
+        m_upstream.reset();
         m_exchange->m_routing->abandoned(m_exchange->m_ticket);
         m_exchange->m_routing->slotEnded(target.m_slot);
         co_return AttemptResult { AttemptEnd::Stopped, {} };
@@ -291,10 +293,12 @@
 
 void Session::answerReceived(const Target& target)
 {
-    const unsigned status = m_answer->get().result_int();
-    m_exchange->m_routing->completed(m_exchange->m_ticket, status >= 500 && !target.isPeer());
+    // The connection comes first: the request that gets the slot next needs it.
     if (m_answer->keep_alive() && m_request->is_done())
         m_server.m_pool.give(std::move(m_upstream), m_loop);
+    m_upstream.reset();
+    const unsigned status = m_answer->get().result_int();
+    m_exchange->m_routing->completed(m_exchange->m_ticket, status >= 500 && !target.isPeer());
 }
 
 Awaitable<Session::AttemptResult> Session::relayAnswer(const Target& target)
--- a/src/forwarding/RequestBackend.h
+++ b/src/forwarding/RequestBackend.h
@@ -114,6 +114,9 @@
     virtual void recordOutcome(const ClaimOutcome&) { }
     /// Serves a path outside /v1/services/. The handler is called once, from any thread. The default answers NotFound.
     virtual void handle(const LocalRequest&, const LocalHandler&);
+    /// Called by one thread of the server about every 20 ms: the place to call Router::tick() of every service, which
+    /// refuses expired requests and dispatches to minions whose pause has ended.
+    virtual void tick() { }
     /// A request was answered with an error of this table instead of an answer of a minion.
     virtual void refused(ErrorKind) { }
     /// A request was answered by a minion or a peer daemon; the time is from the last byte of its header to the end of
--- a/src/forwarding/RequestServer.cpp
+++ b/src/forwarding/RequestServer.cpp
@@ -44,7 +44,7 @@
                 return *std::move(error);
         }
         for (const std::unique_ptr<EventLoop>& loop : m_loops) {
-            m_trimmers.push_back(std::make_unique<Trimmer>(m_context.m_pool, *loop));
+            m_trimmers.push_back(std::make_unique<Trimmer>(m_context, *loop));
             loop->add(*m_trimmers.back());
         }
         for (const std::unique_ptr<Listener>& listener : m_listeners)
@@ -104,25 +104,27 @@
         std::size_t m_nextLoop = 0;
     };
 
-    /// Looks through the idle connections of one loop about once a second.
+    /// Looks through the idle connections of one loop about once a second; on the first loop also calls the hooks.
     class Trimmer final : public Swept {
     public:
-        Trimmer(UpstreamPool& pool, EventLoop& loop)
-            : m_pool(pool)
+        Trimmer(ServerContext& context, EventLoop& loop)
+            : m_context(context)
             , m_loop(loop)
         {
         }
 
         void sweep(TimePoint now) override
         {
+            if (m_loop.index() == 0)
+                m_context.m_hooks.tick();
             if (now < m_next)
                 return;
             m_next = now + std::chrono::seconds(1);
-            m_pool.trim(m_loop, now);
+            m_context.m_pool.trim(m_loop, now);
         }
 
     private:
-        UpstreamPool& m_pool;
+        ServerContext& m_context;
         EventLoop& m_loop;
         TimePoint m_next;
     };
--- a/tests/forwarding/FakeMinion.h
+++ b/tests/forwarding/FakeMinion.h
@@ -46,7 +46,8 @@
 
 class FakeMinion {
 public:
-    /// Returns the bytes to send; an empty text closes the connection without an answer.
+    /// Returns the bytes to send; an empty text closes the connection without an answer, and a text with a field
+    /// "X-Close" closes it afterwards.
     using Behaviour = std::function<std::string(const TextRequest&)>;
 
     explicit FakeMinion(Behaviour behaviour)
@@ -138,6 +139,8 @@
             if (text.empty())
                 break;
             boost::asio::write(socket, boost::asio::buffer(text), error);
+            if (text.find("X-Close") != std::string::npos)
+                break;
         }
         const std::lock_guard lock(m_mutex);
         socket.shutdown(tcp::socket::shutdown_both, error);
--- a/tests/forwarding/ForwardingKit.h
+++ b/tests/forwarding/ForwardingKit.h
@@ -56,6 +56,11 @@
             m_outcomes[outcome.m_key] = outcome;
     }
 
+    void tick() override
+    {
+        m_shard->withRouter([](routing::Router& router, TimePoint now) { router.tick(now); });
+    }
+
     void refused(ErrorKind kind) override { ++m_refused[static_cast<std::size_t>(kind)]; }
     unsigned refusals(ErrorKind kind) const { return m_refused[static_cast<std::size_t>(kind)]; }
 
@@ -79,6 +84,38 @@
             [](routing::Router& router, TimePoint now) { return router.report(now).m_freeSlots; });
     }
 
+    std::size_t queued()
+    {
+        return m_shard->withRouter([](routing::Router& router, TimePoint) { return router.queued(); });
+    }
+
+    std::uint32_t outstanding()
+    {
+        return m_shard->withRouter([](routing::Router& router, TimePoint) {
+            std::uint32_t sum = 0;
+            for (std::uint32_t i = 0; i < router.minions().size(); ++i)
+                sum += router.minions().at(i).m_outstanding;
+            return sum;
+        });
+    }
+
+    void peer(const std::string& daemon, const std::string& address, std::uint32_t freeSlots)
+    {
+        m_shard->withRouter([&](routing::Router& router, TimePoint now) {
+            router.setPeers({ { DaemonId(daemon), FailureDomainId(), address } }, now);
+            router.peerReport(DaemonId(daemon), { freeSlots, freeSlots, 0 }, now);
+        });
+    }
+
+    void handle(const LocalRequest& request, const LocalHandler& handler) override
+    {
+        if (request.m_target != "/v1/jobs")
+            return RequestHooks::handle(request, handler);
+        LocalResponse response;
+        response.m_body = request.m_method + " " + request.m_target + " " + request.m_body;
+        handler(std::move(response));
+    }
+
     std::shared_ptr<ServiceShard> m_shard;
 
 private:
