--- a/src/peer/CorrelationTable.h
+++ b/src/peer/CorrelationTable.h
@@ -139,6 +139,7 @@
         }
         std::sort(numbers.begin(), numbers.end());
         std::vector<Unanswered> result;
+        result.reserve(numbers.size());
         for (const std::uint64_t number : numbers)
             result.push_back(closeUnanswered(m_pending.find(number)));
         return result;
--- a/src/peer/PeerTransport.cpp
+++ b/src/peer/PeerTransport.cpp
@@ -25,7 +25,7 @@
     nng_duration toNngDuration(Duration duration)
     {
         const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-        return static_cast<nng_duration>(std::clamp<std::int64_t>(millis, 1, 3600 * 1000));
+        return static_cast<nng_duration>(std::clamp<std::int64_t>(millis, 1, 3600000));
     }
 
     Error nngError(const char* what, const std::string& address, int code)
@@ -307,6 +307,7 @@
     {
         const std::lock_guard lock(m_mutex);
         std::vector<PeerAddress> result;
+        result.reserve(m_connections.size());
         for (const auto& [daemon, connection] : m_connections)
             result.push_back(connection->peer());
         return result;
--- a/tests/observability/ObservabilityTest.cpp
+++ b/tests/observability/ObservabilityTest.cpp
@@ -210,6 +210,7 @@
         constexpr int threadCount = 4;
         constexpr int recordsPerThread = 5000;
         std::vector<std::thread> threads;
+        threads.reserve(threadCount);
         for (int t = 0; t < threadCount; ++t) {
             threads.emplace_back([&metrics, t] {
                 for (int i = 0; i < recordsPerThread; ++i) {
@@ -223,7 +224,7 @@
             (void)metrics.prometheusText();
         for (std::thread& thread : threads)
             thread.join();
-        constexpr std::uint64_t total = threadCount * recordsPerThread;
+        constexpr std::uint64_t total = std::uint64_t { threadCount } * recordsPerThread;
         CPPUNIT_ASSERT_EQUAL(total / 2, metrics.counter(MetricName::RetriesTotal, { "busy" }).value());
         CPPUNIT_ASSERT_EQUAL(total / 2, metrics.counter(MetricName::RetriesTotal, { "leaving" }).value());
         CPPUNIT_ASSERT_EQUAL(0.0, metrics.gauge(MetricName::Tasks, { "running" }).value());
--- a/tests/peer/CorrelationTableTest.cpp
+++ b/tests/peer/CorrelationTableTest.cpp
@@ -20,6 +20,13 @@
         return { DaemonId(sender), 1, 1, correlation, incarnation, std::move(payload) };
     }
 
+    std::uint64_t openCall(Table& table, const char* context, TimePoint deadline)
+    {
+        const auto number = table.open(DaemonId("b"), MessageKind::SubmitJobReply, context, deadline);
+        CPPUNIT_ASSERT(number.has_value());
+        return number.value_or(0);
+    }
+
     CorrelationSettings settings(std::size_t maxPending = 100, std::size_t remembered = 100)
     {
         return { 7, maxPending, remembered };
@@ -47,8 +54,8 @@
     void crossedRepliesReachTheirOwnCalls()
     {
         Table table(settings());
-        const auto first = *table.open(DaemonId("b"), MessageKind::SubmitJobReply, "first", at(10));
-        const auto second = *table.open(DaemonId("b"), MessageKind::SubmitJobReply, "second", at(5));
+        const auto first = openCall(table, "first", at(10));
+        const auto second = openCall(table, "second", at(5));
         CPPUNIT_ASSERT(table.nextWake() == at(5));
         CPPUNIT_ASSERT(std::get<std::string>(table.take(replyOf("b", second), at(1))) == "second");
         CPPUNIT_ASSERT(std::get<std::string>(table.take(replyOf("b", first), at(1))) == "first");
@@ -59,9 +66,9 @@
     void repeatedAndLateRepliesAreRefused()
     {
         Table table(settings());
-        const auto answered = *table.open(DaemonId("b"), MessageKind::SubmitJobReply, "answered", at(10));
-        const auto expired = *table.open(DaemonId("b"), MessageKind::SubmitJobReply, "expired", at(10));
-        const auto cancelled = *table.open(DaemonId("b"), MessageKind::SubmitJobReply, "cancelled", at(10));
+        const auto answered = openCall(table, "answered", at(10));
+        const auto expired = openCall(table, "expired", at(10));
+        const auto cancelled = openCall(table, "cancelled", at(10));
         table.take(replyOf("b", answered), at(9));
         CPPUNIT_ASSERT(refusedAs(ReplyRefusal::Repeated, table.take(replyOf("b", answered), at(9))));
         CPPUNIT_ASSERT(table.cancel(cancelled) && !table.cancel(cancelled));
@@ -80,7 +87,7 @@
     void replyOfAnotherDaemonOrKindIsRefused()
     {
         Table table(settings());
-        const auto call = *table.open(DaemonId("b"), MessageKind::SubmitJobReply, "call", at(10));
+        const auto call = openCall(table, "call", at(10));
         CPPUNIT_ASSERT(refusedAs(ReplyRefusal::Mismatched, table.take(replyOf("c", call), at(1))));
         CPPUNIT_ASSERT(refusedAs(ReplyRefusal::Mismatched, table.take(replyOf("b", call, CancelJobReply {}), at(1))));
         CPPUNIT_ASSERT(refusedAs(ReplyRefusal::Mismatched, table.take(replyOf("b", call + 1), at(1))));
@@ -92,7 +99,7 @@
     void replyToARestartedCallerIsRefused()
     {
         Table table(settings());
-        const auto call = *table.open(DaemonId("b"), MessageKind::SubmitJobReply, "call", at(10));
+        const auto call = openCall(table, "call", at(10));
         CPPUNIT_ASSERT(
             refusedAs(ReplyRefusal::OtherIncarnation, table.take(replyOf("b", call, SubmitJobReply {}, 6), at(1))));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, table.pending());
@@ -114,12 +121,12 @@
     void memoryIsBounded()
     {
         Table table(settings(2, 3));
-        const auto first = *table.open(DaemonId("b"), MessageKind::SubmitJobReply, "x", at(10));
+        const auto first = openCall(table, "x", at(10));
         table.open(DaemonId("b"), MessageKind::SubmitJobReply, "x", at(10));
         CPPUNIT_ASSERT(!table.open(DaemonId("b"), MessageKind::SubmitJobReply, "x", at(10)));
         table.cancel(first);
         for (int i = 0; i < 3; ++i)
-            table.cancel(*table.open(DaemonId("b"), MessageKind::SubmitJobReply, "x", at(10)));
+            table.cancel(openCall(table, "x", at(10)));
         // The first call is forgotten: its reply is refused all the same.
         CPPUNIT_ASSERT(refusedAs(ReplyRefusal::Mismatched, table.take(replyOf("b", first), at(1))));
     }
--- a/tests/peer/MessageCodecTest.cpp
+++ b/tests/peer/MessageCodecTest.cpp
@@ -51,6 +51,7 @@
             ExplainQuery { TaskId("j/0") },
             ExplainReply { TaskId("j/0"), "waiting", WorkerId("k"), "quota", "detail", "release", error } };
         std::vector<Envelope> envelopes;
+        envelopes.reserve(payloads.size());
         for (Payload& payload : payloads)
             envelopes.push_back(envelopeOf(std::move(payload)));
         return envelopes;
@@ -165,8 +166,11 @@
         wire::Envelope error = wireEnvelope();
         error.mutable_submit_job_reply()->mutable_error()->set_kind("invented-later");
         const auto reply = std::get<Envelope>(decodeText(error.SerializeAsString()));
-        CPPUNIT_ASSERT(
-            answerFor(std::get<SubmitJobReply>(reply.m_payload).m_error->m_kind).m_runState == RunState::MayHaveRun);
+        CPPUNIT_ASSERT(answerFor(std::get<SubmitJobReply>(reply.m_payload)
+                                     .m_error.value_or(Error { ErrorKind::InvalidRequest, {} })
+                                     .m_kind)
+                           .m_runState
+            == RunState::MayHaveRun);
     }
 
     // Guards against a rolling upgrade in which new daemons refuse the messages of old ones.
--- a/tests/peer/PeerTransportTest.cpp
+++ b/tests/peer/PeerTransportTest.cpp
@@ -134,6 +134,7 @@
         CPPUNIT_ASSERT(succeeded(b->addPeer({ DaemonId("a"), a->listenAddress() })));
         constexpr std::size_t perThread = 50;
         std::vector<std::thread> threads;
+        threads.reserve(4);
         for (std::uint64_t t = 0; t < 4; ++t) {
             threads.emplace_back([&, t] {
                 for (std::uint64_t i = 0; i < perThread; ++i)
@@ -315,6 +316,7 @@
         CPPUNIT_ASSERT(succeeded(a->addPeer({ DaemonId("b"), b->listenAddress() })));
         CPPUNIT_ASSERT(succeeded(b->addPeer({ DaemonId("a"), a->listenAddress() })));
         std::vector<std::thread> threads;
+        threads.reserve(4);
         for (int t = 0; t < 2; ++t) {
             threads.emplace_back([&] {
                 for (int i = 0; i < 2000; ++i) {
