--- a/src/ownership/DomainSchedulerJobs.h
+++ b/src/ownership/DomainSchedulerJobs.h
@@ -11,7 +11,11 @@
 template <CellType Cell>
 void BasicDomainScheduler<Cell>::endJob(const JobId& job, JobOutcome outcome, const std::string& detail, TimePoint now)
 {
-    if (m_memoryJobs.erase(job) || !m_ledger.openJob(job) || !m_endingJobs.insert(job).second)
+    if (m_memoryJobs.erase(job) > 0) {
+        m_ledger.noteEnded({ job, outcome, detail });
+        return;
+    }
+    if (!m_ledger.openJob(job) || !m_endingJobs.insert(job).second)
         return;
     append(JobEnded { job, outcome, detail }, now);
 }
@@ -194,7 +198,7 @@
         reply(number, job, Error { ErrorKind::OutcomeUnknown, "the job is being recorded" }, false);
     } else if (m_memoryJobs.contains(job)) {
         m_cell.cancelJob(job, now);
-        m_memoryJobs.erase(job);
+        endJob(job, JobOutcome::Cancelled, "cancelled by the caller", now);
         reply(number, job, Unit {}, false);
     } else if (m_ledger.openJob(job)) {
         m_cancellations.push_back({ number, job, now + m_settings.m_submissionTimeout });
--- a/tests/platform/LogClientTest.cpp
+++ b/tests/platform/LogClientTest.cpp
@@ -131,12 +131,12 @@
     void theHostListShowsLeavingAndGoneHosts()
     {
         HttpHostList list(m_clients->m_context, settings(m_standin->hostsAddress()));
-        control("hosts", R"({"hosts":["w01"],"state":"leaving"})");
-        control("hosts", R"({"hosts":["w02"],"state":"gone"})");
+        control("hosts", R"({"hosts":["w1"],"state":"leaving"})");
+        control("hosts", R"({"hosts":["w2"],"state":"gone"})");
         const auto answer = await<HostSnapshot>([&](auto handler) { list.hosts(forever, handler); });
         CPPUNIT_ASSERT(succeeded(answer));
-        const std::vector<HostEntry> expected { { "w01", HostState::Leaving, FailureDomainId("lokeren") },
-            { "w02", HostState::Gone, FailureDomainId("lokeren") } };
+        const std::vector<HostEntry> expected { { "w1", HostState::Leaving, FailureDomainId("lokeren") },
+            { "w2", HostState::Gone, FailureDomainId("lokeren") } };
         CPPUNIT_ASSERT(expected == valueOf(answer).m_hosts);
     }
 
--- a/tests/platform/StandinFixture.h
+++ b/tests/platform/StandinFixture.h
@@ -115,7 +115,7 @@
         return settings;
     }
 
-    HttpWorkerControl worker(const std::string& daemon = "d1", const std::string& name = "w01")
+    HttpWorkerControl worker(const std::string& daemon = "d1", const std::string& name = "w1")
     {
         return { m_clients->m_context, WorkerId(name), settings(m_standin->workersAddress(), daemon) };
     }
--- a/tests/platform/WorkerClientTest.cpp
+++ b/tests/platform/WorkerClientTest.cpp
@@ -48,7 +48,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), std::get<StaleEpochRefusal>(valueOf(stale)).m_epoch);
 
         request.m_epoch = 5;
-        control("workers", R"({"workers":["w01"],"action":"restart"})");
+        control("workers", R"({"workers":["w1"],"action":"restart"})");
         const auto other = command(client, request);
         CPPUNIT_ASSERT(succeeded(other));
         const IncarnationId present = std::get<IncarnationRefusal>(valueOf(other)).m_incarnation;
@@ -112,7 +112,7 @@
     {
         auto client = worker();
         const auto grant = grantIn(lease(client, leaseRequest("d1", 1)));
-        control("workers", R"({"workers":["w01"],"action":"kill"})");
+        control("workers", R"({"workers":["w1"],"action":"kill"})");
         const auto answer
             = command(client, { DaemonId("d1"), 1, grant.m_report.m_incarnation, { startCommand("j/0") } });
         CPPUNIT_ASSERT(!succeeded(answer));
@@ -124,7 +124,7 @@
     {
         control("partitions", R"({"name":"p","daemons":["d1"],"parts":["workers"]})");
         auto cut = worker("d1");
-        auto other = worker("d2", "w02");
+        auto other = worker("d2", "w2");
         const auto silent = await<WorkerLeaseAnswer>(
             [&](auto handler) { cut.lease(leaseRequest("d1", 1), std::chrono::milliseconds(50), handler); });
         CPPUNIT_ASSERT(!succeeded(silent));
