Sharpen the tests of takeovers between domains

Two mutants survived: one that counts void takeovers, and one that starts an instance before its home has read who took it over. The tests now let the records be read before the task ends, and block the log of the returning home.

--- a/tests/ownership/HomesTest.cpp
+++ b/tests/ownership/HomesTest.cpp
@@ -133,7 +133,13 @@
                 CPPUNIT_ASSERT(domainOf(world, task) != domain);
                 ++verified;
             }
+            // The domain reaches the others again before it can read who has taken over its instances.
+            world.m_nodes.at(domain + "-d").m_logBlocked = true;
             world.m_nodes.at(domain + "-d").m_cutOff = false;
+            world.run(seconds(60));
+            for (const TaskId& task : tasks)
+                CPPUNIT_ASSERT(domainOf(world, task) != domain);
+            world.m_nodes.at(domain + "-d").m_logBlocked = false;
             world.run(seconds(120));
             for (const TaskId& task : tasks)
                 CPPUNIT_ASSERT_EQUAL(domain, domainOf(world, task));
@@ -153,8 +159,10 @@
                 const StreamRecord late { RecordId("late-" + task.value()),
                     HomeTaken { task, FailureDomainId("elsewhere"), 1, RecordId("outdated") } };
                 world.m_streams[FailureDomainId(domain)].push_back(late);
-                world.m_workers.at(world.workerOf(task)).finish(task, TaskState::Failed);
             }
+            world.run(seconds(3));
+            for (const TaskId& task : tasks)
+                world.m_workers.at(world.workerOf(task)).finish(task, TaskState::Failed);
             world.run(seconds(30));
             for (const TaskId& task : tasks)
                 CPPUNIT_ASSERT_EQUAL(domain, domainOf(world, task));
--- a/tests/ownership/World.h
+++ b/tests/ownership/World.h
@@ -31,6 +31,8 @@
         std::vector<OwnershipAction> m_outbox;
         /// Cut off from the log and from daemons of other domains.
         bool m_cutOff = false;
+        /// Cut off from the log only.
+        bool m_logBlocked = false;
         std::vector<std::function<void()>> m_inbox;
         std::map<FailureDomainId, std::size_t> m_read;
         std::map<SubmissionNumber, ReplyToSubmitter> m_replies;
@@ -301,7 +303,7 @@
 
     void perform(const std::string& name, const AppendRecord& append)
     {
-        const bool reached = m_logUp && !m_nodes.at(name).m_cutOff;
+        const bool reached = m_logUp && !m_nodes.at(name).m_cutOff && !m_nodes.at(name).m_logBlocked;
         if (reached)
             m_streams[append.m_stream].push_back(append.m_record);
         if (reached && m_loseAnswer && m_loseAnswer(append))
@@ -352,7 +354,7 @@
                 reach.m_confirmedContact = m_now;
             node.m_scheduler->setReach(reach, m_now);
             node.m_scheduler->setCandidates(peers, m_now);
-            if (m_logUp && !node.m_cutOff)
+            if (m_logUp && !node.m_cutOff && !node.m_logBlocked)
                 readStreams(node);
         }
     }
