Test that an ended job without a record is remembered

Change: endedMemoryJobIsRememberedAndNotRepeated. Conclusion: a repeated submission of an ended job has no effect.

--- a/tests/ownership/DomainSchedulerTest.cpp
+++ b/tests/ownership/DomainSchedulerTest.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(lostAnswerToAStartRepeatsItOnTheSameWorker);
     CPPUNIT_TEST(unknownStartIsNotMovedBeforeTheWorkersEndIsProven);
     CPPUNIT_TEST(lostAppendAnswerIsResolvedByReadingBack);
+    CPPUNIT_TEST(endedMemoryJobIsRememberedAndNotRepeated);
     CPPUNIT_TEST(refusalDuringLogOutageIsTruthful);
     CPPUNIT_TEST(cancelledJobStaysCancelledAfterTakeover);
     CPPUNIT_TEST(restartedWorkerLosesItsTasksOnce<FakeCell>);
@@ -290,6 +291,23 @@
         CPPUNIT_ASSERT(world.scheduler(owner).counted(CountedReason::RecordRepeated) > 0);
     }
 
+    // Guards against a job without a record that is forgotten at its end: its state could not be asked for, and a repeated
+    // submission ran it again.
+    void endedMemoryJobIsRememberedAndNotRepeated()
+    {
+        World world;
+        startTwo(world, 3);
+        CPPUNIT_ASSERT(succeeded(submit(world, job("q", 1, "quick"))));
+        const TaskId task("hal.q/0");
+        world.m_workers.at(world.workerOf(task)).finish(task, TaskState::Ended);
+        world.run(seconds(20));
+        const JobEnded* ended = world.scheduler(world.owner()).jobs().ended(JobId("hal.q"));
+        CPPUNIT_ASSERT(ended && ended->m_outcome == JobOutcome::Finished);
+        CPPUNIT_ASSERT(succeeded(submit(world, job("q", 1, "quick"))));
+        world.run(seconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, world.executedStarts(task));
+    }
+
     // Guards against a job that was refused as not run and is run when the log is back.
     void refusalDuringLogOutageIsTruthful()
     {
