Keep the kind of known classes, cache the group bound, test quarantine evidence and policy changes

A file that turned a batch class into a group class would have left queued tasks without a representative in the queue: the kind of a known class or workload now stays. The bound on the tasks of a group was summed over all workers for each submitted job; it is computed again only after a change.

--- a/src/placement/Cell.cpp
+++ b/src/placement/Cell.cpp
@@ -29,7 +29,7 @@
     UsageLearning m_learning { m_state };
     ReportHandler m_reports { m_state, m_intake, m_lifecycle, m_quarantine, m_learning };
     Preemption m_preemption { m_state, m_lifecycle };
-    WorkerSelector m_selector;
+    WorkerSelector m_selector { m_state.m_settings.m_seed };
     GroupAdmission m_groups { m_state, m_queue, m_lifecycle, m_preemption, m_selector };
     Dispatcher m_dispatcher { m_state, m_queue, m_lifecycle, m_quarantine, m_preemption, m_groups, m_selector };
     Explainer m_explainer { m_state };
--- a/src/placement/Cell.h
+++ b/src/placement/Cell.h
@@ -87,6 +87,7 @@
 
     /// Replaces classes, teams, workloads and weights by those of the file. Team quotas must already be this domain's
     /// part.
+    /// The kind of a known class and of a known workload stays; a workload that changes it takes no new work.
     void setPolicies(const ClusterFile&, TimePoint now);
 
     /// Adds a worker or replaces its description. A new worker is not available until setWorkerAvailable(true).
--- a/src/placement/Intake.cpp
+++ b/src/placement/Intake.cpp
@@ -54,10 +54,15 @@
     for (const ClassPolicy& policy : classes) {
         const auto [entry, isNew]
             = m_state.m_classNames.try_emplace(policy.m_name, static_cast<ClassIndex>(m_state.m_classes.size()));
-        if (isNew)
+        if (isNew) {
             m_state.m_classes.push_back(policy);
-        else
-            m_state.m_classes[entry->second] = policy;
+            continue;
+        }
+        // The kind of a class stays: tasks that were queued one by one cannot become members of groups, or the reverse.
+        ClassPolicy& known = m_state.m_classes[entry->second];
+        const ClassKind kind = known.m_kind;
+        known = policy;
+        known.m_kind = kind;
     }
 }
 
@@ -83,8 +88,13 @@
         }
         workload.m_team = team;
         workload.m_spec = spec;
-        workload.m_class = classEntry->second;
-        workload.m_declared = true;
+        workload.m_mostGeneration = 0;
+        const bool sameKind
+            = isNew || m_state.m_classes[workload.m_class].m_kind == m_state.m_classes[classEntry->second].m_kind;
+        if (sameKind)
+            workload.m_class = classEntry->second;
+        // Work of a workload that changed its kind ends under the former class; new work needs another name.
+        workload.m_declared = sameKind;
     }
 }
 
@@ -94,8 +104,11 @@
     return Error { kind, std::move(detail) };
 }
 
-std::uint64_t Intake::mostTogether(const Workload& workload) const
+std::uint64_t Intake::mostTogether(Workload& workload)
 {
+    // Computed again only after a change of workers or policies, not with each job.
+    if (workload.m_mostGeneration == m_state.m_workers.generation())
+        return workload.m_mostTogether;
     std::uint64_t total = 0;
     for (const std::vector<WorkerIndex>& rack : m_state.m_workers.racks()) {
         std::uint64_t inRack = 0;
@@ -106,10 +119,12 @@
         const std::uint32_t bound = workload.m_spec.m_maxPerRack;
         total += bound > 0 ? std::min<std::uint64_t>(inRack, bound) : inRack;
     }
+    workload.m_mostTogether = total;
+    workload.m_mostGeneration = m_state.m_workers.generation();
     return total;
 }
 
-Result<Unit> Intake::verifyCapacity(const Workload& workload, std::uint32_t together)
+Result<Unit> Intake::verifyCapacity(Workload& workload, std::uint32_t together)
 {
     const Resources& need = workload.m_spec.m_resources;
     // Before the workers are known nothing can be refused; the tasks wait and say why.
@@ -135,7 +150,7 @@
     return Unit {};
 }
 
-Result<Unit> Intake::verifyPossible(const Workload& workload, std::uint32_t together)
+Result<Unit> Intake::verifyPossible(Workload& workload, std::uint32_t together)
 {
     const WorkloadSpec& spec = workload.m_spec;
     const Resources all = spec.m_resources * together;
--- a/src/placement/Intake.h
+++ b/src/placement/Intake.h
@@ -28,10 +28,10 @@
     void setWorkloads(const std::vector<WorkloadSpec>&);
     Result<Unit> refuse(Reason, ErrorKind, std::string detail);
     /// Whether the tasks can ever run at the same time (group) or one by one, by size, quota and racks.
-    Result<Unit> verifyPossible(const Workload&, std::uint32_t together);
-    Result<Unit> verifyCapacity(const Workload&, std::uint32_t together);
+    Result<Unit> verifyPossible(Workload&, std::uint32_t together);
+    Result<Unit> verifyCapacity(Workload&, std::uint32_t together);
     /// Most tasks of the workload that empty workers could hold at once.
-    std::uint64_t mostTogether(const Workload&) const;
+    std::uint64_t mostTogether(Workload&);
 
     CellState& m_state;
     WaitingQueue& m_queue;
--- a/src/placement/Records.h
+++ b/src/placement/Records.h
@@ -117,6 +117,10 @@
     bool m_inReadyList = false;
     bool m_inBlockedList = false;
 
+    /// Most tasks that empty workers hold at once, valid for this generation of the worker table.
+    std::uint64_t m_mostTogether = 0;
+    std::uint64_t m_mostGeneration = 0;
+
     TaskIndex m_head = noIndex;
     TaskIndex m_tail = noIndex;
     std::uint32_t m_queued = 0;
--- a/src/placement/WorkerSelector.h
+++ b/src/placement/WorkerSelector.h
@@ -11,6 +11,12 @@
 /// Finds the best-scored worker among the candidates of the most promising buckets.
 class WorkerSelector {
 public:
+    /// The seed varies which members of large buckets are examined first.
+    explicit WorkerSelector(std::uint64_t seed = 0)
+        : m_cursor(static_cast<std::uint32_t>(seed))
+    {
+    }
+
     /// accept(worker index, worker) adds constraints beyond free capacity. Returns noIndex when none was found.
     template <PlacementScore Score, typename Accept>
     WorkerIndex select(const WorkerTable& workers, const Resources& need, const Score& score, Accept&& accept)
@@ -94,7 +100,7 @@
     std::array<Ranked, maxRanked> m_ranked {};
     unsigned m_rankedCount = 0;
     /// Varies the members that are examined in large buckets.
-    std::uint32_t m_cursor = 0;
+    std::uint32_t m_cursor;
 };
 
 } // namespace sapphiredale::placement
--- a/tests/placement/FailureTest.cpp
+++ b/tests/placement/FailureTest.cpp
@@ -8,6 +8,9 @@
     CPPUNIT_TEST_SUITE(FailureTest);
     CPPUNIT_TEST(failingWorkerIsQuarantinedAndReleasedWithOneTask);
     CPPUNIT_TEST(oneBadJobDoesNotQuarantineWorkers);
+    CPPUNIT_TEST(oldTasksDoNotSpeakForAFailingWorker);
+    CPPUNIT_TEST(absentTaskIsStartedAgain);
+    CPPUNIT_TEST(newPoliciesKeepTheAccounts);
     CPPUNIT_TEST(attemptsAreBounded);
     CPPUNIT_TEST(impossibleJobsAreRefusedWithTheConstraint);
     CPPUNIT_TEST(overuseEndsBeforeNeighboursSuffer);
@@ -82,6 +85,75 @@
         CPPUNIT_ASSERT(cell.counted(Reason::WorkerQuarantined) <= 1);
     }
 
+    // Guards against a worker that fails every new start but is held to be good because older tasks still run there.
+    void oldTasksDoNotSpeakForAFailingWorker()
+    {
+        ClusterFile file = testFile();
+        file.m_classes[1].m_maxAttempts = 20;
+        addWorkload(file, "small", "batch", "red", { 500, 1000, 0 });
+        CellFixture cell(file, 6);
+        cell.submit("old", "small");
+        cell.step();
+        const WorkerId failing = cell.m_started.at("old/0").m_worker;
+        cell.report("old/0", TaskState::Running);
+        for (int round = 0; round < 60 && !isQuarantined(cell, failing.value().c_str()); ++round) {
+            cell.submit(("j" + std::to_string(round)).c_str(), "small");
+            cell.step(std::chrono::seconds(10));
+            cell.report("old/0", TaskState::Running, { 500, 1000, 0 });
+            for (const StartTask& start : cell.all<StartTask>())
+                cell.report(start.m_task.value(), start.m_worker == failing ? TaskState::Failed : TaskState::Ended);
+        }
+        CPPUNIT_ASSERT(isQuarantined(cell, failing.value().c_str()));
+        CPPUNIT_ASSERT(cell.explain("old/0").m_state == Explanation::State::Running);
+    }
+
+    // Guards against a task that waits for ever for a start command that was lost.
+    void absentTaskIsStartedAgain()
+    {
+        ClusterFile file = testFile();
+        addWorkload(file, "small", "batch", "red", { 500, 1000, 0 });
+        CellFixture cell(file, 2);
+        cell.submit("j", "small");
+        cell.step();
+        const StartTask first = cell.m_started.at("j/0");
+        cell.m_cell.taskAbsent(first.m_worker, TaskId("j/0"), first.m_attempt, cell.m_now);
+        cell.m_cell.taskAbsent(first.m_worker, TaskId("j/0"), first.m_attempt, cell.m_now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), cell.counted(Reason::TaskAbsent));
+        CPPUNIT_ASSERT_EQUAL(std::string("retry-backoff"), cell.explain("j/0").m_reason);
+        cell.step(std::chrono::seconds(2));
+        CPPUNIT_ASSERT_EQUAL(first.m_attempt + 1, cell.m_started.at("j/0").m_attempt);
+    }
+
+    // Guards against quotas that drift when a file moves a workload to another team or class while its tasks run.
+    void newPoliciesKeepTheAccounts()
+    {
+        ClusterFile file = testFile();
+        file.m_teams[1].m_limit = { 4000, 16384, 0 };
+        addWorkload(file, "moved", "firm", "red", { 2000, 1000, 0 });
+        addWorkload(file, "other", "batch", "blue", { 2000, 1000, 0 });
+        CellFixture cell(file, 4);
+        cell.submit("m", "moved", 2);
+        cell.step();
+        file.m_workloads[0].m_team = TeamId("blue");
+        file.m_workloads[0].m_class = ClassId("batch");
+        cell.m_cell.setPolicies(file, cell.m_now);
+        cell.submit("o", "other", 1);
+        cell.step();
+        // Blue's limit is used up by the tasks that are now its own.
+        CPPUNIT_ASSERT_EQUAL(std::string("quota"), cell.explain("o/0").m_reason);
+        cell.report("m/0", TaskState::Ended);
+        cell.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.all<StartTask>().size());
+        // A workload that the file drops takes no new jobs, and its accepted work goes on.
+        file.m_workloads.erase(file.m_workloads.begin());
+        cell.m_cell.setPolicies(file, cell.m_now);
+        CPPUNIT_ASSERT(!succeeded(cell.submit("n", "moved")));
+        cell.report("m/1", TaskState::Ended);
+        cell.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.all<FinishJob>().size());
+        cell.assertCapacity();
+    }
+
     // Guards against endless retries of a task that cannot succeed, and against retries on the worker that failed.
     void attemptsAreBounded()
     {
--- a/tests/placement/InvariantTest.cpp
+++ b/tests/placement/InvariantTest.cpp
@@ -143,7 +143,7 @@
         const CellScore score(0.5, 0.5);
         for (int round = 0; round < 300; ++round) {
             WorkerTable table;
-            WorkerSelector selector;
+            WorkerSelector selector { std::uint64_t(round) };
             for (int i = 0; i < 40; ++i) {
                 WorkerSpec spec;
                 spec.m_name = WorkerId("w" + std::to_string(i));
