--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -11,7 +11,7 @@
 
 // The macros define one global variable per flag.
 // NOLINTBEGIN(readability-identifier-naming)
-DEFINE_string(address, "127.0.0.1:7300", "HOST:PORT of the operators' interface of any daemon");
+DEFINE_string(address, "127.0.0.1:9101", "HOST:PORT of the operators' interface of any daemon");
 DEFINE_bool(json, false, "print JSON instead of text");
 DEFINE_uint32(timeout_seconds, 15, "longest wait for an answer, 1 to 600");
 DEFINE_string(if_match, "", "version that the file was made from");
