--- a/fuzz/input/ReplayMain.cpp
+++ b/fuzz/input/ReplayMain.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <system_error>
 
+// The name is given by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
 
 int main(int argc, char** argv)
--- a/fuzz/input/cluster_file_fuzzer.cpp
+++ b/fuzz/input/cluster_file_fuzzer.cpp
@@ -20,6 +20,7 @@
 
 } // namespace
 
+// The name is given by libFuzzer. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     const std::string_view text(reinterpret_cast<const char*>(data), size);
