--- a/tests/platform/MinionTest.cpp
+++ b/tests/platform/MinionTest.cpp
@@ -40,7 +40,8 @@
     // Guards against a request of a former holder that runs after a takeover.
     void requestsOfAnotherEpochAreRefused()
     {
-        CPPUNIT_ASSERT(request("r1", 1, "/echo?bytes=5").find("\r\n\r\nr1 r1") != std::string::npos);
+        const std::string first = request("r1", 1, "/echo?bytes=5");
+        CPPUNIT_ASSERT_MESSAGE(first, first.find("\r\n\r\nr1 r1") != std::string::npos);
         const std::string refused = request("r2", 2, "/echo");
         CPPUNIT_ASSERT(refused.starts_with("HTTP/1.1 409"));
         CPPUNIT_ASSERT(refused.find("Sapphire-Refusal: stale-epoch") != std::string::npos);
@@ -130,7 +131,7 @@
     std::string request(
         const std::string& id, std::uint64_t epoch, const std::string& target, const std::string& headers = {})
     {
-        return exchange(m_address,
+        return httpExchange(m_address,
             "GET " + target + " HTTP/1.1\r\nSapphire-Epoch: " + std::to_string(epoch) + "\r\nSapphire-Request-Id: " + id
                 + "\r\n" + headers);
     }
--- a/tests/platform/StandinFixture.h
+++ b/tests/platform/StandinFixture.h
@@ -71,8 +71,9 @@
 
 template <typename T, typename Start> Result<T> await(Start call) { return start<T>(std::move(call)).get(); }
 
-/// Sends one request on a connection of its own and returns everything that was received until it closed.
-inline std::string exchange(const std::string& address, const std::string& head, const std::string& body = {})
+/// Sends one request on a connection of its own and returns everything that was received until it closed. (The name
+/// exchange would find std::exchange by argument-dependent lookup.)
+inline std::string httpExchange(const std::string& address, const std::string& head, const std::string& body = {})
 {
     namespace asio = boost::asio;
     asio::io_context context;
@@ -123,13 +124,13 @@
     void control(const std::string& path, const std::string& body)
     {
         const std::string answer
-            = exchange(m_standin->controlAddress(), "POST /v1/control/" + path + " HTTP/1.1\r\n", body);
+            = httpExchange(m_standin->controlAddress(), "POST /v1/control/" + path + " HTTP/1.1\r\n", body);
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
     }
 
     std::string show(const std::string& path)
     {
-        return exchange(m_standin->controlAddress(), "GET /v1/control/" + path + " HTTP/1.1\r\n");
+        return httpExchange(m_standin->controlAddress(), "GET /v1/control/" + path + " HTTP/1.1\r\n");
     }
 
     std::unique_ptr<standin::Standin> m_standin;
