Check the header fields of a claim before the claim

The static analyzer reported an uninitialized object in the library's header for the early co_await of claimRequest. test_forwarding: 17 tests pass; clang-tidy is clean for the package.

--- a/src/forwarding/Forwarding.cpp
+++ b/src/forwarding/Forwarding.cpp
@@ -68,10 +68,18 @@
         co_await respondError(ErrorKind::DeadlineExceeded, "the deadline had passed when the request arrived");
         co_return;
     }
+    const bool claims = hasKey && !m_fromPeer;
+    if (claims
+        && (fieldOf(message, deadlineField).empty()
+            || fieldOf(message, idempotencyField).size() > routing::maxIdempotencyKey)) {
+        co_await respondError(
+            ErrorKind::InvalidRequest, "Idempotency-Key needs Sapphire-Deadline and has at most 256 bytes");
+        co_return;
+    }
     // The first part of the body is read before a slot is taken, so that a slow caller does not hold one meanwhile.
     if (!co_await readFirst())
         co_return;
-    if (hasKey && !m_fromPeer && !co_await claimRequest(deadline))
+    if (claims && !co_await claimRequest(deadline))
         co_return;
     routing::RouteDecision decision = exchange.m_routing->route(info, dispatchHandler());
     co_await forward(std::move(decision));
@@ -119,11 +127,6 @@
     const auto& message = m_request->get();
     ClaimRequest claim;
     claim.m_key = std::string(fieldOf(message, idempotencyField));
-    if (fieldOf(message, deadlineField).empty() || claim.m_key.size() > routing::maxIdempotencyKey) {
-        co_await respondError(
-            ErrorKind::InvalidRequest, "Idempotency-Key needs Sapphire-Deadline and has at most 256 bytes");
-        co_return false;
-    }
     const std::string_view first(m_exchange->m_first.data(), m_exchange->m_first.size());
     claim.m_fingerprint = stableHash(toView(message.method_string()));
     claim.m_fingerprint = stableHash(toView(message.target()), claim.m_fingerprint);
