--- a/src/forwarding/Forwarding.cpp
+++ b/src/forwarding/Forwarding.cpp
@@ -17,6 +17,8 @@
         return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     }
 
+    Awaitable<void> nothing() { co_return; }
+
 } // namespace
 
 Awaitable<void> Session::serveService(ServiceTarget target)
@@ -288,22 +290,20 @@
         recordOutcome(0, false);
     }
     if (reason == Stop::UpstreamTimeout && !m_exchange->m_headerSent) {
-        co_await respondError(ErrorKind::MinionFailedMayHaveRun, "the minion made no progress");
-        co_return;
+        return respondError(ErrorKind::MinionFailedMayHaveRun, "the minion made no progress");
     }
     if (reason != Stop::Deadline && reason != Stop::UpstreamTimeout) {
         auto& counter = reason == Stop::CallerTimeout ? m_server.m_callerTimeouts : m_server.m_callerGone;
         counter.fetch_add(1, std::memory_order_relaxed);
         m_server.m_hooks.refused(ErrorKind::Cancelled);
         abort();
-        co_return;
+        return nothing();
     }
     if (m_exchange->m_headerSent) {
         abort();
-        co_return;
+        return nothing();
     }
-    co_await respondError(
-        m_exchange->m_mayHaveRun ? ErrorKind::DeadlineExceededMayHaveRun : ErrorKind::DeadlineExceeded,
+    return respondError(m_exchange->m_mayHaveRun ? ErrorKind::DeadlineExceededMayHaveRun : ErrorKind::DeadlineExceeded,
         m_exchange->m_mayHaveRun ? "no answer arrived before the deadline" : "the deadline passed before the start");
 }
 
