--- a/src/forwarding/Forwarding.cpp
+++ b/src/forwarding/Forwarding.cpp
@@ -17,6 +17,8 @@
         return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     }
 
+    Awaitable<void> nothing() { co_return; }
+
 } // namespace
 
 Awaitable<void> Session::serveService(ServiceTarget target)
@@ -68,10 +70,18 @@
         co_await respondError(ErrorKind::DeadlineExceeded, "the deadline had passed when the request arrived");
         co_return;
     }
+    const bool claims = hasKey && !m_fromPeer;
+    if (claims
+        && (fieldOf(message, deadlineField).empty()
+            || fieldOf(message, idempotencyField).size() > routing::maxIdempotencyKey)) {
+        co_await respondError(
+            ErrorKind::InvalidRequest, "Idempotency-Key needs Sapphire-Deadline and has at most 256 bytes");
+        co_return;
+    }
     // The first part of the body is read before a slot is taken, so that a slow caller does not hold one meanwhile.
     if (!co_await readFirst())
         co_return;
-    if (hasKey && !m_fromPeer && !co_await claimRequest(deadline))
+    if (claims && !co_await claimRequest(deadline))
         co_return;
     routing::RouteDecision decision = exchange.m_routing->route(info, dispatchHandler());
     co_await forward(std::move(decision));
@@ -119,11 +129,6 @@
     const auto& message = m_request->get();
     ClaimRequest claim;
     claim.m_key = std::string(fieldOf(message, idempotencyField));
-    if (fieldOf(message, deadlineField).empty() || claim.m_key.size() > routing::maxIdempotencyKey) {
-        co_await respondError(
-            ErrorKind::InvalidRequest, "Idempotency-Key needs Sapphire-Deadline and has at most 256 bytes");
-        co_return false;
-    }
     const std::string_view first(m_exchange->m_first.data(), m_exchange->m_first.size());
     claim.m_fingerprint = stableHash(toView(message.method_string()));
     claim.m_fingerprint = stableHash(toView(message.target()), claim.m_fingerprint);
@@ -285,22 +290,20 @@
         recordOutcome(0, false);
     }
     if (reason == Stop::UpstreamTimeout && !m_exchange->m_headerSent) {
-        co_await respondError(ErrorKind::MinionFailedMayHaveRun, "the minion made no progress");
-        co_return;
+        return respondError(ErrorKind::MinionFailedMayHaveRun, "the minion made no progress");
     }
     if (reason != Stop::Deadline && reason != Stop::UpstreamTimeout) {
         auto& counter = reason == Stop::CallerTimeout ? m_server.m_callerTimeouts : m_server.m_callerGone;
         counter.fetch_add(1, std::memory_order_relaxed);
         m_server.m_hooks.refused(ErrorKind::Cancelled);
         abort();
-        co_return;
+        return nothing();
     }
     if (m_exchange->m_headerSent) {
         abort();
-        co_return;
+        return nothing();
     }
-    co_await respondError(
-        m_exchange->m_mayHaveRun ? ErrorKind::DeadlineExceededMayHaveRun : ErrorKind::DeadlineExceeded,
+    return respondError(m_exchange->m_mayHaveRun ? ErrorKind::DeadlineExceededMayHaveRun : ErrorKind::DeadlineExceeded,
         m_exchange->m_mayHaveRun ? "no answer arrived before the deadline" : "the deadline passed before the start");
 }
 
