Correct a dangling record text in the state test of the configuration

Cause: the repetition of an old record passed a reference into the list of records that the append enlarges; the address sanitizer saw the use after free. Change: the text is passed by value. Conclusion: the fault was in the test only.

--- a/fuzz/ConfigurationFuzz.cpp
+++ b/fuzz/ConfigurationFuzz.cpp
@@ -53,10 +53,10 @@
         std::set<std::string> m_acceptedAuthors;
         bool m_up = true;
 
-        void append(const std::string& data, WallTime time)
+        void append(std::string data, WallTime time)
         {
-            m_records.push_back({ m_records.size(), time, data });
-            m_truth.apply(data, m_records.back().m_offset, time);
+            m_records.push_back({ m_records.size(), time, std::move(data) });
+            m_truth.apply(m_records.back().m_data, m_records.back().m_offset, time);
             if (m_truth.version() > m_hashes.size()) {
                 m_hashes.push_back(m_truth.inForce()->m_hash);
                 m_acceptedAuthors.insert(m_truth.history().back().m_author);
