Follow other domains' streams, drop minions of leaving workers, hold leases after a restart

Cause: records for the stream of a lost domain went to the own stream; a minion on a leaving worker stayed selected; two domain schedulers were possible when a restarted worker granted at once (found by the ownership fuzz). Change: one appender per stream; the scheduler leaves minions of leaving workers out of the list; a restarted register grants nothing for the length of its last lease; routers are ticked by the data path.

--- a/src/daemon/Application.cpp
+++ b/src/daemon/Application.cpp
@@ -70,7 +70,8 @@
     , m_peers(m_runtime, m_settings, seed, *m_log, m_metrics)
     , m_configuration(m_runtime, m_settings, seed, m_logService, m_peers, *m_log, m_metrics)
     , m_appender(m_runtime, m_logService, streamOf(m_settings.m_failureDomain), m_metrics)
-    , m_scheduler(m_runtime, m_settings, seed, m_peers, m_appender, m_minions, m_traffic, *m_log, m_metrics)
+    , m_scheduler(
+          m_runtime, m_settings, seed, m_logService, m_peers, m_appender, m_minions, m_traffic, *m_log, m_metrics)
     , m_ownStream(m_runtime, m_logService, streamOf(m_settings.m_failureDomain), *this)
     , m_claims(m_runtime, m_settings, seed, m_peers, m_appender, m_metrics, [this] { m_ownStream.requestEnd(); })
     , m_jobs(m_settings, seed, m_peers, m_scheduler, m_metrics)
@@ -227,7 +228,6 @@
     m_hostList.hosts(hostTimeout, [this](Result<platform::HostSnapshot> result) {
         if (succeeded(result)) {
             m_scheduler.hostsListed(valueOf(result));
-            m_requests.hostsListed(valueOf(result));
         } else {
             m_log->write(LogEvent::HostListUnavailable, { { "detail", errorOf(result).m_detail } });
         }
--- a/src/daemon/MinionDirectory.cpp
+++ b/src/daemon/MinionDirectory.cpp
@@ -47,6 +47,16 @@
         rebuild();
 }
 
+void MinionDirectory::setLeavingWorkers(std::set<WorkerId> workers)
+{
+    const std::lock_guard lock(m_mutex);
+    if (workers == m_leaving)
+        return;
+    m_leaving = std::move(workers);
+    if (!m_reports.empty())
+        rebuild();
+}
+
 void MinionDirectory::clearReports()
 {
     const std::lock_guard lock(m_mutex);
@@ -82,6 +92,8 @@
 {
     std::vector<peer::MinionRow> rows;
     for (const auto& [worker, tasks] : m_reports) {
+        if (m_leaving.contains(worker))
+            continue;
         for (const auto& [task, report] : tasks) {
             const WorkloadId workload { std::string(ownership::ownerOfTask(task)) };
             const auto service = m_services.find(workload);
--- a/src/daemon/MinionDirectory.h
+++ b/src/daemon/MinionDirectory.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace sapphiredale::daemon {
@@ -22,6 +23,8 @@
     void reported(const WorkerReport&);
     /// Forgets a worker whose end is proven or that left the file.
     void workersRemain(const std::vector<WorkerId>&);
+    /// Workers that the host list shows as leaving or gone; their minions are left out, so that they get no new work.
+    void setLeavingWorkers(std::set<WorkerId>);
     /// This daemon ceased to be the scheduler: its reports are no longer current.
     void clearReports();
     /// Replaces the list by that of the domain scheduler.
@@ -39,6 +42,7 @@
     /// Guarded by m_mutex, as are the members below.
     std::map<WorkloadId, MinionSpec> m_services;
     std::map<WorkerId, std::map<TaskId, TaskReport>> m_reports;
+    std::set<WorkerId> m_leaving;
     peer::MinionsReply m_list;
 };
 
--- a/src/daemon/RequestDriver.cpp
+++ b/src/daemon/RequestDriver.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-    constexpr Duration tickInterval = std::chrono::milliseconds(100);
+    constexpr Duration superviseInterval = std::chrono::milliseconds(100);
     /// Interval at which a daemon asks the domain scheduler for the list of minions.
     constexpr Duration refreshInterval = std::chrono::seconds(1);
     constexpr Duration refreshTimeout = std::chrono::seconds(2);
@@ -47,13 +47,13 @@
     , m_metrics(metrics)
     , m_table(leaseSettings(settings))
     , m_leaseAlarm(runtime, [this] { stepLeases(); })
-    , m_tickAlarm(runtime, [this] { tick(); })
+    , m_superviseAlarm(runtime, [this] { supervise(); })
 {
 }
 
 void RequestDriver::start()
 {
-    m_runtime.post([this] { tick(); });
+    m_runtime.post([this] { supervise(); });
 }
 
 void RequestDriver::beginRelease()
@@ -75,7 +75,7 @@
 void RequestDriver::stop()
 {
     m_leaseAlarm.cancel();
-    m_tickAlarm.cancel();
+    m_superviseAlarm.cancel();
     const std::lock_guard lock(m_mutex);
     m_stopped = true;
     m_leases.clear();
@@ -152,8 +152,6 @@
     stepLeases();
 }
 
-void RequestDriver::hostsListed(const platform::HostSnapshot&) { }
-
 std::shared_ptr<forwarding::ServiceRouting> RequestDriver::service(const WorkloadId& workload)
 {
     return shardOf(workload);
@@ -283,6 +281,10 @@
 {
     for (const auto& [workload, shard] : shards())
         shard->withRouter([](routing::Router& router, TimePoint instant) { router.tick(instant); });
+}
+
+void RequestDriver::supervise()
+{
     reportSlots();
     bool isRefreshDue = false;
     {
@@ -296,7 +298,7 @@
     if (isRefreshDue)
         refreshMinions();
     takeMinions();
-    m_tickAlarm.set(now() + tickInterval);
+    m_superviseAlarm.set(now() + superviseInterval);
 }
 
 void RequestDriver::refreshMinions()
--- a/src/daemon/RequestDriver.h
+++ b/src/daemon/RequestDriver.h
@@ -41,8 +41,6 @@
 
     void configure(const configuration::FileInForce&);
     void membershipChanged();
-    /// Hosts of the platform's list that are leaving or gone.
-    void hostsListed(const platform::HostSnapshot&);
     /// Caller listeners answer NotReady until a file is in force.
     void setReady(bool ready) { m_ready = ready; }
 
@@ -52,6 +50,7 @@
     void claim(const forwarding::ClaimRequest&, const forwarding::ClaimHandler&) override;
     void recordOutcome(const forwarding::ClaimOutcome&) override;
     void handle(const forwarding::LocalRequest&, const forwarding::LocalHandler&) override;
+    void tick() override;
     void refused(ErrorKind) override;
     void answered(unsigned status, Duration) override;
     /// @}
@@ -69,7 +68,7 @@
     void send(const routing::MinionLeaseRequest&);
     void leased(const routing::MinionLeaseRequest&, const Result<platform::MinionLeaseAnswer>&);
     void applyChanges();
-    void tick();
+    void supervise();
     void refreshMinions();
     void takeMinions();
     void reportSlots();
@@ -100,7 +99,7 @@
     bool m_stopped = false;
 
     Alarm m_leaseAlarm;
-    Alarm m_tickAlarm;
+    Alarm m_superviseAlarm;
 };
 
 } // namespace sapphiredale::daemon
--- a/src/daemon/SchedulerDriver.cpp
+++ b/src/daemon/SchedulerDriver.cpp
@@ -114,6 +114,7 @@
     : m_runtime(runtime)
     , m_settings(settings)
     , m_seed(seed)
+    , m_logService(logService)
     , m_peers(peers)
     , m_appender(appender)
     , m_minions(minions)
@@ -136,6 +137,7 @@
     const std::lock_guard lock(m_mutex);
     m_stopped = true;
     m_clients.clear();
+    m_foreignAppenders.clear();
 }
 
 template <typename Function> void SchedulerDriver::run(Function&& f)
@@ -175,7 +177,6 @@
                 active.m_previousWorkers.push_back(std::move(spec));
             }
         }
-        m_file = file.m_file;
         scheduler.configure(active, instant);
     });
     std::vector<WorkerId> workers;
@@ -224,6 +225,12 @@
 
 void SchedulerDriver::hostsListed(const platform::HostSnapshot& snapshot)
 {
+    std::set<WorkerId> leaving;
+    for (const platform::HostEntry& host : snapshot.m_hosts) {
+        if (host.m_state != platform::HostState::Live)
+            leaving.insert(WorkerId(host.m_name));
+    }
+    m_minions.setLeavingWorkers(std::move(leaving));
     run([&](ownership::DomainScheduler& scheduler, TimePoint instant) {
         for (const platform::HostEntry& host : snapshot.m_hosts) {
             if (m_knownWorkers.contains(WorkerId(host.m_name)))
@@ -354,18 +361,8 @@
 std::set<FailureDomainId> SchedulerDriver::foreignStreams()
 {
     const std::lock_guard lock(m_mutex);
-    std::set<FailureDomainId> result;
-    if (!inTerm(m_scheduler.phase()))
-        return result;
-    for (const ownership::HomeMove& move : m_scheduler.pendingMoves())
-        result.insert(move.m_from);
-    // The loss rule of a class with moveAfterLoss needs the records of the domains that may be lost.
-    const bool movesAfterLoss = std::any_of(m_file.m_classes.begin(), m_file.m_classes.end(),
-        [](const ClassPolicy& policy) { return policy.m_onDomainLoss == OnDomainLoss::MoveAfterLoss; });
-    if (movesAfterLoss) {
-        for (const FailureDomainSpec& domain : m_file.m_failureDomains)
-            result.insert(domain.m_name);
-    }
+    const std::vector<FailureDomainId> streams = m_scheduler.streamsToFollow();
+    std::set<FailureDomainId> result(streams.begin(), streams.end());
     result.erase(m_settings.m_failureDomain);
     return result;
 }
@@ -462,20 +459,21 @@
 {
     if (const auto* ended = std::get_if<ownership::JobEnded>(&append.m_record.m_body))
         m_log.write(LogEvent::JobEnded, { { "job", ended->m_job }, { "detail", ended->m_detail } });
-    m_appender.append(ownership::encodeRecord(append.m_record),
-        [this, id = append.m_record.m_id](const Result<std::uint64_t>& result) {
-            run([&](ownership::DomainScheduler& scheduler, TimePoint instant) {
-                using ownership::AppendOutcome;
-                if (succeeded(result))
-                    scheduler.appendFinished(id, AppendOutcome::Appended, instant);
-                else if (platform::definitelyNotRun(errorOf(result)))
-                    scheduler.appendFinished(id, AppendOutcome::Failed, instant);
-                else {
-                    m_log.write(LogEvent::AppendOutcomeUnknown, { { "record", id } });
-                    scheduler.appendFinished(id, AppendOutcome::Unknown, instant);
-                }
+    appenderOf(append.m_stream)
+        .append(ownership::encodeRecord(append.m_record),
+            [this, id = append.m_record.m_id](const Result<std::uint64_t>& result) {
+                run([&](ownership::DomainScheduler& scheduler, TimePoint instant) {
+                    using ownership::AppendOutcome;
+                    if (succeeded(result))
+                        scheduler.appendFinished(id, AppendOutcome::Appended, instant);
+                    else if (platform::definitelyNotRun(errorOf(result)))
+                        scheduler.appendFinished(id, AppendOutcome::Failed, instant);
+                    else {
+                        m_log.write(LogEvent::AppendOutcomeUnknown, { { "record", id } });
+                        scheduler.appendFinished(id, AppendOutcome::Unknown, instant);
+                    }
+                });
             });
-        });
 }
 
 void SchedulerDriver::reply(const ownership::ReplyToSubmitter& reply)
@@ -494,6 +492,16 @@
     m_runtime.post([handler = std::move(node.mapped()), result] { handler(result); });
 }
 
+BatchAppender& SchedulerDriver::appenderOf(const FailureDomainId& stream)
+{
+    if (stream == m_settings.m_failureDomain)
+        return m_appender;
+    std::unique_ptr<BatchAppender>& appender = m_foreignAppenders[stream];
+    if (!appender)
+        appender = std::make_unique<BatchAppender>(m_runtime, m_logService, streamOf(stream), m_metrics);
+    return *appender;
+}
+
 platform::HttpWorkerControl& SchedulerDriver::clientOf(const WorkerId& worker, const std::string& address)
 {
     WorkerClient& client = m_clients[worker];
--- a/src/daemon/SchedulerDriver.h
+++ b/src/daemon/SchedulerDriver.h
@@ -32,8 +32,8 @@
     /// Receives whether the job is durable, or the refusal.
     using SubmitHandler = std::function<void(Result<bool>)>;
 
-    SchedulerDriver(Runtime&, const Settings&, std::uint64_t seed, PeerLink&, BatchAppender&, MinionDirectory&,
-        platform::TrafficObserver&, observability::EventLog&, observability::MetricsRegistry&);
+    SchedulerDriver(Runtime&, const Settings&, std::uint64_t seed, platform::HttpLogService&, PeerLink&, BatchAppender&,
+        MinionDirectory&, platform::TrafficObserver&, observability::EventLog&, observability::MetricsRegistry&);
 
     void start();
     void stop();
@@ -75,6 +75,7 @@
     void send(const ownership::SendCommands&);
     void append(const ownership::AppendRecord&);
     void reply(const ownership::ReplyToSubmitter&);
+    BatchAppender& appenderOf(const FailureDomainId& stream);
     platform::HttpWorkerControl& clientOf(const WorkerId&, const std::string& address);
     void noticePhase(TimePoint);
     void updateMetrics(TimePoint);
@@ -82,7 +83,9 @@
     Runtime& m_runtime;
     const Settings& m_settings;
     std::uint64_t m_seed;
+    platform::HttpLogService& m_logService;
     PeerLink& m_peers;
+    /// Appends to the stream of this domain.
     BatchAppender& m_appender;
     MinionDirectory& m_minions;
     platform::TrafficObserver& m_traffic;
@@ -93,13 +96,14 @@
     /// Guarded by m_mutex, as are the members up to m_alarm.
     ownership::DomainScheduler m_scheduler;
     std::map<WorkerId, WorkerClient> m_clients;
+    /// Appends to the streams of other domains, for the takeover of their tasks.
+    std::map<FailureDomainId, std::unique_ptr<BatchAppender>> m_foreignAppenders;
     /// Descriptions from every file that this daemon has seen: a former worker is still asked for its lease.
     std::map<WorkerId, WorkerSpec> m_knownWorkers;
     ownership::SubmissionNumber m_nextSubmission = 1;
     std::map<ownership::SubmissionNumber, SubmitHandler> m_submissions;
     std::set<DaemonId> m_otherSchedulers;
     ownership::DomainScheduler::Phase m_phase = ownership::DomainScheduler::Phase::Standby;
-    ClusterFile m_file;
     std::uint64_t m_epoch = 0;
     TimePoint m_nextMetrics {};
     bool m_stopped = false;
--- a/src/standin/LeaseRegister.cpp
+++ b/src/standin/LeaseRegister.cpp
@@ -13,10 +13,19 @@
     m_holder = holder;
     m_epoch = epoch;
     m_expires = now + ttl;
+    m_lastLength = ttl;
     m_released = false;
     return true;
 }
 
+void LeaseRegister::restart(TimePoint now)
+{
+    m_holder = DaemonId();
+    m_epoch = 0;
+    m_expires = now + m_lastLength;
+    m_released = false;
+}
+
 bool LeaseRegister::release(const DaemonId& holder, std::uint64_t epoch)
 {
     if (!obeys(holder, epoch))
--- a/src/standin/LeaseRegister.h
+++ b/src/standin/LeaseRegister.h
@@ -14,6 +14,9 @@
     /// Grants an epoch that is greater than any granted before when no lease is active, and renews the lease of the
     /// same holder and epoch unless that was released. Returns false otherwise.
     bool acquire(const DaemonId& holder, std::uint64_t epoch, Duration ttl, TimePoint now);
+    /// The worker has restarted and lost its memory: grants nothing for the length of the last lease, because the
+    /// former holder may still count on it.
+    void restart(TimePoint now);
     /// Ends the lease of the holder and epoch; false when that is not the one on record.
     bool release(const DaemonId& holder, std::uint64_t epoch);
     /// True when commands with this holder and epoch are to be obeyed. An expired lease that nobody else has acquired
@@ -31,6 +34,8 @@
     /// Greatest epoch granted; never decreases.
     std::uint64_t m_epoch = 0;
     TimePoint m_expires {};
+    /// Length of the last lease that was granted.
+    Duration m_lastLength {};
     bool m_released = true;
 };
 
--- a/src/standin/SimulatedWorker.cpp
+++ b/src/standin/SimulatedWorker.cpp
@@ -2,6 +2,8 @@
 
 #include "standin/SimulatedWorker.h"
 
+#include "standin/Clock.h"
+
 #include "model/Rendezvous.h"
 
 #include <cstdio>
@@ -214,7 +216,7 @@
     const std::lock_guard lock(m_mutex);
     endEverything();
     chooseIncarnation();
-    m_register = LeaseRegister();
+    m_register.restart(currentTime());
     m_sequence = 1;
     m_newsSequence = 1;
     m_lastExternalContact = TimePoint();
