--- a/src/platform/HttpHostList.cpp
+++ b/src/platform/HttpHostList.cpp
@@ -6,7 +6,7 @@
 
 namespace sapphiredale::platform {
 
-HttpHostList::HttpHostList(boost::asio::io_context& context, HttpSettings settings)
+HttpHostList::HttpHostList(boost::asio::io_context& context, const HttpSettings& settings)
     : m_channel(std::make_shared<HttpChannel>(context, settings, ClientKind::HostList, ErrorKind::DomainUnreachable))
 {
 }
--- a/src/platform/HttpHostList.h
+++ b/src/platform/HttpHostList.h
@@ -17,7 +17,7 @@
 /// Uses one connection. All functions may be called from any thread.
 class HttpHostList {
 public:
-    HttpHostList(boost::asio::io_context&, HttpSettings);
+    HttpHostList(boost::asio::io_context&, const HttpSettings&);
     /// Outstanding calls end with an error.
     ~HttpHostList();
     HttpHostList(const HttpHostList&) = delete;
--- a/src/platform/HttpMinionControl.cpp
+++ b/src/platform/HttpMinionControl.cpp
@@ -6,7 +6,7 @@
 
 namespace sapphiredale::platform {
 
-HttpMinionControl::HttpMinionControl(boost::asio::io_context& context, HttpSettings settings)
+HttpMinionControl::HttpMinionControl(boost::asio::io_context& context, const HttpSettings& settings)
     : m_channel(std::make_shared<HttpChannel>(context, settings, ClientKind::Minion, ErrorKind::NoMinion))
 {
 }
--- a/src/platform/HttpMinionControl.h
+++ b/src/platform/HttpMinionControl.h
@@ -17,7 +17,7 @@
 /// Uses one connection, which counts against the minion's connection limit. May be called from any thread.
 class HttpMinionControl {
 public:
-    HttpMinionControl(boost::asio::io_context&, HttpSettings);
+    HttpMinionControl(boost::asio::io_context&, const HttpSettings&);
     /// An outstanding call ends with an error.
     ~HttpMinionControl();
     HttpMinionControl(const HttpMinionControl&) = delete;
--- a/src/platform/HttpWorkerControl.cpp
+++ b/src/platform/HttpWorkerControl.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-HttpWorkerControl::HttpWorkerControl(boost::asio::io_context& context, WorkerId worker, HttpSettings settings)
+HttpWorkerControl::HttpWorkerControl(boost::asio::io_context& context, WorkerId worker, const HttpSettings& settings)
     : m_worker(std::move(worker))
     , m_leases(std::make_shared<HttpChannel>(context, settings, ClientKind::Worker, unreachable))
     , m_commands(std::make_shared<HttpChannel>(context, settings, ClientKind::Worker, unreachable))
--- a/src/platform/HttpWorkerControl.h
+++ b/src/platform/HttpWorkerControl.h
@@ -18,7 +18,7 @@
 /// they are not queued behind a long poll. All functions may be called from any thread.
 class HttpWorkerControl {
 public:
-    HttpWorkerControl(boost::asio::io_context&, WorkerId, HttpSettings);
+    HttpWorkerControl(boost::asio::io_context&, WorkerId, const HttpSettings&);
     /// Outstanding calls end with an error.
     ~HttpWorkerControl();
     HttpWorkerControl(const HttpWorkerControl&) = delete;
--- a/src/standin/Connection.cpp
+++ b/src/standin/Connection.cpp
@@ -36,6 +36,12 @@
         co_await waitUntil(deadline);
 }
 
+asio::awaitable<void> Connection::waitWhile(std::function<bool()> predicate)
+{
+    while (predicate())
+        co_await waitUntil(currentTime() + std::chrono::hours(1));
+}
+
 void Connection::wake()
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->m_timer.cancel(); });
--- a/src/standin/Connection.h
+++ b/src/standin/Connection.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -26,6 +27,8 @@
     boost::asio::awaitable<void> sleepUntil(TimePoint deadline);
     /// Ends at the deadline and not before, for requests that are executed late although their sender has given up.
     boost::asio::awaitable<void> delayUntil(TimePoint deadline);
+    /// Ends when the predicate, which subscribes the connection to the next change, is false; ignores the peer's close.
+    boost::asio::awaitable<void> waitWhile(std::function<bool()> predicate);
     /// Ends the current wait. May be called from any thread.
     void wake();
     /// Closes the socket. May be called from any thread.
--- a/src/standin/LogApi.cpp
+++ b/src/standin/LogApi.cpp
@@ -69,8 +69,7 @@
         co_return errorReply(503, "unavailable");
     if (faults.m_outage == LogOutage::Close)
         co_return HttpReply::dropped();
-    while (m_log.hangs(connection))
-        co_await connection.waitUntil(currentTime() + std::chrono::hours(1));
+    co_await connection.waitWhile([&] { return m_log.hangs(connection); });
     if (faults.m_delay > Duration::zero())
         co_await connection.delayUntil(currentTime() + faults.m_delay);
 
--- a/src/standin/WorkerApi.cpp
+++ b/src/standin/WorkerApi.cpp
@@ -130,8 +130,7 @@
     if (const Duration delay = worker.faults().m_delay; delay > Duration::zero())
         co_await connection.delayUntil(currentTime() + delay);
     // The request waits in the buffers of a frozen host and is executed when the host continues.
-    while (worker.isFrozen(connection))
-        co_await connection.waitUntil(currentTime() + std::chrono::hours(1));
+    co_await connection.waitWhile([&] { return worker.isFrozen(connection); });
     if (!worker.isAlive())
         co_return HttpReply::dropped();
     HttpReply reply;
@@ -143,8 +142,7 @@
         reply = commands(worker, request);
     else
         reply = errorReply(404, "no such path");
-    while (worker.isFrozen(connection))
-        co_await connection.waitUntil(currentTime() + std::chrono::hours(1));
+    co_await connection.waitWhile([&] { return worker.isFrozen(connection); });
     co_return worker.isAlive() ? reply : HttpReply::dropped();
 }
 
