--- a/src/daemon/SchedulerDriver.cpp
+++ b/src/daemon/SchedulerDriver.cpp
@@ -108,9 +108,9 @@
 
 std::string streamOf(const FailureDomainId& domain) { return "domain-" + domain.value(); }
 
-SchedulerDriver::SchedulerDriver(Runtime& runtime, const Settings& settings, std::uint64_t seed, PeerLink& peers,
-    BatchAppender& appender, MinionDirectory& minions, platform::TrafficObserver& traffic, observability::EventLog& log,
-    observability::MetricsRegistry& metrics)
+SchedulerDriver::SchedulerDriver(Runtime& runtime, const Settings& settings, std::uint64_t seed,
+    platform::HttpLogService& logService, PeerLink& peers, BatchAppender& appender, MinionDirectory& minions,
+    platform::TrafficObserver& traffic, observability::EventLog& log, observability::MetricsRegistry& metrics)
     : m_runtime(runtime)
     , m_settings(settings)
     , m_seed(seed)
