--- a/src/standin/WorkerApi.cpp
+++ b/src/standin/WorkerApi.cpp
@@ -127,8 +127,7 @@
 asio::awaitable<HttpReply> WorkerApi::serve(
     SimulatedWorker& worker, const std::string& action, const HttpRequest& request, Connection& connection)
 {
-    if (const Duration delay = worker.faults().m_delay; delay > Duration::zero())
-        co_await connection.delayUntil(currentTime() + delay);
+    co_await connection.delayUntil(currentTime() + worker.faults().m_delay);
     // The request waits in the buffers of a frozen host and is executed when the host continues.
     co_await connection.waitWhile([&] { return worker.isFrozen(connection); });
     if (!worker.isAlive())
