--- a/src/ownership/JobLedger.h
+++ b/src/ownership/JobLedger.h
@@ -46,8 +46,8 @@
     const JobEnded* ended(const JobId&) const;
     /// True when the end of this attempt, or of a later one, is recorded.
     bool hasEnd(const TaskAttempt&) const;
-    /// Remembers the end of a job that has no records in the stream (durability "memory"), so that its state can be asked
-    /// for and a repeated submission does not run it again.
+    /// Remembers the end of a job that has no records in the stream (durability "memory"), so that its state can be
+    /// asked for and a repeated submission does not run it again.
     void noteEnded(const JobEnded& end) { foldBody(end, {}); }
     /// Notes that the records of an open job were written again.
     void refreshed(const JobId&, TimePoint now);
--- a/tests/ownership/DomainSchedulerTest.cpp
+++ b/tests/ownership/DomainSchedulerTest.cpp
@@ -291,8 +291,8 @@
         CPPUNIT_ASSERT(world.scheduler(owner).counted(CountedReason::RecordRepeated) > 0);
     }
 
-    // Guards against a job without a record that is forgotten at its end: its state could not be asked for, and a repeated
-    // submission ran it again.
+    // Guards against a job without a record that is forgotten at its end: its state could not be asked for, and a
+    // repeated submission ran it again.
     void endedMemoryJobIsRememberedAndNotRepeated()
     {
         World world;
