--- a/bench/OwnershipLoad.h
+++ b/bench/OwnershipLoad.h
@@ -267,7 +267,14 @@
 
     void answerPoll(Worker& worker)
     {
-        const Poll poll = *std::exchange(worker.m_poll, std::nullopt);
+        const std::optional<Poll> taken = worker.m_poll;
+        worker.m_poll.reset();
+        if (taken.has_value())
+            answer(worker, taken.value());
+    }
+
+    void answer(Worker& worker, const Poll& poll)
+    {
         const SendLease& request = poll.m_request;
         LeaseGrant grant { worker.m_epoch,
             { request.m_worker, IncarnationId(worker.m_incarnation), worker.m_sequence, request.m_since == 0, {} } };
@@ -276,7 +283,7 @@
                 grant.m_report.m_tasks.push_back(task.first);
         }
         m_bytes += MessageSize::of(grant.m_report);
-        at(milliseconds(1), [=, this, daemon = poll.m_daemon] {
+        at(milliseconds(1), [this, daemon = poll.m_daemon, request, grant] {
             timed(daemon,
                 [&](DomainScheduler& to) { to.leaseGranted(request.m_worker, request.m_request, grant, m_now); });
         });
--- a/bench/bench_requests.cpp
+++ b/bench/bench_requests.cpp
@@ -4,6 +4,7 @@
 #include "bench/BenchReport.h"
 #include "bench/RequestLoad.h"
 
+#include <cassert>
 #include <fstream>
 #include <gflags/gflags.h>
 #include <numeric>
@@ -63,6 +64,7 @@
         std::vector<std::string> minionAddresses() const
         {
             std::vector<std::string> result;
+            result.reserve(m_minions.size());
             for (const std::unique_ptr<BenchMinion>& minion : m_minions)
                 result.push_back(minion->address());
             return result;
@@ -280,11 +282,12 @@
         std::array<char, 1024> answer {};
         double before = 0;
         const std::optional<asio::ip::tcp::endpoint> endpoint = parseEndpoint(scene.address());
-        for (unsigned i = 0; i < count + 100; ++i) {
+        assert(endpoint);
+        for (unsigned i = 0; endpoint && i < count + 100; ++i) {
             // The first connections pay for what the process allocates once.
             if (i == 100)
                 before = residentBytes();
-            sockets.emplace_back(context).connect(endpoint.value());
+            sockets.emplace_back(context).connect(*endpoint);
             asio::write(sockets.back(), asio::buffer(text));
             sockets.back().read_some(asio::buffer(answer));
         }
--- a/src/ownership/DomainScheduler.h
+++ b/src/ownership/DomainScheduler.h
@@ -293,7 +293,7 @@
     void endUnsent(const WorkerId&, const TaskId&, std::uint32_t attempt, TimePoint now);
     void enqueue(const WorkerId&, const WorkerCommand&, TimePoint now);
     void endJob(const JobId&, JobOutcome, const std::string& detail, TimePoint now);
-    void append(StreamRecordBody body, TimePoint now) { m_appends.add(domain(), std::move(body), now); }
+    void append(const StreamRecordBody& body, TimePoint now) { m_appends.add(domain(), body, now); }
     void confirmed(const StreamRecord&, TimePoint now);
     void folded(const JobAccepted&, TimePoint now);
     void folded(const JobEnded&, TimePoint now);
--- a/tests/ownership/FakeWorker.h
+++ b/tests/ownership/FakeWorker.h
@@ -68,6 +68,7 @@
         if (request.m_incarnation.value() != m_incarnation)
             return CommandsRefusal::OtherIncarnation;
         std::vector<CommandResult> results;
+        results.reserve(request.m_commands.size());
         for (const WorkerCommand& command : request.m_commands)
             results.push_back(execute(command, now));
         return results;
