Report an unanswered load and show what a history covers

Cause: a cell that answers no request passed the check, and the summary did not show retries or confirmed reads. Change: the check reports a history without an answered request; the summary counts both.

--- a/src/load/HistoryChecker.cpp
+++ b/src/load/HistoryChecker.cpp
@@ -119,8 +119,9 @@
 
 void HistoryChecker::checkCompleteness()
 {
-    if (m_history.empty())
-        report("incomplete-history", "the history has no entries", {});
+    // A cell that answers nothing breaks none of the other rules.
+    if (std::none_of(m_history.begin(), m_history.end(), isAnsweredRequest))
+        report("incomplete-history", "no request was answered", {});
     // The stand-in retains a bounded number of executions; a missing one could hide a second execution.
     std::uint64_t expected = 1;
     for (const ObservedExecution& execution : m_executions) {
--- a/src/load/Summary.cpp
+++ b/src/load/Summary.cpp
@@ -21,12 +21,16 @@
         std::int64_t begin = 0;
         std::int64_t end = 0;
         std::size_t operations = 0;
+        std::size_t repeatedAttempts = 0;
+        std::size_t confirmed = 0;
         for (const HistoryEntry& entry : history) {
             if (entry.m_kind != kind)
                 continue;
             begin = operations == 0 ? entry.m_invokedUs : std::min(begin, entry.m_invokedUs);
             end = std::max(end, entry.m_completedUs);
             ++operations;
+            repeatedAttempts += entry.m_attempt > 1 ? 1 : 0;
+            confirmed += entry.m_confirmed ? 1 : 0;
             if (entry.m_outcome == OperationOutcome::Answered) {
                 latencies.push_back(entry.m_completedUs - entry.m_invokedUs);
                 ++counts["status " + std::to_string(entry.m_status) + (entry.m_replayed ? " (replayed)" : "")];
@@ -49,6 +53,10 @@
             out << "  latency of answered in ms: p50 " << at(500) << ", p90 " << at(900) << ", p99 " << at(990)
                 << ", max " << at(1000) << '\n';
         }
+        if (kind == OperationKind::Request)
+            out << "  sent again through another address: " << repeatedAttempts << '\n';
+        if (kind == OperationKind::Read)
+            out << "  confirmed by the log: " << confirmed << '\n';
         for (const auto& [name, count] : counts)
             out << "  " << name << ": " << count << '\n';
     }
--- a/tests/load/HistoryCheckerTest.cpp
+++ b/tests/load/HistoryCheckerTest.cpp
@@ -116,6 +116,7 @@
     CPPUNIT_TEST(findsTwoContentsOfOneVersion);
     CPPUNIT_TEST(findsMissingExecutions);
     CPPUNIT_TEST(findsAnEmptyHistory);
+    CPPUNIT_TEST(findsAHistoryWithoutAnswers);
     CPPUNIT_TEST(readsWhatWasWritten);
     CPPUNIT_TEST(refusesAnUnreadableLine);
     CPPUNIT_TEST(readsTheRecordsOfTheStandin);
@@ -221,6 +222,14 @@
 
     void findsAnEmptyHistory() { assertFound({}, "incomplete-history", {}); }
 
+    void findsAHistoryWithoutAnswers()
+    {
+        Sample sample;
+        sample.add(OperationKind::Request, OperationOutcome::Lost);
+        sample.addRead(1, "h1");
+        assertFound(sample, "incomplete-history", {});
+    }
+
     void readsWhatWasWritten()
     {
         const Sample sample = correctSample();
