Resolve the findings of the linter

Cause: with every file verified, the linter reported copies of results, containers without reserved capacity and a repeated branch; it also crashes or misreads coroutines, bound names in closures and CppUnit assertions.

--- a/bench/OwnershipLoad.h
+++ b/bench/OwnershipLoad.h
@@ -100,6 +100,7 @@
     TimePoint majorityFree() const
     {
         std::vector<TimePoint> ends;
+        ends.reserve(m_workers.size());
         for (const auto& [name, worker] : m_workers)
             ends.push_back(worker.m_expires);
         std::sort(ends.begin(), ends.end());
--- a/bench/bench_ownership.cpp
+++ b/bench/bench_ownership.cpp
@@ -105,10 +105,12 @@
         };
         std::vector<double> workers { 25, 50, 100, 200, 400 };
         std::vector<double> forWorkers;
+        forWorkers.reserve(workers.size());
         for (const double count : workers)
             forWorkers.push_back(megabytes(std::uint32_t(count), 0));
         std::vector<double> tasks { 100, 500, 1000, 2000 };
         std::vector<double> forTasks;
+        forTasks.reserve(tasks.size());
         for (const double count : tasks)
             forTasks.push_back(megabytes(100, count / 100));
         report.add("memory/100 workers, no tasks, simulation included", forWorkers[2], "MB");
--- a/src/daemon/Application.cpp
+++ b/src/daemon/Application.cpp
@@ -20,7 +20,7 @@
     /// Longest time for the handover of leases in a planned stop, before requests are drained.
     constexpr Duration handoverTime = std::chrono::seconds(8);
     /// Room for the text of an operators' file in its JSON form.
-    constexpr std::uint64_t operatorBodyBytes = 2 * 1024 * 1024;
+    constexpr std::uint64_t operatorBodyBytes = std::uint64_t { 2 } << 20;
 
     platform::HttpSettings httpSettings(
         const Settings& settings, const Endpoint& endpoint, std::uint64_t seed, platform::TrafficObserver& traffic)
@@ -225,7 +225,7 @@
 
 void Application::readHosts()
 {
-    m_hostList.hosts(hostTimeout, [this](Result<platform::HostSnapshot> result) {
+    m_hostList.hosts(hostTimeout, [this](const Result<platform::HostSnapshot>& result) {
         if (succeeded(result)) {
             m_scheduler.hostsListed(valueOf(result));
         } else {
--- a/src/daemon/BatchAppender.cpp
+++ b/src/daemon/BatchAppender.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     constexpr Duration longestDelay = std::chrono::milliseconds(20);
-    constexpr std::size_t batchBytes = 64 * 1024;
+    constexpr std::size_t batchBytes = std::size_t { 64 } << 10;
     constexpr std::size_t mostWaiting = 20000;
     constexpr Duration appendTimeout = std::chrono::seconds(4);
 
@@ -51,7 +51,7 @@
         m_bytes -= bytes;
         m_log.append(m_stream, records, appendTimeout,
             [self = shared_from_this(), handlers = std::move(handlers), sentAt = now()](
-                Result<std::uint64_t> result) { self->appended(result, handlers, sentAt); });
+                const Result<std::uint64_t>& result) { self->appended(result, handlers, sentAt); });
     }
 
     void appended(const Result<std::uint64_t>& result, const std::vector<Handler>& handlers, TimePoint sentAt)
--- a/src/daemon/ConfigurationDriver.cpp
+++ b/src/daemon/ConfigurationDriver.cpp
@@ -219,7 +219,7 @@
 void ConfigurationDriver::readLog(const configuration::ReadLog& read)
 {
     m_logService.read(m_stream, read.m_from, read.m_maxBytes, read.m_wait, remaining(read.m_deadline),
-        [this, id = read.m_read](Result<platform::LogPage> result) {
+        [this, id = read.m_read](const Result<platform::LogPage>& result) {
             if (!succeeded(result)) {
                 input(configuration::LogReadFailed { id });
                 return;
@@ -235,7 +235,7 @@
 void ConfigurationDriver::appendRecord(const configuration::AppendRecord& append)
 {
     m_logService.append(m_stream, { append.m_data }, remaining(append.m_deadline),
-        [this, record = append.m_record](Result<std::uint64_t> result) {
+        [this, record = append.m_record](const Result<std::uint64_t>& result) {
             const bool appended = succeeded(result);
             m_metrics.counter(MetricName::LogAppendsTotal, { "configuration", appended ? "appended" : "failed" }).add();
             if (appended)
--- a/src/daemon/RequestDriver.cpp
+++ b/src/daemon/RequestDriver.cpp
@@ -324,6 +324,7 @@
             return;
         m_takenGeneration = list.m_generation;
         std::vector<routing::MinionEndpoint> endpoints;
+        endpoints.reserve(list.m_rows.size());
         for (const peer::MinionRow& row : list.m_rows)
             endpoints.push_back({ row.m_minion, row.m_address, row.m_slots, row.m_connections });
         m_table.setMinions(endpoints, now());
--- a/src/daemon/SchedulerDriver.cpp
+++ b/src/daemon/SchedulerDriver.cpp
@@ -180,6 +180,7 @@
         scheduler.configure(active, instant);
     });
     std::vector<WorkerId> workers;
+    workers.reserve(file.m_file.m_workers.size());
     for (const WorkerSpec& worker : file.m_file.m_workers)
         workers.push_back(worker.m_name);
     m_minions.workersRemain(workers);
--- a/src/daemon/StreamFollower.cpp
+++ b/src/daemon/StreamFollower.cpp
@@ -34,7 +34,7 @@
         const Duration wait = m_behind ? Duration::zero() : pollWait;
         m_log.read(m_stream, m_next, pageBytes, wait, wait + answerTimeout,
             [self = shared_from_this(), sentAt = now()](
-                Result<platform::LogPage> result) { self->polled(result, sentAt); });
+                const Result<platform::LogPage>& result) { self->polled(result, sentAt); });
     }
 
     void polled(const Result<platform::LogPage>& result, TimePoint sentAt)
@@ -58,7 +58,7 @@
         if (!m_observer)
             return;
         m_log.read(m_stream, m_next, pageBytes, Duration::zero(), answerTimeout,
-            [self = shared_from_this(), sentAt = now()](Result<platform::LogPage> result) {
+            [self = shared_from_this(), sentAt = now()](const Result<platform::LogPage>& result) {
                 if (succeeded(result) && !self->take(valueOf(result), sentAt))
                     self->readEnd();
                 else
--- a/src/forwarding/Session.cpp
+++ b/src/forwarding/Session.cpp
@@ -215,16 +215,15 @@
     // The handler may be called from another thread and after this session ended.
     auto answer = std::make_shared<LocalResponse>();
     m_eventReady = false;
-    m_server.m_hooks.handle(
-        std::move(request), [weak = weak_from_this(), &loop = m_loop, answer](LocalResponse response) {
-            asio::post(loop.context(), [weak, answer, moved = std::move(response)]() mutable {
-                if (const std::shared_ptr<Session> self = weak.lock()) {
-                    *answer = std::move(moved);
-                    self->m_eventReady = true;
-                    self->m_event.cancel();
-                }
-            });
+    m_server.m_hooks.handle(request, [weak = weak_from_this(), &loop = m_loop, answer](LocalResponse response) {
+        asio::post(loop.context(), [weak, answer, moved = std::move(response)]() mutable {
+            if (const std::shared_ptr<Session> self = weak.lock()) {
+                *answer = std::move(moved);
+                self->m_eventReady = true;
+                self->m_event.cancel();
+            }
         });
+    });
     co_await waitForEvent();
     if (!m_eventReady) {
         m_close = true;
--- a/src/ownership/Membership.cpp
+++ b/src/ownership/Membership.cpp
@@ -318,6 +318,7 @@
     if (needed == 0 || contacts.size() < needed)
         return std::nullopt;
     std::vector<TimePoint> times;
+    times.reserve(contacts.size());
     for (const auto& [domain, contact] : contacts)
         times.push_back(contact);
     std::sort(times.begin(), times.end(), std::greater<> {});
--- a/src/ownership/WorkerTable.cpp
+++ b/src/ownership/WorkerTable.cpp
@@ -169,12 +169,13 @@
     }
     const auto same = std::find_if(commands.begin(), commands.end(),
         [&](const PendingCommand& pending) { return sameCommand(pending.m_command, command); });
-    if (same == commands.end())
+    const bool isQueued = same != commands.end();
+    // A throttle that was sent may carry another limit than the new one; other commands have no effect when repeated.
+    const bool mustFollow = isQueued && same->m_sent && command.m_operation == CommandOperation::Throttle;
+    if (!isQueued || mustFollow)
         commands.push_back({ command, now, false });
     else if (!same->m_sent)
         same->m_command = command;
-    else if (command.m_operation == CommandOperation::Throttle)
-        commands.push_back({ command, now, false });
     return std::nullopt;
 }
 
@@ -301,11 +302,11 @@
 {
     std::vector<std::pair<WorkerId, CommandFate>> taken;
     for (auto& [worker, session] : m_workers) {
-        std::erase_if(session.m_commands, [&](const PendingCommand& pending) {
+        std::erase_if(session.m_commands, [&, &id = worker](const PendingCommand& pending) {
             const bool unsent = !pending.m_sent && pending.m_command.m_operation == CommandOperation::Start
                 && pending.m_queuedAt + m_settings.m_unsentStartBound <= now;
             if (unsent)
-                taken.emplace_back(worker, CommandFate { pending.m_command, false, "the worker cannot be reached" });
+                taken.emplace_back(id, CommandFate { pending.m_command, false, "the worker cannot be reached" });
             return unsent;
         });
     }
