--- a/src/standin/ControlApi.cpp
+++ b/src/standin/ControlApi.cpp
@@ -135,7 +135,7 @@
         if (action == WorkerAction::Kill)
             worker->kill();
         else if (action == WorkerAction::Restart)
-            worker->restart();
+            worker->restart(currentTime());
         else if (action == WorkerAction::ForgetEpoch)
             worker->forgetEpoch();
         if (updateHosts && action == WorkerAction::Kill)
@@ -228,7 +228,7 @@
     m_targets.m_hosts.reset();
     for (const auto& worker : m_targets.m_fleet.workers()) {
         if (!worker->isAlive())
-            worker->restart();
+            worker->restart(currentTime());
         worker->setFaults({});
     }
     for (const auto& minion : m_targets.m_fleet.minions())
--- a/src/standin/SimulatedWorker.cpp
+++ b/src/standin/SimulatedWorker.cpp
@@ -2,8 +2,6 @@
 
 #include "standin/SimulatedWorker.h"
 
-#include "standin/Clock.h"
-
 #include "model/Rendezvous.h"
 
 #include <cstdio>
@@ -211,12 +209,12 @@
     m_signal.notify();
 }
 
-void SimulatedWorker::restart()
+void SimulatedWorker::restart(TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     endEverything();
     chooseIncarnation();
-    m_register.restart(currentTime());
+    m_register.restart(now);
     m_sequence = 1;
     m_newsSequence = 1;
     m_lastExternalContact = TimePoint();
--- a/src/standin/SimulatedWorker.h
+++ b/src/standin/SimulatedWorker.h
@@ -117,7 +117,7 @@
     /// Host failure: every task is gone at once and nothing answers until restart().
     void kill();
     /// Starts again with a new incarnation, an empty register and no tasks; kills a running one first.
-    void restart();
+    void restart(TimePoint now);
     /// Loses the register but keeps incarnation and tasks: breaks the assumption of section 2.2 on purpose.
     void forgetEpoch();
     /// Lets every minion of the worker refuse new requests.
--- a/tests/ownership/HomesTest.cpp
+++ b/tests/ownership/HomesTest.cpp
@@ -277,8 +277,7 @@
         for (const char* text : { "", "[]", "{", "{\"id\":\"a\"}", "{\"id\":3,\"type\":\"domainPresent\",\"epoch\":1}",
                  "{\"id\":\"a\",\"type\":\"domainPresent\",\"epoch\":-1}",
                  "{\"id\":\"a\",\"type\":\"jobAccepted\",\"job\":\"j\",\"workload\":\"w\",\"tasks\":4294967296}",
-                 "{\"id\":\"a\",\"type\":\"taskEnded\",\"task\":\"t\",\"attempt\":1,\"state\":\"running\",\"worker\":"
-                 "\"w\"}" }) {
+                 R"({"id":"a","type":"taskEnded","task":"t","attempt":1,"state":"running","worker":"w"})" }) {
             const Result<StreamRecord> read = decodeRecord(text);
             CPPUNIT_ASSERT_MESSAGE(text, !succeeded(read) && errorOf(read).m_kind == ErrorKind::InvalidRequest);
         }
--- a/tests/standin/SimulatedWorkerTest.cpp
+++ b/tests/standin/SimulatedWorkerTest.cpp
@@ -125,8 +125,10 @@
         first->kill();
         begin(*second, takeLease(*second), "j/0", "");
         CPPUNIT_ASSERT(m_violations.counts().empty());
-        first->restart();
-        begin(*first, takeLease(*first), "j/0", "");
+        first->restart(at(0));
+        // A restarted worker grants nothing before the last lease has expired.
+        CPPUNIT_ASSERT(!first->lease({ DaemonId("b"), 2, seconds(1000), true, {} }, at(999)));
+        begin(*first, takeLease(*first, at(1000)), "j/0", "");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_violations.counts()["task-running-twice"]);
     }
 
@@ -175,9 +177,9 @@
             WorkerIdentity { WorkerId(name), FailureDomainId("d"), RackId("r"), { 4000, 1024, 0 } }, surroundings);
     }
 
-    static SimulatedWorker::Sender takeLease(SimulatedWorker& worker)
+    static SimulatedWorker::Sender takeLease(SimulatedWorker& worker, TimePoint now = at(0))
     {
-        CPPUNIT_ASSERT(worker.lease({ DaemonId("a"), 1, seconds(1000), true, {} }, at(0)));
+        CPPUNIT_ASSERT(worker.lease({ DaemonId("a"), 1, seconds(1000), true, {} }, now));
         return { DaemonId("a"), 1, worker.incarnation() };
     }
 
