Export the counters of routing and placement; keep the caller listener open after the notice of leaving

Cause: the counters per refusal and retry reason were kept by the cores but did not reach /metrics; a standby closed its caller listener at once after /readyz said that it leaves, so the balancer had no time to react. Conclusion: every refusal and retry reason of the cores can be read.

--- a/src/daemon/Application.cpp
+++ b/src/daemon/Application.cpp
@@ -19,6 +19,8 @@
     constexpr Duration waitStep = std::chrono::milliseconds(20);
     /// Longest time for the handover of leases in a planned stop, before requests are drained.
     constexpr Duration handoverTime = std::chrono::seconds(8);
+    /// Time between the first answer that the daemon is not ready and the close of the caller listener.
+    constexpr Duration leaveNotice = std::chrono::seconds(2);
     /// Room for the text of an operators' file in its JSON form.
     constexpr std::uint64_t operatorBodyBytes = std::uint64_t { 2 } << 20;
 
@@ -126,6 +128,8 @@
     m_peers.setLeaving();
     m_scheduler.beginRelease();
     waitUntil([this] { return m_scheduler.isReleased(); }, started + handoverTime);
+    // The listener stays open while the balancer still sends requests to it.
+    waitUntil([] { return false; }, started + leaveNotice);
     // Requests in flight keep their slots until they end; only then are the leases on minions given up.
     const bool drained = m_callerServer.drain(std::chrono::milliseconds(m_settings.m_limits.m_drainMs));
     m_requests.beginRelease();
@@ -272,6 +276,7 @@
         m_metrics.counter(MetricName::ControlBytesTotal, { kinds[i], "received" }).raiseTo(m_traffic.received(kind));
     }
     m_peers.updateMetrics();
+    m_requests.updateMetrics();
     const forwarding::RequestServerCounters requests = m_callerServer.counters();
     m_metrics.gauge(MetricName::CallerConnections).set(static_cast<double>(requests.m_openConnections));
     m_metrics.gauge(MetricName::RequestsInFlight, { "all" }).set(static_cast<double>(requests.m_activeRequests));
--- a/src/daemon/RequestDriver.cpp
+++ b/src/daemon/RequestDriver.cpp
@@ -3,6 +3,7 @@
 #include "daemon/RequestDriver.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace sapphiredale::daemon {
@@ -152,6 +153,30 @@
     stepLeases();
 }
 
+void RequestDriver::updateMetrics()
+{
+    std::array<std::uint64_t, routing::attemptFailureCount> retries {};
+    std::array<std::uint64_t, errorKindCount> refusals {};
+    for (const auto& [workload, shard] : shards()) {
+        const routing::RoutingCounters counters
+            = shard->withRouter([](const routing::Router& router, TimePoint) { return router.counters(); });
+        for (std::size_t i = 0; i < retries.size(); ++i)
+            retries[i] += counters.m_retries[i];
+        for (std::size_t i = 0; i < refusals.size(); ++i)
+            refusals[i] += counters.m_refusals[i];
+        m_metrics.counter(MetricName::RetryBudgetExhaustedTotal, { workload.value() })
+            .raiseTo(counters.m_retriesSuppressed);
+    }
+    for (std::size_t i = 0; i < retries.size(); ++i) {
+        const std::string_view reason = routing::nameOf(static_cast<routing::AttemptFailure>(i));
+        m_metrics.counter(MetricName::RetriesTotal, { reason }).raiseTo(retries[i]);
+    }
+    for (std::size_t i = 0; i < refusals.size(); ++i) {
+        const std::string_view reason = answerFor(static_cast<ErrorKind>(i)).m_name;
+        m_metrics.counter(MetricName::RefusalReasonsTotal, { "routing", reason }).raiseTo(refusals[i]);
+    }
+}
+
 std::shared_ptr<forwarding::ServiceRouting> RequestDriver::service(const WorkloadId& workload)
 {
     return shardOf(workload);
--- a/src/daemon/RequestDriver.h
+++ b/src/daemon/RequestDriver.h
@@ -41,6 +41,8 @@
 
     void configure(const configuration::FileInForce&);
     void membershipChanged();
+    /// Copies the counters of the routers to the metrics.
+    void updateMetrics();
     /// Caller listeners answer NotReady until a file is in force.
     void setReady(bool ready) { m_ready = ready; }
 
--- a/src/daemon/SchedulerDriver.cpp
+++ b/src/daemon/SchedulerDriver.cpp
@@ -551,6 +551,11 @@
         m_metrics.counter(MetricName::RefusalReasonsTotal, { "ownership", ownership::nameOf(reason) })
             .raiseTo(m_scheduler.counted(reason));
     }
+    for (std::size_t i = 0; i < placement::reasonCount; ++i) {
+        const auto reason = static_cast<placement::Reason>(i);
+        m_metrics.counter(MetricName::RefusalReasonsTotal, { "placement", placement::nameOf(reason) })
+            .raiseTo(m_scheduler.cell().counters().value(reason));
+    }
 }
 
 } // namespace sapphiredale::daemon
--- a/src/ownership/DomainScheduler.h
+++ b/src/ownership/DomainScheduler.h
@@ -174,6 +174,8 @@
     const DomainLease& lease() const { return m_lease; }
     const WorkerTable& workers() const { return m_workers; }
     const JobLedger& jobs() const { return m_ledger; }
+    /// The placement core, for its counters.
+    const Cell& cell() const { return m_cell; }
     /// Sum of the counters of all parts.
     std::uint64_t counted(CountedReason) const;
     DomainSnapshot snapshot(TimePoint now) const;
