--- a/src/daemon/ConfigurationDriver.cpp
+++ b/src/daemon/ConfigurationDriver.cpp
@@ -200,6 +200,10 @@
             fetchChunk(daemon, assembly, deadline);
         });
     } else if (const auto* answer = std::get_if<configuration::AnswerApply>(&action)) {
+        if (const auto* refused = std::get_if<configuration::ApplyRefused>(&answer->m_answer)) {
+            m_log.write(LogEvent::ConfigurationRefused,
+                { { "error", answerFor(refused->m_kind).m_name }, { "detail", refused->m_detail } });
+        }
         auto node = m_applies.extract(answer->m_token);
         if (!node.empty())
             deferred.emplace_back([handler = std::move(node.mapped()), answer = answer->m_answer] { handler(answer); });
--- a/src/daemon/SchedulerDriver.cpp
+++ b/src/daemon/SchedulerDriver.cpp
@@ -16,7 +16,7 @@
 namespace {
 
     constexpr Duration releaseTimeout = std::chrono::seconds(2);
-    constexpr Duration metricsInterval = std::chrono::seconds(2);
+    constexpr Duration metricsInterval = std::chrono::seconds(5);
 
     ownership::DomainSchedulerSettings schedulerSettings(const Settings& settings, std::uint64_t seed)
     {
@@ -546,6 +546,15 @@
     m_nextMetrics = instant + metricsInterval;
     m_metrics.gauge(MetricName::IsScheduler).set(m_epoch != 0 ? 1 : 0);
     m_metrics.gauge(MetricName::SchedulerEpoch).set(static_cast<double>(m_epoch));
+    // Every state is listed, so that the gauge of a state without tasks returns to zero.
+    std::map<std::string, std::size_t> tasks { { "waiting", 0 } };
+    for (const TaskState state : { TaskState::Starting, TaskState::Running, TaskState::Checkpointing, TaskState::Ended,
+             TaskState::Failed, TaskState::Stopped })
+        tasks.emplace(sapphiredale::nameOf(state), 0);
+    for (const ownership::TaskStatus& task : m_scheduler.snapshot(instant).m_tasks)
+        ++tasks[task.m_state];
+    for (const auto& [state, count] : tasks)
+        m_metrics.gauge(MetricName::Tasks, { state }).set(static_cast<double>(count));
     for (std::size_t i = 0; i < ownership::countedReasonCount; ++i) {
         const auto reason = static_cast<ownership::CountedReason>(i);
         m_metrics.counter(MetricName::RefusalReasonsTotal, { "ownership", ownership::nameOf(reason) })
--- a/tests/observability/ObservabilityTest.cpp
+++ b/tests/observability/ObservabilityTest.cpp
@@ -169,7 +169,7 @@
         const auto log = file.open(Severity::Warning);
         CPPUNIT_ASSERT(!log->isEnabled(LogEvent::DaemonStarted));
         log->write(LogEvent::DaemonStarted);
-        log->write(LogEvent::WorkerLost);
+        log->write(LogEvent::PeerSuspected);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, file.lines().size());
     }
 
@@ -180,7 +180,7 @@
         const auto log = file.open(Severity::Info);
         for (int i = 0; i < 10; ++i)
             log->write(LogEvent::LogUnavailable);
-        log->write(LogEvent::WorkerLost);
+        log->write(LogEvent::PeerSuspected);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, file.lines().size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 8 }, log->suppressedLines());
 
@@ -237,7 +237,7 @@
     void bucketsAreCumulativeAndHoldEveryValue()
     {
         MetricsRegistry metrics;
-        Distribution& waits = metrics.distribution(MetricName::PlacementWaitSeconds, { "urgent" });
+        Distribution& waits = metrics.distribution(MetricName::RequestSeconds, { "urgent" });
         for (const double value : { -1.0, 0.0, 1e-9, 0.5, 1.9, 1e9, std::numeric_limits<double>::quiet_NaN() })
             waits.record(value);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, waits.count());
@@ -245,7 +245,7 @@
         std::uint64_t previous = 0;
         int buckets = 0;
         for (std::string line; std::getline(text, line);) {
-            if (!line.starts_with("sapphire_placement_wait_seconds_bucket"))
+            if (!line.starts_with("sapphire_request_seconds_bucket"))
                 continue;
             const std::uint64_t count = std::stoull(line.substr(line.rfind(' ') + 1));
             CPPUNIT_ASSERT(count >= previous);
@@ -260,13 +260,13 @@
     void labelValuesAreEscapedAndBounded()
     {
         MetricsRegistry metrics(MetricsSettings { 3 });
-        metrics.gauge(MetricName::QueueTasks, { "a\"b\\c\nd" }).set(1.5);
+        metrics.gauge(MetricName::RequestsQueued, { "a\"b\\c\nd" }).set(1.5);
         for (int i = 0; i < 50; ++i)
-            metrics.gauge(MetricName::QueueTasks, { "class-" + std::to_string(i) }).add(1);
+            metrics.gauge(MetricName::RequestsQueued, { "class-" + std::to_string(i) }).add(1);
         const std::string text = metrics.prometheusText();
-        CPPUNIT_ASSERT(contains(text, "\nsapphire_queue_tasks{class=\"a\\\"b\\\\c\\nd\"} 1.5\n"));
-        CPPUNIT_ASSERT(contains(text, "\nsapphire_queue_tasks{class=\"class-1\"} 1\n"));
-        CPPUNIT_ASSERT(contains(text, "\nsapphire_queue_tasks{class=\"other\"} 48\n"));
+        CPPUNIT_ASSERT(contains(text, "\nsapphire_requests_queued{service=\"a\\\"b\\\\c\\nd\"} 1.5\n"));
+        CPPUNIT_ASSERT(contains(text, "\nsapphire_requests_queued{service=\"class-1\"} 1\n"));
+        CPPUNIT_ASSERT(contains(text, "\nsapphire_requests_queued{service=\"other\"} 48\n"));
         CPPUNIT_ASSERT(!contains(text, "class-2"));
     }
 
