--- a/src/daemon/Application.cpp
+++ b/src/daemon/Application.cpp
@@ -277,6 +277,7 @@
     }
     m_peers.updateMetrics();
     m_requests.updateMetrics();
+    m_scheduler.updateMetrics();
     const forwarding::RequestServerCounters requests = m_callerServer.counters();
     m_metrics.gauge(MetricName::CallerConnections).set(static_cast<double>(requests.m_openConnections));
     m_metrics.gauge(MetricName::RequestsInFlight, { "all" }).set(static_cast<double>(requests.m_activeRequests));
--- a/src/daemon/ConfigurationDriver.cpp
+++ b/src/daemon/ConfigurationDriver.cpp
@@ -23,11 +23,6 @@
         return result;
     }
 
-    Duration remaining(TimePoint deadline)
-    {
-        return std::max<Duration>(deadline - now(), std::chrono::milliseconds(1));
-    }
-
 } // namespace
 
 ConfigurationDriver::ConfigurationDriver(Runtime& runtime, const Settings& settings, std::uint64_t seed,
--- a/src/daemon/Runtime.cpp
+++ b/src/daemon/Runtime.cpp
@@ -26,6 +26,8 @@
     return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+Duration remaining(TimePoint deadline) { return std::max<Duration>(deadline - now(), std::chrono::milliseconds(1)); }
+
 WallTime wallNow() { return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()); }
 
 Runtime::Runtime()
--- a/src/daemon/Runtime.h
+++ b/src/daemon/Runtime.h
@@ -19,6 +19,8 @@
 
 /// Monotonic time of this process as core time.
 TimePoint now();
+/// Time until a deadline as the timeout of a call; at least a millisecond.
+Duration remaining(TimePoint deadline);
 /// Time shared between hosts.
 WallTime wallNow();
 
--- a/src/daemon/SchedulerDriver.cpp
+++ b/src/daemon/SchedulerDriver.cpp
@@ -16,7 +16,6 @@
 namespace {
 
     constexpr Duration releaseTimeout = std::chrono::seconds(2);
-    constexpr Duration metricsInterval = std::chrono::seconds(5);
 
     ownership::DomainSchedulerSettings schedulerSettings(const Settings& settings, std::uint64_t seed)
     {
@@ -35,11 +34,6 @@
         return result;
     }
 
-    Duration remaining(TimePoint deadline)
-    {
-        return std::max<Duration>(deadline - now(), std::chrono::milliseconds(1));
-    }
-
     platform::WorkerCommand toPlatform(const ownership::WorkerCommand& command)
     {
         platform::WorkerCommand result;
@@ -153,7 +147,6 @@
     for (const ownership::OwnershipAction& action : actions)
         carryOut(action, started);
     noticePhase(started);
-    updateMetrics(started);
     m_alarm.set(m_scheduler.nextWake(started));
 }
 
@@ -539,11 +532,9 @@
     }
 }
 
-void SchedulerDriver::updateMetrics(TimePoint instant)
+void SchedulerDriver::updateMetrics()
 {
-    if (instant < m_nextMetrics)
-        return;
-    m_nextMetrics = instant + metricsInterval;
+    const std::lock_guard lock(m_mutex);
     m_metrics.gauge(MetricName::IsScheduler).set(m_epoch != 0 ? 1 : 0);
     m_metrics.gauge(MetricName::SchedulerEpoch).set(static_cast<double>(m_epoch));
     // Every state is listed, so that the gauge of a state without tasks returns to zero.
@@ -551,7 +542,7 @@
     for (const TaskState state : { TaskState::Starting, TaskState::Running, TaskState::Checkpointing, TaskState::Ended,
              TaskState::Failed, TaskState::Stopped })
         tasks.emplace(sapphiredale::nameOf(state), 0);
-    for (const ownership::TaskStatus& task : m_scheduler.snapshot(instant).m_tasks)
+    for (const ownership::TaskStatus& task : m_scheduler.snapshot(now()).m_tasks)
         ++tasks[task.m_state];
     for (const auto& [state, count] : tasks)
         m_metrics.gauge(MetricName::Tasks, { state }).set(static_cast<double>(count));
--- a/src/daemon/SchedulerDriver.h
+++ b/src/daemon/SchedulerDriver.h
@@ -56,6 +56,8 @@
     bool isReleased();
     bool isScheduler();
     ownership::DomainSnapshot snapshot();
+    /// Copies the state and the counters of the scheduler to the metrics.
+    void updateMetrics();
     /// Domains whose streams the scheduler needs to read now, besides its own.
     std::set<FailureDomainId> foreignStreams();
     /// Whether the end of the own stream has to be read at once.
@@ -78,7 +80,6 @@
     BatchAppender& appenderOf(const FailureDomainId& stream);
     platform::HttpWorkerControl& clientOf(const WorkerId&, const std::string& address);
     void noticePhase(TimePoint);
-    void updateMetrics(TimePoint);
 
     Runtime& m_runtime;
     const Settings& m_settings;
@@ -105,7 +106,6 @@
     std::set<DaemonId> m_otherSchedulers;
     ownership::DomainScheduler::Phase m_phase = ownership::DomainScheduler::Phase::Standby;
     std::uint64_t m_epoch = 0;
-    TimePoint m_nextMetrics {};
     bool m_stopped = false;
 
     Alarm m_alarm;
