--- a/cmake/SapphirePackage.cmake
+++ b/cmake/SapphirePackage.cmake
@@ -1,17 +1,20 @@
 # Declares a package library from src/<name> and its test program from tests/<name>.
-# TEST_DEPENDS names packages that only the tests need.
+# DIRECTORY replaces src/<name>. TEST_DEPENDS names packages that only the tests need.
 # A package without sources becomes an interface library, a package without tests has no test program.
 function(sapphire_package name)
-    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES;TEST_DEPENDS" ${ARGN})
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp
-        ${CMAKE_SOURCE_DIR}/src/${name}/generated/*.cc)
+    cmake_parse_arguments(ARG "" "DIRECTORY" "DEPENDS;LIBRARIES;TEST_DEPENDS" ${ARGN})
+    if(NOT ARG_DIRECTORY)
+        set(ARG_DIRECTORY src/${name})
+    endif()
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${ARG_DIRECTORY}/*.cpp
+        ${CMAKE_SOURCE_DIR}/${ARG_DIRECTORY}/generated/*.cc)
     set(target sapphire_${name})
     list(TRANSFORM ARG_DEPENDS PREPEND sapphire_)
     list(TRANSFORM ARG_TEST_DEPENDS PREPEND sapphire_)
     if(sources)
         add_library(${target} STATIC ${sources})
         set(scope PUBLIC)
-        file(GLOB generated CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/generated/*.cc)
+        file(GLOB generated CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${ARG_DIRECTORY}/generated/*.cc)
         if(generated)
             set_source_files_properties(${generated} PROPERTIES COMPILE_OPTIONS "-w")
         endif()
@@ -19,11 +22,11 @@
         add_library(${target} INTERFACE)
         set(scope INTERFACE)
     endif()
-    target_include_directories(${target} ${scope} ${CMAKE_SOURCE_DIR}/src)
+    target_include_directories(${target} ${scope} ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR})
     target_link_libraries(${target} ${scope} ${ARG_DEPENDS} ${ARG_LIBRARIES} Threads::Threads)
 
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cpp)
-    if(tests)
+    if(tests AND SAPPHIRE_TESTS)
         add_executable(test_${name} ${tests} ${CMAKE_SOURCE_DIR}/tests/TestMain.cpp)
         target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR})
         target_link_libraries(test_${name} PRIVATE ${target} ${ARG_TEST_DEPENDS} cppunit)
--- a/programs/sapphired.cpp
+++ b/programs/sapphired.cpp
@@ -1,5 +1,6 @@
 // The sapphiredale daemon: reads its settings, runs until SIGTERM or SIGINT, then stops in an orderly way.
 
+#include "controller/Controller.h"
 #include "daemon/Application.h"
 
 #include <csignal>
@@ -11,6 +12,7 @@
 #include <random>
 
 DEFINE_string(settings, "", "path of the settings file (JSON with comments, see docs/OPERATIONS.md)");
+DEFINE_string(site_settings, "", "path of the settings file for the users' platform (see docs/platform.md)");
 DEFINE_bool(check_settings, false, "verify the settings file and exit");
 
 using namespace sapphiredale;
@@ -33,17 +35,28 @@
     return (std::uint64_t { device() } << 32) | device();
 }
 
-int run(const daemon::Settings& settings)
+/// The event log of a daemon; null, with a message, when it cannot be opened.
+std::unique_ptr<observability::EventLog> openLog(
+    const DaemonId& daemon, const daemon::LogSettings& settings, bool toOutput)
 {
     observability::EventLogSettings logSettings;
-    logSettings.m_daemon = settings.m_daemon;
-    logSettings.m_file = settings.m_log.m_file;
-    logSettings.m_minimum = severityOf(settings.m_log.m_level);
+    logSettings.m_daemon = daemon;
+    logSettings.m_file = settings.m_file;
+    logSettings.m_minimum = severityOf(settings.m_level);
+    logSettings.m_toStandardOutput = toOutput;
     auto log = observability::EventLog::open(logSettings);
     if (!succeeded(log)) {
         std::cerr << "sapphired: " << errorOf(log).m_detail << '\n';
-        return 1;
+        return nullptr;
     }
+    return valueOf(std::move(log));
+}
+
+int run(const daemon::Settings& settings)
+{
+    auto log = openLog(settings.m_daemon, settings.m_log, false);
+    if (!log)
+        return 1;
     // Blocked before any thread starts, so that only sigwait receives the signals.
     sigset_t signals;
     sigemptyset(&signals);
@@ -51,7 +64,7 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-    daemon::Application application(settings, randomSeed(), valueOf(std::move(log)));
+    daemon::Application application(settings, randomSeed(), std::move(log));
     if (const Result<Unit> started = application.start(); !succeeded(started)) {
         std::cerr << "sapphired: " << errorOf(started).m_detail << '\n';
         return 1;
@@ -62,25 +75,47 @@
     return 0;
 }
 
+int run(const controller::SiteSettings& settings)
+{
+    auto log = openLog(settings.m_daemon, settings.m_log, true);
+    if (!log)
+        return 1;
+    controller::Controller controller(settings, randomSeed(), std::move(log));
+    if (const Result<Unit> started = controller.start(); !succeeded(started)) {
+        std::cerr << "sapphired: " << errorOf(started).m_detail << '\n';
+        return 1;
+    }
+    controller.run();
+    return 0;
+}
+
+/// Runs the daemon that the settings in the text describe; 2 when they have faults.
+template <typename Settings>
+int runChecked(const std::string& path, const std::variant<Settings, std::vector<daemon::SettingsFault>>& result)
+{
+    if (const auto* faults = std::get_if<std::vector<daemon::SettingsFault>>(&result)) {
+        std::cerr << "sapphired: " << path << " has " << daemon::describe(*faults) << '\n';
+        return 2;
+    }
+    return FLAGS_check_settings ? 0 : run(std::get<Settings>(result));
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("the sapphiredale daemon\n  sapphired --settings FILE [--check_settings]");
+    gflags::SetUsageMessage("the sapphiredale daemon\n  sapphired --settings FILE [--check_settings]\n"
+                            "  sapphired --site_settings FILE [--check_settings]");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    std::ifstream file(FLAGS_settings);
-    if (FLAGS_settings.empty() || !file) {
-        std::cerr << "sapphired: cannot read the settings file '" << FLAGS_settings << "'; use --settings FILE\n";
+    const std::string path = FLAGS_site_settings.empty() ? FLAGS_settings : FLAGS_site_settings;
+    std::ifstream file(path);
+    if (path.empty() || !file) {
+        std::cerr << "sapphired: cannot read the settings file '" << path << "'; use --settings FILE\n";
         return 2;
     }
     const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-    const daemon::SettingsResult result = daemon::parseSettings(text);
-    if (const auto* faults = std::get_if<std::vector<daemon::SettingsFault>>(&result)) {
-        std::cerr << "sapphired: " << FLAGS_settings << " has " << daemon::describe(*faults) << '\n';
-        return 2;
-    }
-    if (FLAGS_check_settings)
-        return 0;
-    return run(std::get<daemon::Settings>(result));
+    if (!FLAGS_site_settings.empty())
+        return runChecked(path, controller::parseSiteSettings(text));
+    return runChecked(path, daemon::parseSettings(text));
 }
--- /dev/null
+++ b/src/controller/AdviceDesk.cpp
@@ -0,0 +1,125 @@
+// Choice of the daemon that asks.
+
+#include "controller/AdviceDesk.h"
+
+#include "controller/Clock.h"
+#include "platform/Http.h"
+
+#include <algorithm>
+
+namespace sapphiredale::controller {
+
+namespace {
+
+    /// A daemon that was not heard for this long gets no questions; it says hello once a second.
+    constexpr Duration helperSilence = std::chrono::milliseconds(2600);
+    /// Pause after a question that was not answered.
+    constexpr Duration helperPause = std::chrono::milliseconds(800);
+    /// Allowance beyond the time that the adviser needs.
+    constexpr Duration answerSlack = std::chrono::milliseconds(350);
+
+} // namespace
+
+Duration adviceTimeout(const jobs::AdviceQuestion& question)
+{
+    return question.m_expected + question.m_expected / 4 + answerSlack;
+}
+
+AdviceDesk::AdviceDesk(boost::asio::io_context& context, userplatform::AdviceConnection* own)
+    : m_context(context)
+    , m_own(own)
+{
+}
+
+void AdviceDesk::heard(const inner::Hello& hello)
+{
+    if (hello.m_isLeaving) {
+        // The answer to a question that is under way still counts, so the channel stays.
+        if (const auto found = m_helpers.find(hello.m_address); found != m_helpers.end())
+            found->second.m_heardAt = {};
+        return;
+    }
+    Helper& helper = m_helpers[hello.m_address];
+    if (!helper.m_channel)
+        helper.m_channel = std::make_unique<platform::HttpChannel>(m_context,
+            userplatform::channelSettings(hello.m_address), platform::ClientKind::HostList, ErrorKind::NotReady);
+    helper.m_heardAt = bootNow();
+}
+
+bool AdviceDesk::isIdle(const Helper& helper) const
+{
+    const TimePoint now = bootNow();
+    return !helper.m_isBusy && now - helper.m_heardAt < helperSilence && helper.m_avoidUntil <= now;
+}
+
+std::uint32_t AdviceDesk::idle() const
+{
+    const bool isOwnIdle = m_own != nullptr && !m_isOwnBusy && m_avoidOwnUntil <= bootNow();
+    return static_cast<std::uint32_t>(std::count_if(m_helpers.begin(), m_helpers.end(), [this](const auto& entry) {
+        return isIdle(entry.second);
+    })) + (isOwnIdle ? 1 : 0);
+}
+
+void AdviceDesk::ask(const jobs::AdviceQuestion& question, AnswerHandler handler)
+{
+    // Takes the helpers in turn, starting behind the last one.
+    const auto take = [&](auto begin, auto end) {
+        const auto found = std::find_if(begin, end, [this](const auto& entry) { return isIdle(entry.second); });
+        return found == end ? m_helpers.end() : found;
+    };
+    const auto behind = m_helpers.upper_bound(m_lastHelper);
+    auto chosen = take(behind, m_helpers.end());
+    if (chosen == m_helpers.end())
+        chosen = take(m_helpers.begin(), behind);
+    if (chosen != m_helpers.end()) {
+        m_lastHelper = chosen->first;
+        return askHelper(chosen->first, chosen->second, question, std::move(handler));
+    }
+    if (m_own != nullptr && !m_isOwnBusy)
+        return askOwn(question, std::move(handler));
+    handler(Error { ErrorKind::Overloaded, "every daemon waits for the adviser" });
+}
+
+void AdviceDesk::askOwn(const jobs::AdviceQuestion& question, AnswerHandler handler)
+{
+    m_isOwnBusy = true;
+    m_own->ask(question, adviceTimeout(question),
+        [this, alive = m_isAlive, handler = std::move(handler)](const Result<userplatform::AdviceAnswer>& result) {
+            if (!*alive)
+                return;
+            m_isOwnBusy = false;
+            if (!succeeded(result)) {
+                m_avoidOwnUntil = bootNow() + helperPause;
+                return handler(errorOf(result));
+            }
+            handler(inner::AdviceReply { valueOf(result).m_tickets, valueOf(result).m_validity });
+        });
+}
+
+void AdviceDesk::askHelper(
+    const std::string& address, Helper& helper, const jobs::AdviceQuestion& question, AnswerHandler handler)
+{
+    platform::HttpCall call;
+    call.m_method = "POST";
+    call.m_target = inner::advisePath;
+    call.m_body = inner::encode(question);
+    call.m_timeout = adviceTimeout(question);
+    helper.m_isBusy = true;
+    helper.m_channel->send(std::move(call),
+        [this, alive = m_isAlive, address, handler = std::move(handler)](const Result<platform::HttpAnswer>& result) {
+            if (!*alive)
+                return;
+            Helper& answered = m_helpers[address];
+            answered.m_isBusy = false;
+            const bool isAnswer = succeeded(result) && valueOf(result).m_status == 200;
+            Result<inner::AdviceReply> reply = isAnswer
+                ? inner::decodeReply(valueOf(result).m_body)
+                : Error { ErrorKind::NotReady,
+                      succeeded(result) ? "the daemon did not ask" : errorOf(result).m_detail };
+            if (!succeeded(reply))
+                answered.m_avoidUntil = bootNow() + helperPause;
+            handler(std::move(reply));
+        });
+}
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/Clock.h
@@ -0,0 +1,26 @@
+// Clocks of the controller.
+#pragma once
+
+#include "model/Time.h"
+
+#include <ctime>
+
+namespace sapphiredale::controller {
+
+/// Monotonic time that goes on while the host is suspended, so that a lease is over when its holder wakes too late.
+inline TimePoint bootNow()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec))
+        + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+/// Time of day in milliseconds since 1970.
+inline std::int64_t wallNowMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/Controller.cpp
@@ -0,0 +1,354 @@
+// Wiring, readiness and planned stop of a daemon on the users' platform.
+
+#include "controller/Controller.h"
+
+#include "controller/Clock.h"
+#include "platform/Http.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace sapphiredale::controller {
+
+using observability::LogEvent;
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(250);
+    constexpr Duration helloInterval = std::chrono::milliseconds(1000);
+    constexpr Duration helloTimeout = std::chrono::milliseconds(700);
+    /// A daemon whose view of the store is older than this is not ready.
+    constexpr Duration freshStore = std::chrono::milliseconds(3500);
+    /// Largest difference of the claim delays of two daemons.
+    constexpr std::uint64_t maxClaimDelayMs = 300;
+    /// Time for which callers are served after the notice of a stop; the balancer needs two probes, a second apart.
+    constexpr Duration leaveNotice = std::chrono::milliseconds(2600);
+    constexpr Duration stopCheck = std::chrono::milliseconds(20);
+    /// Time between the last moment at which a request is awaited and the end that is forced.
+    constexpr Duration stopReserve = std::chrono::milliseconds(500);
+    /// Room in a worker's longest lease for the difference of clocks.
+    constexpr Duration leaseReserve = std::chrono::milliseconds(2000);
+
+    jobs::ElectionSettings electionSettings(const SiteSettings& settings, std::uint64_t seed)
+    {
+        jobs::ElectionSettings election;
+        election.m_daemon = settings.m_daemon;
+        election.m_address = settings.m_inner;
+        election.m_claimDelay = std::chrono::milliseconds(seed % maxClaimDelayMs);
+        return election;
+    }
+
+    ServerResponse errorResponse(ErrorKind kind)
+    {
+        const ErrorAnswer& answer = answerFor(kind);
+        return { answer.m_httpStatus, "{}" };
+    }
+
+} // namespace
+
+/// Applies each newer configuration; an older or unreadable one changes nothing.
+class Controller::ConfigurationObserver final : public FollowerObserver {
+public:
+    explicit ConfigurationObserver(Controller& controller)
+        : m_controller(controller)
+    {
+    }
+
+    void recordRead(const userplatform::KeyedRecord& record) override
+    {
+        if (record.m_key != userplatform::configurationKey || !record.m_value)
+            return;
+        Result<userplatform::Configuration> configuration = userplatform::decodeConfiguration(*record.m_value);
+        if (!succeeded(configuration)) {
+            m_controller.m_log->write(
+                LogEvent::ConfigurationRefused, { { "detail", errorOf(configuration).m_detail } });
+            return;
+        }
+        const std::uint64_t version = valueOf(configuration).m_version;
+        if (m_hasVersion && version <= m_version)
+            return;
+        m_hasVersion = true;
+        m_version = version;
+        ListenerLimits limits;
+        limits.m_maxHeaderBytes = valueOf(configuration).m_maxHeaderBytes;
+        limits.m_maxBodyBytes = valueOf(configuration).m_maxBodyBytes;
+        limits.m_requestTimeout = valueOf(configuration).m_headerTimeout;
+        limits.m_idleTimeout = valueOf(configuration).m_idleTimeout;
+        m_controller.m_callers.setLimits(limits);
+        m_controller.m_log->write(LogEvent::ConfigurationAccepted,
+            { { "version", version }, { "routes", std::uint64_t { valueOf(configuration).m_routes.size() } } });
+        m_controller.m_gateway.configure(
+            std::make_shared<const userplatform::Configuration>(valueOf(std::move(configuration))));
+    }
+
+private:
+    Controller& m_controller;
+    bool m_hasVersion = false;
+    std::uint64_t m_version = 0;
+};
+
+Controller::Controller(SiteSettings settings, std::uint64_t seed, std::unique_ptr<observability::EventLog> log)
+    : m_settings(std::move(settings))
+    , m_log(std::move(log))
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    , m_tickTimer(m_context)
+    , m_stopTimer(m_context)
+    , m_adviser(m_settings.m_adviser.empty()
+              ? nullptr
+              : std::make_unique<userplatform::AdviceConnection>(m_context, m_settings.m_adviser))
+    , m_election(m_context, m_settings.m_store, electionSettings(m_settings, seed), [this] { electionChanged(); })
+    , m_gateway(m_context, m_settings, *m_log, [this] { return scheduler(); })
+    , m_configurationObserver(std::make_unique<ConfigurationObserver>(*this))
+    , m_configuration(m_context, m_settings.m_store, { userplatform::operatorTopic }, *m_configurationObserver)
+    , m_callers(m_context, userplatform::deadlineHeader,
+          [this](
+              ServerRequest request, Responder respond) { m_gateway.handle(std::move(request), std::move(respond)); })
+    , m_readiness(
+          m_context, "", [this](const ServerRequest& request, const Responder& respond) { ready(request, respond); })
+    , m_inner(m_context, "",
+          [this](const ServerRequest& request, Responder respond) { innerCall(request, std::move(respond)); })
+    , m_operators(m_context, "",
+          [this](const ServerRequest& request, const Responder& respond) { operatorCall(request, respond); })
+{
+}
+
+Controller::~Controller() = default;
+
+Result<Unit> Controller::start()
+{
+    const std::pair<HttpListener*, std::string> listeners[]
+        = { { &m_callers, m_settings.m_callers }, { &m_readiness, m_settings.m_readiness },
+              { &m_inner, m_settings.m_inner }, { &m_operators, m_settings.m_operators } };
+    for (const auto& [listener, address] : listeners) {
+        if (const Result<Unit> opened = listener->open(address); !succeeded(opened)) {
+            m_log->write(LogEvent::ListenerFailed, { { "listener", address }, { "detail", errorOf(opened).m_detail } });
+            return opened;
+        }
+    }
+    // Daemons keep connections to each other open between messages.
+    ListenerLimits innerLimits;
+    innerLimits.m_idleTimeout = std::chrono::seconds(60);
+    m_inner.setLimits(innerLimits);
+    m_election.start();
+    m_configuration.start();
+    awaitSignal();
+    tick();
+    m_log->write(LogEvent::DaemonStarted, { { "failureDomain", m_settings.m_failureDomain.value() } });
+    return Unit {};
+}
+
+void Controller::run()
+{
+    m_context.run();
+    m_log->write(LogEvent::DaemonStopped);
+}
+
+void Controller::awaitSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            // Addresses and bounds hold for the life of the process.
+            m_log->write(LogEvent::SettingsReloaded);
+        } else {
+            beginStop();
+        }
+        awaitSignal();
+    });
+}
+
+SchedulerPlace Controller::scheduler() const
+{
+    if (m_term)
+        return { m_term.get(), m_settings.m_inner };
+    const std::string& address = m_election.election().holderAddress();
+    return { nullptr, address == m_settings.m_inner ? std::string() : address };
+}
+
+void Controller::electionChanged()
+{
+    const jobs::Election& election = m_election.election();
+    const bool isOver = m_term && (!election.isNewestTerm() || election.term() != m_term->term());
+    if (isOver) {
+        m_log->write(LogEvent::SchedulerCeased, { { "term", m_term->term() } });
+        m_term.reset();
+        m_desk.reset();
+    }
+    if (m_term || !election.isNewestTerm() || m_isStopping)
+        return;
+    TermSettings settings;
+    settings.m_term = election.term();
+    settings.m_predecessorCeasedAt = election.predecessorCeasedAt();
+    settings.m_isFirst = election.isFirstTerm();
+    settings.m_lease = m_settings.m_longestLease - leaseReserve;
+    m_desk = std::make_unique<AdviceDesk>(m_context, m_adviser.get());
+    m_term = std::make_unique<SchedulerTerm>(
+        m_context, m_settings, settings, *m_desk, *m_log, [this] { return m_election.election().holdsTerm(bootNow()); },
+        [this] {
+            // The follower reads of the later term soon; until then this daemon gives no orders.
+            m_term.reset();
+            m_desk.reset();
+        });
+    m_term->start();
+}
+
+void Controller::tick()
+{
+    const bool isReadyNow = isReady();
+    if (isReadyNow != m_isReadyNow) {
+        m_isReadyNow = isReadyNow;
+        m_log->write(isReadyNow ? LogEvent::DependencyRegained : LogEvent::DependencyLost,
+            { { "dependency", "store" }, { "ready", isReadyNow } });
+    }
+    sayHello();
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            tick();
+    });
+}
+
+void Controller::sayHello()
+{
+    const TimePoint now = bootNow();
+    const SchedulerPlace place = scheduler();
+    if (place.m_own != nullptr || place.m_address.empty() || !m_adviser || now < m_nextHelloAt)
+        return;
+    m_nextHelloAt = now + helloInterval;
+    if (place.m_address != m_helloAddress) {
+        m_helloAddress = place.m_address;
+        m_helloChannel = std::make_shared<platform::HttpChannel>(m_context,
+            userplatform::channelSettings(m_helloAddress), platform::ClientKind::HostList, ErrorKind::NotScheduler);
+    }
+    platform::HttpCall call;
+    call.m_method = "POST";
+    call.m_target = inner::helloPath;
+    call.m_body = inner::encode(inner::Hello { m_settings.m_daemon, m_settings.m_inner, m_isStopping });
+    call.m_timeout = helloTimeout;
+    call.m_repeatable = true;
+    m_helloChannel->send(std::move(call), [channel = m_helloChannel](const Result<platform::HttpAnswer>&) {});
+}
+
+bool Controller::isReady() const
+{
+    return !m_isStopping && m_gateway.isConfigured() && bootNow() - m_configuration.freshAt() < freshStore
+        && !m_gateway.isStoreAway();
+}
+
+void Controller::ready(const ServerRequest&, const Responder& respond) { respond({ isReady() ? 200U : 503U, "{}" }); }
+
+void Controller::innerCall(const ServerRequest& request, Responder respond)
+{
+    if (request.m_target == inner::advisePath)
+        return adviseFor(request, std::move(respond));
+    if (request.m_target == inner::helloPath) {
+        const Result<inner::Hello> hello = inner::decodeHello(request.m_body);
+        if (!m_term || !succeeded(hello))
+            return respond(errorResponse(ErrorKind::NotScheduler));
+        m_desk->heard(valueOf(hello));
+        m_term->advance();
+        return respond({ 200, "{}" });
+    }
+    const Result<std::string> name = inner::decodeName(request.m_body);
+    if (!m_term || !succeeded(name))
+        return respond(errorResponse(ErrorKind::NotScheduler));
+    if (request.m_target == inner::statePath) {
+        const Result<jobs::JobState> state = m_term->state(JobId(valueOf(name)));
+        return respond(succeeded(state) ? ServerResponse { 200, inner::encodeState(valueOf(state)) }
+                                        : errorResponse(errorOf(state).m_kind));
+    }
+    if (request.m_target == inner::pendingPath) {
+        const Result<std::uint32_t> pending = m_term->pending(valueOf(name));
+        return respond(succeeded(pending) ? ServerResponse { 200, inner::encodeCount(valueOf(pending)) }
+                                          : errorResponse(errorOf(pending).m_kind));
+    }
+    respond(errorResponse(ErrorKind::NotFound));
+}
+
+void Controller::adviseFor(const ServerRequest& request, Responder respond)
+{
+    const Result<jobs::AdviceQuestion> question = inner::decodeQuestion(request.m_body);
+    if (!m_adviser || !succeeded(question))
+        return respond(errorResponse(ErrorKind::NotReady));
+    ++m_adviceCalls;
+    m_adviser->ask(valueOf(question), adviceTimeout(valueOf(question)),
+        [respond = std::move(respond)](const Result<userplatform::AdviceAnswer>& result) {
+            if (!succeeded(result))
+                return respond(errorResponse(ErrorKind::NotReady));
+            respond(
+                { 200, inner::encode(inner::AdviceReply { valueOf(result).m_tickets, valueOf(result).m_validity }) });
+        });
+}
+
+void Controller::operatorCall(const ServerRequest& request, const Responder& respond)
+{
+    if (request.m_target != "/metrics")
+        return respond(errorResponse(ErrorKind::NotFound));
+    const GatewayCounters& gateway = m_gateway.counters();
+    std::string text;
+    const auto put = [&text](const char* name, std::uint64_t value) {
+        text += std::string("sapphire_") + name + ' ' + std::to_string(value) + '\n';
+    };
+    put("accepted_jobs_total", gateway.m_accepted);
+    put("refused_jobs_total", gateway.m_refused);
+    put("unknown_outcomes_total", gateway.m_unknownOutcome);
+    put("invalid_requests_total", gateway.m_invalid);
+    put("unrouted_requests_total", gateway.m_noRoute);
+    put("state_queries_total", gateway.m_stateQueries);
+    put("unanswered_queries_total", gateway.m_unansweredQueries);
+    put("advice_calls_total", m_adviceCalls);
+    if (m_term && m_term->scheduler() != nullptr) {
+        const jobs::SchedulerCounters& counters = m_term->scheduler()->counters();
+        put("term", m_term->term());
+        put("starts_total", counters.m_starts);
+        put("refused_starts_total", counters.m_refusedStarts);
+        put("unknown_starts_total", counters.m_unknownStarts);
+        put("stops_total", counters.m_stops);
+        put("questions_total", counters.m_questions);
+        put("done_runs_total", counters.m_doneRuns);
+        put("failed_runs_total", counters.m_failedRuns);
+        put("lost_runs_total", counters.m_lostRuns);
+    }
+    respond({ 200, text, 0, "text/plain" });
+}
+
+// Planned stop
+
+void Controller::beginStop()
+{
+    if (std::exchange(m_isStopping, true))
+        return;
+    m_stopStartedAt = bootNow();
+    m_log->write(LogEvent::DrainStarted);
+    m_nextHelloAt = {};
+    sayHello();
+    m_callers.beginDrain();
+    if (m_term)
+        m_term->beginHandover();
+    advanceStop();
+}
+
+void Controller::advanceStop()
+{
+    const TimePoint now = bootNow();
+    if (!m_term || m_term->isHandedOver())
+        m_election.leave();
+    const TimePoint end = m_stopStartedAt + m_settings.m_grace - stopReserve;
+    if (now >= m_stopStartedAt + leaveNotice) {
+        const bool isIdle = m_callers.activeRequests() == 0 && m_inner.activeRequests() == 0;
+        if ((isIdle && m_election.election().isReleased()) || now >= end) {
+            m_log->write(isIdle ? LogEvent::DrainFinished : LogEvent::DrainTimedOut);
+            m_callers.close();
+            m_context.stop();
+            return;
+        }
+    }
+    m_stopTimer.expires_after(stopCheck);
+    m_stopTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            advanceStop();
+    });
+}
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/Controller.h
@@ -0,0 +1,74 @@
+// A daemon on the users' platform: wires the election, the scheduler's term, the callers' interface and the inner
+// listener, and stops in order. One thread runs everything.
+#pragma once
+
+#include "controller/ElectionDriver.h"
+#include "controller/Gateway.h"
+#include "controller/HttpListener.h"
+#include "controller/SchedulerTerm.h"
+#include "controller/SiteSettings.h"
+#include "observability/EventLog.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace sapphiredale::controller {
+
+/// See the head of the file.
+class Controller {
+public:
+    Controller(SiteSettings, std::uint64_t seed, std::unique_ptr<observability::EventLog>);
+    ~Controller();
+    Controller(const Controller&) = delete;
+    Controller& operator=(const Controller&) = delete;
+
+    /// Opens the listeners; Internal with the reason when one cannot be opened.
+    Result<Unit> start();
+    /// Runs until a planned stop is complete.
+    void run();
+
+private:
+    class ConfigurationObserver;
+
+    void awaitSignal();
+    void electionChanged();
+    void tick();
+    void sayHello();
+    void ready(const ServerRequest&, const Responder&);
+    void innerCall(const ServerRequest&, Responder);
+    void adviseFor(const ServerRequest&, Responder);
+    void operatorCall(const ServerRequest&, const Responder&);
+    SchedulerPlace scheduler() const;
+    bool isReady() const;
+    void beginStop();
+    void advanceStop();
+
+    const SiteSettings m_settings;
+    std::unique_ptr<observability::EventLog> m_log;
+    boost::asio::io_context m_context { 1 };
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_stopTimer;
+    std::unique_ptr<userplatform::AdviceConnection> m_adviser;
+    /// Questions that other daemons had this one ask.
+    std::uint32_t m_adviceCalls = 0;
+    std::unique_ptr<AdviceDesk> m_desk;
+    ElectionDriver m_election;
+    std::unique_ptr<SchedulerTerm> m_term;
+    Gateway m_gateway;
+    std::unique_ptr<ConfigurationObserver> m_configurationObserver;
+    TopicFollower m_configuration;
+    HttpListener m_callers;
+    HttpListener m_readiness;
+    HttpListener m_inner;
+    HttpListener m_operators;
+    std::string m_helloAddress;
+    std::shared_ptr<platform::HttpChannel> m_helloChannel;
+    TimePoint m_nextHelloAt {};
+    bool m_isReadyNow = false;
+    bool m_isStopping = false;
+    TimePoint m_stopStartedAt {};
+};
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/Gateway.cpp
@@ -0,0 +1,237 @@
+// Requests of callers and their answers.
+
+#include "controller/Gateway.h"
+
+#include "controller/Clock.h"
+#include "platform/Http.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace sapphiredale::controller {
+
+using observability::LogEvent;
+
+namespace {
+
+    /// Time before a caller's deadline at which it is answered in any case, so that the answer arrives in time.
+    constexpr Duration answerMargin = std::chrono::milliseconds(150);
+    /// Patience with the scheduler's answer to one query; a query may be repeated.
+    constexpr Duration queryTimeout = std::chrono::milliseconds(700);
+    constexpr unsigned retryAfterSeconds = 1;
+
+    std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+    std::string_view withoutPort(std::string_view host) { return host.substr(0, host.rfind(':')); }
+
+} // namespace
+
+/// One request with what was found out about it.
+struct Gateway::Call {
+    ServerRequest m_request;
+    Responder m_respond;
+    const userplatform::QueueRoute* m_route = nullptr;
+    /// Keeps the route valid.
+    std::shared_ptr<const userplatform::Configuration> m_configuration;
+    JobId m_job;
+    TimePoint m_deadline {};
+};
+
+Gateway::Gateway(boost::asio::io_context& context, const SiteSettings& settings, observability::EventLog& log,
+    std::function<SchedulerPlace()> scheduler)
+    : m_context(context)
+    , m_log(log)
+    , m_scheduler(std::move(scheduler))
+    , m_appender(context, settings.m_store, jobTopic)
+{
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::configure(std::shared_ptr<const userplatform::Configuration> configuration)
+{
+    m_configuration = std::move(configuration);
+}
+
+const userplatform::QueueRoute* Gateway::routeOf(const ServerRequest& request) const
+{
+    const std::string_view path = pathOf(request.m_target);
+    const userplatform::QueueRoute* best = nullptr;
+    for (const userplatform::QueueRoute& route : m_configuration->m_routes) {
+        const bool isHost = route.m_host == request.m_host || route.m_host == withoutPort(request.m_host);
+        if (isHost && path.starts_with(route.m_pathPrefix)
+            && (best == nullptr || route.m_pathPrefix.size() > best->m_pathPrefix.size()))
+            best = &route;
+    }
+    return best;
+}
+
+void Gateway::handle(ServerRequest request, Responder respond)
+{
+    auto call = std::make_shared<Call>();
+    call->m_request = std::move(request);
+    call->m_respond = std::move(respond);
+    call->m_configuration = m_configuration;
+    if (!m_configuration)
+        return answer(call, ErrorKind::NotReady, "there is no configuration yet");
+    call->m_route = routeOf(call->m_request);
+    if (call->m_route == nullptr) {
+        ++m_counters.m_noRoute;
+        return answer(call, ErrorKind::NotFound, "no route leads here");
+    }
+    Duration patience = call->m_route->m_timeout;
+    std::int64_t waits = 0;
+    const std::string& deadline = call->m_request.m_deadline;
+    if (std::from_chars(deadline.data(), deadline.data() + deadline.size(), waits).ec == std::errc() && waits > 0)
+        patience = std::min<Duration>(patience, std::chrono::milliseconds(waits));
+    call->m_deadline = call->m_request.m_receivedAt + std::max<Duration>(patience - answerMargin, answerMargin);
+    const std::string_view rest = pathOf(call->m_request.m_target).substr(call->m_route->m_pathPrefix.size());
+    const std::string& method = call->m_request.m_method;
+    if (rest.empty() && method == "GET")
+        return showPending(call);
+    if (!userplatform::isJobId(rest)) {
+        ++m_counters.m_invalid;
+        return answer(call, ErrorKind::InvalidRequest, "a job is named by 16 hexadecimal digits");
+    }
+    call->m_job = JobId(std::string(rest));
+    if (method == "POST")
+        return submit(call);
+    if (method == "GET")
+        return show(call);
+    if (method == "DELETE")
+        return cancel(call);
+    answer(call, ErrorKind::MethodNotAllowed, "POST, GET and DELETE are possible here");
+}
+
+void Gateway::answer(const CallPointer& call, ErrorKind kind, const std::string& detail)
+{
+    const ErrorAnswer& table = answerFor(kind);
+    m_log.write(LogEvent::RequestRefused,
+        { { "job", call->m_job.value() }, { "method", call->m_request.m_method }, { "reason", table.m_name },
+            { "detail", detail } });
+    ServerResponse response;
+    response.m_status = table.m_httpStatus;
+    response.m_retryAfterSeconds = table.m_httpStatus == 503 ? retryAfterSeconds : 0;
+    response.m_body
+        = boost::json::serialize(boost::json::object { { "error", std::string(table.m_name) }, { "detail", detail } });
+    call->m_respond(std::move(response));
+}
+
+void Gateway::submit(const CallPointer& call)
+{
+    Result<jobs::JobSpec> spec = userplatform::decodeSubmission(call->m_request.m_body);
+    if (!succeeded(spec)) {
+        ++m_counters.m_invalid;
+        return answer(call, ErrorKind::InvalidRequest, errorOf(spec).m_detail);
+    }
+    const jobs::JobRecord record { call->m_job, call->m_route->m_policy, valueOf(std::move(spec)), wallNowMs() };
+    m_appender.append(
+        call->m_job.value(), jobs::encodeJobRecord(record), call->m_deadline, [this, call](StoreOutcome outcome) {
+            switch (outcome) {
+            case StoreOutcome::Stored:
+                ++m_counters.m_accepted;
+                m_log.write(LogEvent::JobAccepted,
+                    { { "job", call->m_job.value() }, { "queue", call->m_route->m_policy.m_queue },
+                        { "version", call->m_configuration->m_version } });
+                return call->m_respond({ 200, "{}" });
+            case StoreOutcome::NotStored:
+                ++m_counters.m_refused;
+                return answer(call, ErrorKind::LogUnavailable, "the job was not stored");
+            case StoreOutcome::Unknown:
+                ++m_counters.m_unknownOutcome;
+                return answer(call, ErrorKind::DeadlineExceededMayHaveRun, "the job may have been stored");
+            }
+        });
+}
+
+void Gateway::show(const CallPointer& call)
+{
+    ++m_counters.m_stateQueries;
+    queryState(call->m_job, call->m_deadline, [this, call](const Result<jobs::JobState>& result) {
+        if (succeeded(result))
+            return call->m_respond({ 200, userplatform::encodeState(valueOf(result)) });
+        if (errorOf(result).m_kind == ErrorKind::NotFound)
+            return call->m_respond({ 410, "{}" });
+        ++m_counters.m_unansweredQueries;
+        answer(call, ErrorKind::NotScheduler, errorOf(result).m_detail);
+    });
+}
+
+void Gateway::cancel(const CallPointer& call)
+{
+    queryState(call->m_job, std::min(call->m_deadline, bootNow() + queryTimeout),
+        [this, call](const Result<jobs::JobState>& result) {
+            if (!succeeded(result) && errorOf(result).m_kind == ErrorKind::NotFound)
+                return call->m_respond({ 410, "{}" });
+            if (succeeded(result) && jobs::isFinal(valueOf(result)))
+                return call->m_respond({ 200, "{}" });
+            storeCancellation(call);
+        });
+}
+
+void Gateway::storeCancellation(const CallPointer& call)
+{
+    m_appender.append(cancellationKey(call->m_job), "1", call->m_deadline, [this, call](StoreOutcome outcome) {
+        switch (outcome) {
+        case StoreOutcome::Stored:
+            return call->m_respond({ 200, "{}" });
+        case StoreOutcome::NotStored:
+            return answer(call, ErrorKind::LogUnavailable, "the cancellation was not stored");
+        case StoreOutcome::Unknown:
+            return answer(call, ErrorKind::DeadlineExceededMayHaveRun, "the cancellation may have been stored");
+        }
+    });
+}
+
+void Gateway::showPending(const CallPointer& call)
+{
+    const std::string& queue = call->m_route->m_policy.m_queue;
+    const std::function<void(Result<std::uint32_t>)> respond = [this, call](const Result<std::uint32_t>& result) {
+        if (succeeded(result))
+            return call->m_respond({ 200, userplatform::encodePending(valueOf(result)) });
+        answer(call, ErrorKind::NotScheduler, errorOf(result).m_detail);
+    };
+    if (const SchedulerTerm* own = m_scheduler().m_own)
+        return respond(own->pending(queue));
+    ask(inner::pendingPath, inner::encodeName(queue), call->m_deadline, inner::decodeCount, respond);
+}
+
+void Gateway::queryState(const JobId& job, TimePoint deadline, std::function<void(Result<jobs::JobState>)> handler)
+{
+    if (const SchedulerTerm* own = m_scheduler().m_own)
+        return handler(own->state(job));
+    ask(inner::statePath, inner::encodeName(job.value()), deadline, inner::decodeState, std::move(handler));
+}
+
+template <typename Decode, typename T>
+void Gateway::ask(const char* path, const std::string& body, TimePoint deadline, Decode decode,
+    std::function<void(Result<T>)> handler)
+{
+    const std::string address = m_scheduler().m_address;
+    if (address.empty())
+        return handler(Error { ErrorKind::NotScheduler, "no daemon schedules at the moment" });
+    if (address != m_channelAddress) {
+        m_channelAddress = address;
+        m_channel = std::make_shared<platform::HttpChannel>(
+            m_context, userplatform::channelSettings(address), platform::ClientKind::HostList, ErrorKind::NotScheduler);
+    }
+    platform::HttpCall call;
+    call.m_method = "POST";
+    call.m_target = path;
+    call.m_body = body;
+    call.m_timeout = std::clamp<Duration>(deadline - bootNow(), std::chrono::milliseconds(1), queryTimeout);
+    call.m_repeatable = true;
+    m_channel->send(std::move(call),
+        [decode, handler = std::move(handler), channel = m_channel](const Result<platform::HttpAnswer>& result) {
+            if (!succeeded(result))
+                return handler(Error { ErrorKind::NotScheduler, errorOf(result).m_detail });
+            const platform::HttpAnswer& http = valueOf(result);
+            if (http.m_status == 404)
+                return handler(Error { ErrorKind::NotFound, "no such job" });
+            if (http.m_status != 200)
+                return handler(Error { ErrorKind::NotScheduler, "the daemon that was asked does not schedule" });
+            handler(decode(http.m_body));
+        });
+}
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/Gateway.h
@@ -0,0 +1,74 @@
+// The callers' interface: submits, shows and cancels jobs. Every daemon serves it; the scheduler answers for states.
+#pragma once
+
+#include "controller/HttpListener.h"
+#include "controller/JobAppender.h"
+#include "controller/SchedulerTerm.h"
+#include "platform/Documents.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace sapphiredale::controller {
+
+/// Where the scheduler is.
+struct SchedulerPlace {
+    /// The term of this daemon; null when another one schedules.
+    const SchedulerTerm* m_own = nullptr;
+    /// Inner address of the scheduler; empty when there is none.
+    std::string m_address;
+};
+
+/// Counts of answers since the start.
+struct GatewayCounters {
+    std::uint64_t m_accepted = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_unknownOutcome = 0;
+    std::uint64_t m_invalid = 0;
+    std::uint64_t m_noRoute = 0;
+    std::uint64_t m_stateQueries = 0;
+    std::uint64_t m_unansweredQueries = 0;
+};
+
+/// See the head of the file.
+class Gateway {
+public:
+    Gateway(boost::asio::io_context&, const SiteSettings&, observability::EventLog&,
+        std::function<SchedulerPlace()> scheduler);
+    ~Gateway();
+    Gateway(const Gateway&) = delete;
+    Gateway& operator=(const Gateway&) = delete;
+
+    void configure(std::shared_ptr<const userplatform::Configuration>);
+    bool isConfigured() const { return m_configuration != nullptr; }
+    void handle(ServerRequest, Responder);
+    bool isStoreAway() const { return m_appender.isStoreAway(); }
+    const GatewayCounters& counters() const { return m_counters; }
+
+private:
+    struct Call;
+    using CallPointer = std::shared_ptr<Call>;
+
+    const userplatform::QueueRoute* routeOf(const ServerRequest&) const;
+    void submit(const CallPointer&);
+    void show(const CallPointer&);
+    void cancel(const CallPointer&);
+    void storeCancellation(const CallPointer&);
+    void showPending(const CallPointer&);
+    void queryState(const JobId&, TimePoint deadline, std::function<void(Result<jobs::JobState>)>);
+    template <typename Decode, typename T>
+    void ask(const char* path, const std::string& body, TimePoint deadline, Decode, std::function<void(Result<T>)>);
+    void answer(const CallPointer&, ErrorKind, const std::string& detail);
+
+    boost::asio::io_context& m_context;
+    observability::EventLog& m_log;
+    std::function<SchedulerPlace()> m_scheduler;
+    std::shared_ptr<const userplatform::Configuration> m_configuration;
+    JobAppender m_appender;
+    std::string m_channelAddress;
+    std::shared_ptr<platform::HttpChannel> m_channel;
+    GatewayCounters m_counters;
+};
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/InnerProtocol.h
@@ -0,0 +1,53 @@
+// Messages between the daemons of a cell: JSON over HTTP, each daemon serves them on its inner listener.
+#pragma once
+
+#include "jobs/SchedulerTypes.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphiredale::controller::inner {
+
+// Paths. Status 200 carries the answer; 503 means that the daemon does not hold the newest term.
+inline constexpr const char* statePath = "/inner/job-state";
+inline constexpr const char* pendingPath = "/inner/pending";
+inline constexpr const char* helloPath = "/inner/hello";
+inline constexpr const char* advisePath = "/inner/advise";
+
+/// A daemon tells the scheduler that it can put questions to the adviser.
+struct Hello {
+    DaemonId m_daemon;
+    /// "address:port" of its inner listener.
+    std::string m_address;
+    bool m_isLeaving = false;
+
+    friend bool operator==(const Hello&, const Hello&) = default;
+};
+
+/// Answer of a daemon that put a question to the adviser.
+struct AdviceReply {
+    std::vector<jobs::Ticket> m_tickets;
+    Duration m_validity {};
+
+    friend bool operator==(const AdviceReply&, const AdviceReply&) = default;
+};
+
+std::string encode(const Hello&);
+std::string encode(const jobs::AdviceQuestion&);
+std::string encode(const AdviceReply&);
+/// A body with one text, for queries by job or queue.
+std::string encodeName(const std::string&);
+std::string encodeState(jobs::JobState);
+std::string encodeCount(std::uint32_t);
+
+// All fail with InvalidRequest when the text was not written by the matching encode().
+Result<Hello> decodeHello(std::string_view);
+Result<jobs::AdviceQuestion> decodeQuestion(std::string_view);
+Result<AdviceReply> decodeReply(std::string_view);
+Result<std::string> decodeName(std::string_view);
+Result<jobs::JobState> decodeState(std::string_view);
+Result<std::uint32_t> decodeCount(std::string_view);
+
+} // namespace sapphiredale::controller::inner
--- /dev/null
+++ b/src/controller/JobAppender.cpp
@@ -0,0 +1,149 @@
+// Batches, retries and deadlines of the job appender.
+
+#include "controller/JobAppender.h"
+
+#include <algorithm>
+
+namespace sapphiredale::controller {
+
+namespace {
+
+    /// Most records and bytes of one append; the store accepts 2 MB.
+    constexpr std::size_t maxRecords = 200;
+    constexpr std::size_t maxBytes = 1 << 20;
+    /// Patience with one append, so that a silent connection is given up with time left for another.
+    constexpr Duration appendTimeout = std::chrono::milliseconds(800);
+    constexpr Duration retryPause = std::chrono::milliseconds(60);
+
+} // namespace
+
+JobAppender::JobAppender(boost::asio::io_context& context, const std::string& store, std::string topic)
+    : m_store(context, store)
+    , m_topic(std::move(topic))
+    , m_retryTimer(context)
+    , m_expiryTimer(context)
+{
+}
+
+JobAppender::~JobAppender() { *m_isAlive = false; }
+
+void JobAppender::append(
+    const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)> handler)
+{
+    auto entry = std::make_shared<Entry>();
+    entry->m_key = key;
+    entry->m_value = value;
+    entry->m_deadline = deadline;
+    entry->m_handler = std::move(handler);
+    m_queue.push_back(std::move(entry));
+    armExpiry();
+    send();
+}
+
+void JobAppender::finish(const EntryPointer& entry, StoreOutcome outcome)
+{
+    if (!entry->m_handler)
+        return;
+    const auto handler = std::move(entry->m_handler);
+    entry->m_handler = nullptr;
+    handler(outcome);
+}
+
+void JobAppender::send()
+{
+    if (m_isSending || m_isWaiting || m_queue.empty())
+        return;
+    std::vector<std::pair<std::string, std::optional<std::string>>> records;
+    std::size_t bytes = 0;
+    while (!m_queue.empty() && records.size() < maxRecords && bytes < maxBytes) {
+        EntryPointer entry = std::move(m_queue.front());
+        m_queue.pop_front();
+        if (!entry->m_handler)
+            continue;
+        bytes += entry->m_value.size();
+        records.emplace_back(entry->m_key, entry->m_value);
+        m_sent.push_back(std::move(entry));
+    }
+    if (records.empty())
+        return;
+    m_isSending = true;
+    m_store.append(
+        m_topic, records, {}, appendTimeout, [this, alive = m_isAlive](const userplatform::AppendAnswer& answer) {
+            if (!*alive)
+                return;
+            m_isSending = false;
+            answered(std::exchange(m_sent, {}), answer);
+        });
+}
+
+void JobAppender::answered(const std::vector<EntryPointer>& sent, const userplatform::AppendAnswer& answer)
+{
+    using Kind = userplatform::AppendAnswer::Kind;
+    if (answer.m_kind == Kind::Appended) {
+        m_failures = 0;
+        m_isSilent = false;
+        for (const EntryPointer& entry : sent)
+            finish(entry, StoreOutcome::Stored);
+        return send();
+    }
+    ++m_failures;
+    m_isSilent = answer.m_kind == Kind::Unknown || m_isSilent;
+    const TimePoint now = bootNow();
+    for (auto entry = sent.rbegin(); entry != sent.rend(); ++entry) {
+        (*entry)->m_mayBeStored = (*entry)->m_mayBeStored || answer.m_kind == Kind::Unknown;
+        if (!(*entry)->m_mayBeStored)
+            finish(*entry, StoreOutcome::NotStored);
+        else if ((*entry)->m_handler && now < (*entry)->m_deadline)
+            m_queue.push_front(*entry);
+        else
+            finish(*entry, StoreOutcome::Unknown);
+    }
+    m_isWaiting = true;
+    m_retryTimer.expires_after(retryPause);
+    m_retryTimer.async_wait([this, alive = m_isAlive](boost::system::error_code error) {
+        if (error || !*alive)
+            return;
+        m_isWaiting = false;
+        send();
+    });
+}
+
+void JobAppender::armExpiry()
+{
+    TimePoint next = TimePoint::max();
+    for (const EntryPointer& entry : m_queue) {
+        if (entry->m_handler)
+            next = std::min(next, entry->m_deadline);
+    }
+    for (const EntryPointer& entry : m_sent) {
+        if (entry->m_handler)
+            next = std::min(next, entry->m_deadline);
+    }
+    if (next == TimePoint::max())
+        return;
+    m_expiryTimer.expires_after(std::max<Duration>(next - bootNow(), std::chrono::milliseconds(1)));
+    m_expiryTimer.async_wait([this, alive = m_isAlive](boost::system::error_code error) {
+        if (!error && *alive)
+            expire();
+    });
+}
+
+void JobAppender::expire()
+{
+    const TimePoint now = bootNow();
+    for (const EntryPointer& entry : m_sent) {
+        if (entry->m_deadline <= now)
+            finish(entry, StoreOutcome::Unknown);
+    }
+    std::vector<EntryPointer> expired;
+    for (const EntryPointer& entry : m_queue) {
+        if (entry->m_deadline <= now)
+            expired.push_back(entry);
+    }
+    std::erase_if(m_queue, [now](const EntryPointer& entry) { return entry->m_deadline <= now; });
+    for (const EntryPointer& entry : expired)
+        finish(entry, entry->m_mayBeStored ? StoreOutcome::Unknown : StoreOutcome::NotStored);
+    armExpiry();
+}
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/SchedulerTerm.cpp
@@ -0,0 +1,585 @@
+// Recovery of a term, and the carrying out of decisions.
+
+#include "controller/SchedulerTerm.h"
+
+#include "platform/Documents.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <sstream>
+
+namespace sapphiredale::controller {
+
+using observability::LogEvent;
+
+namespace {
+
+    /// Pause between two passes of placement; what arrives meanwhile is decided together.
+    constexpr Duration stepInterval = std::chrono::milliseconds(4);
+    constexpr Duration superviseInterval = std::chrono::milliseconds(50);
+    /// Pause after a hold that failed.
+    constexpr Duration holdRetry = std::chrono::milliseconds(200);
+    /// Longest wait for ends to be stored before the next hold.
+    constexpr Duration storeWait = std::chrono::milliseconds(400);
+    /// A registry entry may vanish for about two seconds while the store recovers.
+    constexpr Duration vanishedGrace = std::chrono::milliseconds(2500);
+    constexpr Duration forgetInterval = std::chrono::seconds(5);
+    constexpr const char* workersKey = "workers";
+    constexpr char cancellationMark = '-';
+    /// Jobs for which the follower's view may be this old: a younger answer "unknown" is certain.
+    constexpr Duration certainView = std::chrono::milliseconds(2000);
+
+    ProgressWriter::Records::value_type recordOf(const jobs::ProgressRecord& record)
+    {
+        return { record.m_job.value(), jobs::encodeProgress(record.m_progress) };
+    }
+
+} // namespace
+
+std::string cancellationKey(const JobId& job) { return cancellationMark + job.value(); }
+
+struct SchedulerTerm::LinkState {
+    std::unique_ptr<WorkerLink> m_link;
+    bool m_isHolding = false;
+    TimePoint m_nextHoldAt {};
+    /// Ends up to this number were reported when the last hold ended.
+    bool m_awaitsStore = false;
+};
+
+class SchedulerTerm::JobObserver final : public FollowerObserver {
+public:
+    explicit JobObserver(SchedulerTerm& term)
+        : m_term(term)
+    {
+    }
+    void recordRead(const userplatform::KeyedRecord& record) override
+    {
+        if (m_isListed)
+            return m_term.jobRecord(record);
+        m_records.push_back(record);
+    }
+    void listingEnded() override
+    {
+        if (std::exchange(m_isListed, true))
+            return;
+        m_term.recover();
+    }
+    void caughtUp(std::uint64_t /*end*/, TimePoint askedAt) override { m_caughtUpAt = askedAt; }
+
+    bool m_isListed = false;
+    std::vector<userplatform::KeyedRecord> m_records;
+    TimePoint m_caughtUpAt {};
+
+private:
+    SchedulerTerm& m_term;
+};
+
+class SchedulerTerm::WorkerObserver final : public FollowerObserver {
+public:
+    explicit WorkerObserver(SchedulerTerm& term)
+        : m_term(term)
+    {
+    }
+    void listingBegan() override
+    {
+        m_listed.clear();
+        m_isListing = true;
+    }
+    void recordRead(const userplatform::KeyedRecord& record) override
+    {
+        if (m_isListing)
+            m_listed.insert(record.m_key);
+        m_term.workerEntry(record);
+    }
+    void listingEnded() override
+    {
+        m_isListed = true;
+        m_isListing = false;
+        const std::set<WorkerId> known = m_known;
+        for (const WorkerId& id : known) {
+            if (!m_listed.contains(id.value()))
+                m_term.workerEntry({ 0, id.value(), std::nullopt });
+        }
+        m_term.recover();
+    }
+
+    bool m_isListed = false;
+    /// Workers with an entry.
+    std::set<WorkerId> m_known;
+    /// Newest entries until the recovery is complete.
+    std::map<WorkerId, jobs::WorkerDescription> m_entries;
+
+private:
+    SchedulerTerm& m_term;
+    std::set<std::string> m_listed;
+    bool m_isListing = false;
+};
+
+class SchedulerTerm::ProgressObserver final : public FollowerObserver {
+public:
+    explicit ProgressObserver(SchedulerTerm& term)
+        : m_term(term)
+    {
+    }
+    void listingBegan() override { m_records.clear(); }
+    void recordRead(const userplatform::KeyedRecord& record) override
+    {
+        if (!m_isListed && record.m_value)
+            m_records[record.m_key] = *record.m_value;
+    }
+    void listingEnded() override
+    {
+        if (std::exchange(m_isListed, true))
+            return;
+        m_term.recover();
+    }
+
+    bool m_isListed = false;
+    std::map<std::string, std::string> m_records;
+
+private:
+    SchedulerTerm& m_term;
+};
+
+SchedulerTerm::SchedulerTerm(boost::asio::io_context& context, const SiteSettings& site, const TermSettings& settings,
+    AdviceDesk& desk, observability::EventLog& log, std::function<bool()> mayOrder, std::function<void()> deposed)
+    : m_context(context)
+    , m_site(site)
+    , m_settings(settings)
+    , m_desk(desk)
+    , m_log(log)
+    , m_mayOrder(std::move(mayOrder))
+    , m_deposed(std::move(deposed))
+    , m_writer(std::make_shared<ProgressWriter>(context, site.m_store, settings.m_term))
+    , m_jobObserver(std::make_unique<JobObserver>(*this))
+    , m_workerObserver(std::make_unique<WorkerObserver>(*this))
+    , m_progressObserver(std::make_unique<ProgressObserver>(*this))
+    , m_stepTimer(context)
+    , m_superviseTimer(context)
+{
+}
+
+SchedulerTerm::~SchedulerTerm()
+{
+    *m_isAlive = false;
+    m_writer->stop();
+}
+
+void SchedulerTerm::start()
+{
+    m_log.write(LogEvent::SchedulerBecame, { { "term", m_settings.m_term } });
+    FollowerSettings workers { userplatform::workerTopic };
+    // Heartbeats of all workers arrive all the time; they are read together.
+    workers.m_wait = Duration::zero();
+    workers.m_pause = std::chrono::milliseconds(400);
+    m_workerFollower = std::make_unique<TopicFollower>(m_context, m_site.m_store, workers, *m_workerObserver);
+    m_workerFollower->start();
+    // Earlier terms must not add to what is read now.
+    m_writer->open([this, alive = m_isAlive](bool isOpen) {
+        if (!*alive)
+            return;
+        if (!isOpen)
+            return depose();
+        m_progressFollower = std::make_unique<TopicFollower>(
+            m_context, m_site.m_store, FollowerSettings { progressTopic }, *m_progressObserver);
+        m_progressFollower->start();
+        FollowerSettings jobs { jobTopic };
+        jobs.m_pause = std::chrono::milliseconds(5);
+        m_jobFollower = std::make_unique<TopicFollower>(m_context, m_site.m_store, jobs, *m_jobObserver);
+        m_jobFollower->start();
+    });
+}
+
+void SchedulerTerm::recover()
+{
+    if (m_scheduler || !m_jobObserver->m_isListed || !m_workerObserver->m_isListed || !m_progressObserver->m_isListed)
+        return;
+    const TimePoint now = bootNow();
+    jobs::SchedulerSettings settings;
+    settings.m_term = m_settings.m_term;
+    m_scheduler = std::make_unique<jobs::JobScheduler>(settings);
+    for (const auto& [id, worker] : m_workerObserver->m_entries)
+        m_scheduler->workerListed(worker, now);
+    std::set<std::string> cancelled;
+    for (const userplatform::KeyedRecord& record : m_jobObserver->m_records) {
+        if (!record.m_key.empty() && record.m_key.front() == cancellationMark && record.m_value)
+            cancelled.insert(record.m_key.substr(1));
+    }
+    const std::map<std::string, std::string>& progress = m_progressObserver->m_records;
+    for (const userplatform::KeyedRecord& record : m_jobObserver->m_records) {
+        if (record.m_key.empty() || record.m_key.front() == cancellationMark || !record.m_value)
+            continue;
+        const JobId id(record.m_key);
+        const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, *record.m_value);
+        if (!succeeded(job)) {
+            m_log.write(
+                LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
+            continue;
+        }
+        jobs::JobProgress known;
+        if (const auto found = progress.find(id.value()); found != progress.end()) {
+            const Result<jobs::JobProgress> decoded = jobs::decodeProgress(found->second);
+            if (succeeded(decoded))
+                known = valueOf(decoded);
+            else
+                m_log.write(LogEvent::StoredRecordUnreadable,
+                    { { "job", id.value() }, { "detail", errorOf(decoded).m_detail } });
+        }
+        m_scheduler->restoreJob(valueOf(job), known, wallNowMs(), now);
+        if (cancelled.contains(id.value()))
+            m_scheduler->cancelJob(id, now);
+    }
+    std::vector<WorkerId> awaited;
+    if (const auto found = progress.find(workersKey); found != progress.end()) {
+        std::istringstream words(found->second);
+        for (std::string word; words >> word;)
+            awaited.emplace_back(word);
+    }
+    m_recorded.insert(awaited.begin(), awaited.end());
+    for (const WorkerId& worker : m_recorded)
+        m_scheduler->workerRecorded(worker);
+    for (const auto& [id, worker] : m_workerObserver->m_entries) {
+        if (!m_recorded.contains(id))
+            m_unrecorded.insert(id);
+    }
+    // Everything that an earlier term ordered has lapsed one lease after it ceased; worker clocks may be slow.
+    const Duration lapse = m_settings.m_lease + m_settings.m_lease / 20 + std::chrono::milliseconds(200);
+    m_scheduler->expectReports(
+        m_settings.m_isFirst ? std::vector<WorkerId>() : awaited, m_settings.m_predecessorCeasedAt + lapse);
+    m_log.write(LogEvent::RecoveryFinished,
+        { { "term", m_settings.m_term }, { "jobs", std::uint64_t { m_scheduler->jobCount() } },
+            { "workers", std::uint64_t { m_workerObserver->m_entries.size() } },
+            { "awaitedWorkers", std::uint64_t { awaited.size() } } });
+    m_jobObserver->m_records.clear();
+    m_progressObserver->m_records.clear();
+    m_progressFollower.reset();
+    superviseLinks();
+    scheduleStep();
+}
+
+// Input from the store
+
+void SchedulerTerm::workerEntry(const userplatform::KeyedRecord& record)
+{
+    const WorkerId id(record.m_key);
+    const auto entry = record.m_value ? userplatform::decodeWorkerEntry(record.m_key, *record.m_value) : std::nullopt;
+    if (!entry) {
+        if (m_workerObserver->m_known.erase(id) > 0)
+            m_vanished.try_emplace(id, bootNow() + vanishedGrace);
+        m_workerObserver->m_entries.erase(id);
+        return;
+    }
+    m_vanished.erase(id);
+    m_workerObserver->m_known.insert(id);
+    jobs::WorkerDescription& known = m_workerObserver->m_entries[id];
+    if (known == *entry)
+        return;
+    known = *entry;
+    if (!m_scheduler)
+        return;
+    m_scheduler->workerListed(*entry, bootNow());
+    if (!m_recorded.contains(id))
+        m_unrecorded.insert(id);
+    scheduleStep();
+}
+
+void SchedulerTerm::jobRecord(const userplatform::KeyedRecord& record)
+{
+    if (!m_scheduler || record.m_key.empty() || !record.m_value)
+        return;
+    const TimePoint now = bootNow();
+    if (record.m_key.front() == cancellationMark) {
+        m_scheduler->cancelJob(JobId(record.m_key.substr(1)), now);
+        return scheduleStep();
+    }
+    const JobId id(record.m_key);
+    const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, *record.m_value);
+    if (!succeeded(job)) {
+        m_log.write(LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
+        return;
+    }
+    m_scheduler->acceptJob(valueOf(job), wallNowMs(), now);
+    scheduleStep();
+}
+
+// Decisions
+
+void SchedulerTerm::scheduleStep()
+{
+    if (!m_scheduler || m_isStepScheduled)
+        return;
+    m_isStepScheduled = true;
+    const Duration wait = m_lastStepAt + stepInterval - bootNow();
+    if (wait.count() <= 0) {
+        boost::asio::post(m_context, [this, alive = m_isAlive] {
+            if (*alive)
+                step();
+        });
+        return;
+    }
+    m_stepTimer.expires_after(wait);
+    m_stepTimer.async_wait([this, alive = m_isAlive](boost::system::error_code error) {
+        if (!error && *alive)
+            step();
+    });
+}
+
+void SchedulerTerm::step()
+{
+    m_isStepScheduled = false;
+    if (!m_scheduler || m_isDeposed)
+        return;
+    m_lastStepAt = bootNow();
+    if (!m_isHandingOver && m_mayOrder()) {
+        for (const jobs::SchedulerAction& action : m_scheduler->step(wallNowMs(), m_lastStepAt, m_desk.idle()))
+            carryOut(action);
+    }
+    writeProgress();
+}
+
+void SchedulerTerm::carryOut(const jobs::SchedulerAction& action)
+{
+    std::visit([this](const auto& order) { this->order(order); }, action);
+}
+
+WorkerLink* SchedulerTerm::link(const WorkerId& worker)
+{
+    const auto found = m_links.find(worker);
+    return found == m_links.end() ? nullptr : found->second.m_link.get();
+}
+
+void SchedulerTerm::order(const jobs::StartOrder& order)
+{
+    WorkerLink* target = link(order.m_worker);
+    if (target == nullptr)
+        return m_scheduler->startAnswered(order.m_worker, order.m_run, jobs::StartOutcome::Refused, bootNow());
+    ++m_openOrders;
+    target->start(order, [this, worker = order.m_worker, run = order.m_run](const userplatform::StartAnswer& answer) {
+        --m_openOrders;
+        if (answer.m_outcome != jobs::StartOutcome::Started)
+            m_log.write(LogEvent::OrderNotObeyed,
+                { { "worker", worker.value() }, { "job", run.m_task.m_job.value() },
+                    { "step", std::uint64_t { run.m_task.m_index.m_step } },
+                    { "task", std::uint64_t { run.m_task.m_index.m_task } }, { "run", std::uint64_t { run.m_run } },
+                    { "detail", answer.m_detail } });
+        if (answer.m_outcome == jobs::StartOutcome::RefusedForTerm)
+            return depose();
+        m_scheduler->startAnswered(worker, run, answer.m_outcome, bootNow());
+        if (answer.m_outcome != jobs::StartOutcome::Started)
+            scheduleStep();
+    });
+    m_scheduler->leaseExtended(order.m_worker, target->leaseEnd());
+}
+
+void SchedulerTerm::order(const jobs::StopOrder& order)
+{
+    WorkerLink* target = link(order.m_worker);
+    if (target == nullptr)
+        return;
+    ++m_openOrders;
+    target->stop(order, [this, order](bool confirmed) {
+        --m_openOrders;
+        m_scheduler->stopAnswered(order.m_worker, order.m_run, confirmed, bootNow());
+    });
+}
+
+void SchedulerTerm::order(const jobs::PaceOrder& order)
+{
+    if (WorkerLink* target = link(order.m_worker))
+        target->pace(order, [](bool) {});
+}
+
+void SchedulerTerm::order(const jobs::AdviceQuestion& question)
+{
+    m_desk.ask(question, [this, alive = m_isAlive, question](const Result<inner::AdviceReply>& result) {
+        if (!*alive)
+            return;
+        const TimePoint now = bootNow();
+        if (succeeded(result)) {
+            const inner::AdviceReply& reply = valueOf(result);
+            m_scheduler->adviceAnswered(question, reply.m_tickets, now, reply.m_validity, now);
+        } else {
+            m_log.write(LogEvent::AdviceFailed,
+                { { "job", question.m_step.m_job.value() }, { "detail", errorOf(result).m_detail } });
+            m_scheduler->adviceFailed(question, now);
+        }
+        scheduleStep();
+    });
+}
+
+// Durable state
+
+void SchedulerTerm::writeProgress()
+{
+    if (m_writer->isBusy() || !m_scheduler || m_isDeposed)
+        return;
+    if (!m_unrecorded.empty())
+        return recordWorkers();
+    if (!m_scheduler->hasChanges() && m_removals.empty())
+        return;
+    const auto batch = std::make_shared<jobs::JobScheduler::Batch>(m_scheduler->takeChanges());
+    ProgressWriter::Records records = std::exchange(m_removals, {});
+    for (const jobs::ProgressRecord& record : batch->m_records)
+        records.push_back(recordOf(record));
+    const auto stored = [this, alive = m_isAlive, batch](bool isWritten) {
+        if (!*alive)
+            return;
+        if (!isWritten)
+            return depose();
+        m_scheduler->stored(batch->m_number);
+        for (auto& [id, state] : m_links) {
+            if (std::exchange(state.m_awaitsStore, false) && !state.m_isHolding)
+                hold(id);
+        }
+        scheduleStep();
+    };
+    if (records.empty())
+        return stored(true);
+    m_writer->write(std::move(records), stored);
+}
+
+void SchedulerTerm::recordWorkers()
+{
+    std::string text;
+    std::set<WorkerId> all = m_recorded;
+    // A worker that is gone needs no place in the record once nothing can run there.
+    std::erase_if(all, [this](const WorkerId& id) {
+        return m_scheduler->isRecovered(bootNow()) && m_scheduler->worker(id) == nullptr;
+    });
+    all.insert(m_unrecorded.begin(), m_unrecorded.end());
+    for (const WorkerId& id : all)
+        text += (text.empty() ? "" : " ") + id.value();
+    m_unrecorded.clear();
+    m_writer->write({ { workersKey, text } }, [this, alive = m_isAlive, all](bool isWritten) {
+        if (!*alive)
+            return;
+        if (!isWritten)
+            return depose();
+        m_recorded = all;
+        for (const WorkerId& id : all)
+            m_scheduler->workerRecorded(id);
+        scheduleStep();
+    });
+}
+
+std::uint32_t SchedulerTerm::forget(const std::vector<JobId>& jobs)
+{
+    for (const JobId& job : jobs)
+        m_removals.emplace_back(job.value(), std::nullopt);
+    return static_cast<std::uint32_t>(jobs.size());
+}
+
+// Workers
+
+void SchedulerTerm::superviseLinks()
+{
+    const TimePoint now = bootNow();
+    for (auto it = m_vanished.begin(); it != m_vanished.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        m_scheduler->workerDelisted(it->first, now);
+        it = m_vanished.erase(it);
+    }
+    for (const auto& [id, worker] : m_scheduler->workers()) {
+        LinkState& state = m_links[id];
+        if (!state.m_link || state.m_link->address() != worker.m_description.m_address) {
+            const LinkSettings settings { m_settings.m_term, m_settings.m_lease };
+            state.m_link = std::make_unique<WorkerLink>(m_context, settings, id, worker.m_description.m_address);
+            state.m_isHolding = false;
+        }
+        if (!state.m_isHolding && state.m_nextHoldAt <= now)
+            hold(id);
+    }
+    std::erase_if(m_links, [this](const auto& entry) { return m_scheduler->worker(entry.first) == nullptr; });
+    if (m_nextForgetAt <= now) {
+        m_nextForgetAt = now + forgetInterval;
+        forget(m_scheduler->takeExpired(now));
+    }
+    scheduleStep();
+    m_superviseTimer.expires_after(superviseInterval);
+    m_superviseTimer.async_wait([this, alive = m_isAlive](boost::system::error_code error) {
+        if (!error && *alive && !m_isDeposed)
+            superviseLinks();
+    });
+}
+
+void SchedulerTerm::hold(const WorkerId& id)
+{
+    if (m_isDeposed || m_isHandingOver || !m_mayOrder())
+        return;
+    LinkState& state = m_links.at(id);
+    state.m_isHolding = true;
+    state.m_link->hold(
+        m_scheduler->storedEnd(id), [this, id](Result<jobs::WorkerReport> result) { held(id, std::move(result)); });
+    m_scheduler->leaseExtended(id, state.m_link->leaseEnd());
+}
+
+void SchedulerTerm::held(const WorkerId& id, Result<jobs::WorkerReport> result)
+{
+    const auto found = m_links.find(id);
+    if (found == m_links.end() || m_isDeposed)
+        return;
+    LinkState& state = found->second;
+    state.m_isHolding = false;
+    const TimePoint now = bootNow();
+    if (!succeeded(result)) {
+        if (errorOf(result).m_kind == ErrorKind::StaleEpoch)
+            return depose();
+        state.m_nextHoldAt = now + holdRetry;
+        return;
+    }
+    m_scheduler->workerReported(id, valueOf(result), now);
+    scheduleStep();
+    // An answer comes at once while there are ends that are not acknowledged, so these are stored first.
+    const jobs::Worker* worker = m_scheduler->worker(id);
+    if (worker != nullptr && worker->m_storedEnd < worker->m_seenEnd) {
+        state.m_awaitsStore = true;
+        state.m_nextHoldAt = now + storeWait;
+        return;
+    }
+    hold(id);
+}
+
+// End of the term
+
+void SchedulerTerm::beginHandover() { m_isHandingOver = true; }
+
+bool SchedulerTerm::isHandedOver() const
+{
+    return m_isHandingOver && m_openOrders == 0 && !m_writer->isBusy() && (!m_scheduler || !m_scheduler->hasChanges());
+}
+
+void SchedulerTerm::depose()
+{
+    if (std::exchange(m_isDeposed, true))
+        return;
+    m_log.write(LogEvent::SchedulerCeased, { { "term", m_settings.m_term } });
+    boost::asio::post(m_context, [this, alive = m_isAlive] {
+        if (*alive)
+            m_deposed();
+    });
+}
+
+// Queries
+
+Result<jobs::JobState> SchedulerTerm::state(const JobId& job) const
+{
+    if (!m_scheduler)
+        return Error { ErrorKind::NotReady, "the scheduler reads the stored jobs" };
+    if (m_scheduler->knows(job))
+        return m_scheduler->state(job);
+    if (bootNow() - m_jobObserver->m_caughtUpAt > certainView)
+        return Error { ErrorKind::NotReady, "the stored jobs were not read for a while" };
+    return Error { ErrorKind::NotFound, "no such job" };
+}
+
+Result<std::uint32_t> SchedulerTerm::pending(const std::string& queue) const
+{
+    if (!m_scheduler)
+        return Error { ErrorKind::NotReady, "the scheduler reads the stored jobs" };
+    return m_scheduler->pending(queue);
+}
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/SchedulerTerm.h
@@ -0,0 +1,117 @@
+// One term as the scheduler: recovers what earlier terms left, then carries out what the job scheduler decides.
+#pragma once
+
+#include "controller/AdviceDesk.h"
+#include "controller/ProgressWriter.h"
+#include "controller/SiteSettings.h"
+#include "controller/TopicFollower.h"
+#include "controller/WorkerLink.h"
+#include "jobs/JobScheduler.h"
+#include "observability/EventLog.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace sapphiredale::controller {
+
+inline constexpr const char* jobTopic = "keyed.jobs";
+/// Key of the cancellation of a job in the topic of the jobs.
+std::string cancellationKey(const JobId&);
+
+/// What a term needs to know.
+struct TermSettings {
+    std::uint64_t m_term = 1;
+    /// By when orders of earlier terms have ceased.
+    TimePoint m_predecessorCeasedAt {};
+    bool m_isFirst = false;
+    /// Lease of the workers.
+    Duration m_lease = std::chrono::seconds(8);
+};
+
+/// Lives while the daemon holds the term. All calls come from the event loop.
+class SchedulerTerm {
+public:
+    /// `mayOrder` tells whether orders may still be given; `deposed` is called once when a later term is met.
+    SchedulerTerm(boost::asio::io_context&, const SiteSettings&, const TermSettings&, AdviceDesk&,
+        observability::EventLog&, std::function<bool()> mayOrder, std::function<void()> deposed);
+    ~SchedulerTerm();
+    SchedulerTerm(const SchedulerTerm&) = delete;
+    SchedulerTerm& operator=(const SchedulerTerm&) = delete;
+
+    void start();
+    /// No orders from now on; what was sent is awaited.
+    void beginHandover();
+    bool isHandedOver() const;
+
+    /// State of a job; NotReady while the answer is not certain, NotFound when there is no such job.
+    Result<jobs::JobState> state(const JobId&) const;
+    Result<std::uint32_t> pending(const std::string& queue) const;
+    bool isRecovered() const { return m_scheduler != nullptr; }
+    /// A daemon became free to ask the adviser.
+    void advance() { scheduleStep(); }
+    std::uint64_t term() const { return m_settings.m_term; }
+    const jobs::JobScheduler* scheduler() const { return m_scheduler.get(); }
+
+private:
+    class JobObserver;
+    class WorkerObserver;
+    class ProgressObserver;
+    struct LinkState;
+
+    void recover();
+    void scheduleStep();
+    void step();
+    void carryOut(const jobs::SchedulerAction&);
+    void order(const jobs::StartOrder&);
+    void order(const jobs::StopOrder&);
+    void order(const jobs::PaceOrder&);
+    void order(const jobs::AdviceQuestion&);
+    void writeProgress();
+    void recordWorkers();
+    void workerEntry(const userplatform::KeyedRecord&);
+    void jobRecord(const userplatform::KeyedRecord&);
+    void superviseLinks();
+    void hold(const WorkerId&);
+    void held(const WorkerId&, Result<jobs::WorkerReport>);
+    void depose();
+    WorkerLink* link(const WorkerId&);
+    std::uint32_t forget(const std::vector<JobId>&);
+
+    boost::asio::io_context& m_context;
+    const SiteSettings& m_site;
+    const TermSettings m_settings;
+    AdviceDesk& m_desk;
+    observability::EventLog& m_log;
+    std::function<bool()> m_mayOrder;
+    std::function<void()> m_deposed;
+    std::shared_ptr<ProgressWriter> m_writer;
+    std::unique_ptr<JobObserver> m_jobObserver;
+    std::unique_ptr<WorkerObserver> m_workerObserver;
+    std::unique_ptr<ProgressObserver> m_progressObserver;
+    std::unique_ptr<TopicFollower> m_jobFollower;
+    std::unique_ptr<TopicFollower> m_workerFollower;
+    std::unique_ptr<TopicFollower> m_progressFollower;
+    /// Null until the recovery has read the store.
+    std::unique_ptr<jobs::JobScheduler> m_scheduler;
+    std::map<WorkerId, LinkState> m_links;
+    /// Workers that the store knows this or an earlier term to give orders to.
+    std::set<WorkerId> m_recorded;
+    /// Workers that are to be recorded with the next append.
+    std::set<WorkerId> m_unrecorded;
+    /// Stored keys of jobs that were forgotten.
+    ProgressWriter::Records m_removals;
+    /// Entries that have vanished from the registry, with the instant at which they count as gone.
+    std::map<WorkerId, TimePoint> m_vanished;
+    boost::asio::steady_timer m_stepTimer;
+    boost::asio::steady_timer m_superviseTimer;
+    TimePoint m_lastStepAt {};
+    TimePoint m_nextForgetAt {};
+    bool m_isStepScheduled = false;
+    bool m_isHandingOver = false;
+    bool m_isDeposed = false;
+    std::uint32_t m_openOrders = 0;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/SiteSettings.cpp
@@ -0,0 +1,68 @@
+// Sections of the settings file for the users' platform.
+
+#include "controller/SiteSettings.h"
+
+#include "daemon/SettingsReader.h"
+
+namespace sapphiredale::controller {
+
+using daemon::SectionReader;
+
+namespace {
+
+    void readAddress(SectionReader& reader, std::string_view name, bool isRequired, std::string& value)
+    {
+        daemon::Endpoint endpoint;
+        if (isRequired)
+            reader.required(name, endpoint);
+        else
+            reader.optional(name, endpoint);
+        if (endpoint.m_port != 0)
+            value = endpoint.text();
+    }
+
+    void readMillis(
+        SectionReader& reader, std::string_view name, Duration& value, std::uint32_t least, std::uint32_t most)
+    {
+        auto millis = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+        reader.bounded(name, millis, least, most);
+        value = std::chrono::milliseconds(millis);
+    }
+
+    void readAll(SectionReader& reader, SiteSettings& settings)
+    {
+        reader.required("daemon", settings.m_daemon);
+        reader.required("failureDomain", settings.m_failureDomain);
+        reader.section("listeners", true, [&](SectionReader& r) {
+            readAddress(r, "callers", true, settings.m_callers);
+            readAddress(r, "readiness", true, settings.m_readiness);
+            readAddress(r, "inner", true, settings.m_inner);
+            readAddress(r, "operators", true, settings.m_operators);
+        });
+        readAddress(reader, "store", true, settings.m_store);
+        readAddress(reader, "adviser", false, settings.m_adviser);
+        reader.section("bounds", false, [&](SectionReader& r) {
+            readMillis(r, "longestLeaseMs", settings.m_longestLease, 2000, 600000);
+            std::uint32_t grace = 6;
+            r.bounded("graceSeconds", grace, 1U, 3600U);
+            settings.m_grace = std::chrono::seconds(grace);
+        });
+        reader.section("log", false, [&](SectionReader& r) {
+            r.optional("level", settings.m_log.m_level);
+            r.optional("file", settings.m_log.m_file);
+        });
+    }
+
+} // namespace
+
+SiteSettingsResult parseSiteSettings(std::string_view text)
+{
+    SiteSettings settings;
+    std::vector<daemon::SettingsFault> faults
+        = daemon::readDocument(text, [&](SectionReader& reader) { readAll(reader, settings); });
+    if (!faults.empty())
+        return faults;
+    return settings;
+}
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/TopicFollower.cpp
@@ -0,0 +1,147 @@
+// Listing, reading and retries of a follower.
+
+#include "controller/TopicFollower.h"
+
+#include <algorithm>
+
+namespace sapphiredale::controller {
+
+namespace {
+
+    /// Pause after a call that failed.
+    constexpr Duration retryPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+class TopicFollower::Impl : public std::enable_shared_from_this<TopicFollower::Impl> {
+public:
+    Impl(boost::asio::io_context& context, const std::string& store, const FollowerSettings& settings,
+        FollowerObserver& observer)
+        : m_settings(settings)
+        , m_observer(&observer)
+        , m_store(context, store)
+        , m_timer(context)
+    {
+    }
+
+    void start() { list({}); }
+    void stop()
+    {
+        m_observer = nullptr;
+        m_timer.cancel();
+    }
+    TimePoint freshAt() const { return m_freshAt; }
+
+private:
+    void list(const std::string& after)
+    {
+        const TimePoint askedAt = bootNow();
+        // The store takes long for its first pages when it is slow; a listing has no wait of its own.
+        m_store.newest(m_settings.m_topic, after, m_settings.m_wait + m_settings.m_patience,
+            [self = shared_from_this(), after, askedAt](
+                Result<userplatform::NewestPage> result) { self->listed(after, askedAt, std::move(result)); });
+    }
+
+    void listed(const std::string& after, TimePoint askedAt, Result<userplatform::NewestPage> result)
+    {
+        if (m_observer == nullptr)
+            return;
+        if (!succeeded(result)) {
+            m_observer->readFailed(errorOf(result));
+            return later(retryPause, [this] { list({}); });
+        }
+        const userplatform::NewestPage& page = valueOf(result);
+        if (after.empty()) {
+            // Pages are no snapshot: what changes during the listing is read again from here.
+            m_next = page.m_end;
+            m_observer->listingBegan();
+        }
+        for (const userplatform::KeyedRecord& record : page.m_records) {
+            if (m_observer == nullptr)
+                return;
+            m_observer->recordRead(record);
+        }
+        if (m_observer == nullptr)
+            return;
+        if (page.m_hasMore && !page.m_nextKey.empty())
+            return list(page.m_nextKey);
+        m_freshAt = askedAt;
+        m_observer->listingEnded();
+        if (m_observer == nullptr)
+            return;
+        m_observer->caughtUp(m_next, askedAt);
+        read();
+    }
+
+    void read()
+    {
+        if (m_observer == nullptr)
+            return;
+        const TimePoint askedAt = bootNow();
+        m_store.read(m_settings.m_topic, m_next, m_settings.m_wait, m_settings.m_wait + m_settings.m_patience,
+            [self = shared_from_this(), askedAt](
+                Result<userplatform::ReadAnswer> result) { self->received(askedAt, std::move(result)); });
+    }
+
+    void received(TimePoint askedAt, Result<userplatform::ReadAnswer> result)
+    {
+        if (m_observer == nullptr)
+            return;
+        if (!succeeded(result)) {
+            m_observer->readFailed(errorOf(result));
+            return later(retryPause, [this] { read(); });
+        }
+        const userplatform::ReadAnswer& answer = valueOf(result);
+        if (answer.m_isTrimmed)
+            return list({});
+        for (const userplatform::KeyedRecord& record : answer.m_records) {
+            if (m_observer == nullptr)
+                return;
+            m_observer->recordRead(record);
+        }
+        if (m_observer == nullptr)
+            return;
+        m_next = answer.m_next;
+        if (m_next >= answer.m_end) {
+            m_freshAt = askedAt;
+            m_observer->caughtUp(m_next, askedAt);
+        }
+        // A topic without records answers at once.
+        const bool isIdle = answer.m_records.empty() && bootNow() - askedAt < m_settings.m_wait / 2;
+        const Duration pause = isIdle ? std::max(m_settings.m_pause, retryPause) : m_settings.m_pause;
+        if (pause.count() > 0)
+            return later(pause, [this] { read(); });
+        read();
+    }
+
+    template <typename Function> void later(Duration pause, Function function)
+    {
+        m_timer.expires_after(pause);
+        m_timer.async_wait([self = shared_from_this(), function](boost::system::error_code error) {
+            if (!error && self->m_observer != nullptr)
+                function();
+        });
+    }
+
+    const FollowerSettings m_settings;
+    /// Null once the follower is stopped.
+    FollowerObserver* m_observer;
+    userplatform::StoreConnection m_store;
+    boost::asio::steady_timer m_timer;
+    std::uint64_t m_next = 0;
+    TimePoint m_freshAt {};
+};
+
+TopicFollower::TopicFollower(boost::asio::io_context& context, const std::string& store,
+    const FollowerSettings& settings, FollowerObserver& observer)
+    : m_impl(std::make_shared<Impl>(context, store, settings, observer))
+{
+}
+
+TopicFollower::~TopicFollower() { m_impl->stop(); }
+
+void TopicFollower::start() { m_impl->start(); }
+
+TimePoint TopicFollower::freshAt() const { return m_impl->freshAt(); }
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/controller/WorkerLink.cpp
@@ -0,0 +1,87 @@
+// Leases on a worker's clock.
+
+#include "controller/WorkerLink.h"
+
+#include <algorithm>
+
+namespace sapphiredale::controller {
+
+namespace {
+
+    /// A worker's clock may run slow by one part in fifty.
+    constexpr int clockSlowness = 50;
+    /// Time between an instant read here and its use on the worker.
+    constexpr Duration leaseSlack = std::chrono::milliseconds(100);
+
+} // namespace
+
+WorkerLink::WorkerLink(
+    boost::asio::io_context& context, const LinkSettings& settings, const WorkerId& worker, const std::string& address)
+    : m_settings(settings)
+    , m_address(address)
+    , m_connection(context, worker, address)
+{
+}
+
+userplatform::OrderHeader WorkerLink::header()
+{
+    userplatform::OrderHeader header { m_settings.m_term, std::nullopt };
+    if (!m_hasClock)
+        return header;
+    const TimePoint now = bootNow();
+    const Duration age = now - m_clockAt;
+    header.m_runUntilMs
+        = m_clockMs + std::chrono::duration_cast<std::chrono::milliseconds>(age + m_settings.m_lease).count();
+    m_leaseEnd = std::max(
+        m_leaseEnd, now + m_settings.m_lease + (m_settings.m_lease + age) / (clockSlowness - 1) + leaseSlack);
+    return header;
+}
+
+void WorkerLink::hold(std::uint64_t acknowledged, std::function<void(Result<jobs::WorkerReport>)> handler)
+{
+    const TimePoint askedAt = bootNow();
+    const Duration wait = m_hasClock ? m_settings.m_holdWait : Duration::zero();
+    m_connection.hold(header(), acknowledged, wait, wait + m_settings.m_holdPatience,
+        [this, alive = m_isAlive, askedAt, handler = std::move(handler)](Result<userplatform::HoldAnswer> result) {
+            if (!*alive)
+                return;
+            if (!succeeded(result))
+                return handler(errorOf(result));
+            userplatform::HoldAnswer answer = valueOf(std::move(result));
+            m_clockMs = answer.m_clockMs;
+            m_clockAt = bootNow();
+            m_hasClock = true;
+            m_bornMs = answer.m_report.m_bornMs;
+            answer.m_report.m_askedAt = askedAt;
+            handler(std::move(answer.m_report));
+        });
+}
+
+void WorkerLink::start(const jobs::StartOrder& order, std::function<void(userplatform::StartAnswer)> handler)
+{
+    m_connection.start(header(), order, m_settings.m_orderTimeout,
+        [alive = m_isAlive, handler = std::move(handler)](const userplatform::StartAnswer& answer) {
+            if (*alive)
+                handler(answer);
+        });
+}
+
+void WorkerLink::stop(const jobs::StopOrder& order, std::function<void(bool)> handler)
+{
+    m_connection.stop({ m_settings.m_term, std::nullopt }, order, m_settings.m_orderTimeout,
+        [alive = m_isAlive, handler = std::move(handler)](bool confirmed) {
+            if (*alive)
+                handler(confirmed);
+        });
+}
+
+void WorkerLink::pace(const jobs::PaceOrder& order, std::function<void(bool)> handler)
+{
+    m_connection.pace({ m_settings.m_term, std::nullopt }, order, m_settings.m_orderTimeout,
+        [alive = m_isAlive, handler = std::move(handler)](bool confirmed) {
+            if (*alive)
+                handler(confirmed);
+        });
+}
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/src/jobs/Election.cpp
@@ -0,0 +1,156 @@
+// Fold of the term records, and the times of claims and renewals.
+
+#include "jobs/Election.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace sapphiredale::jobs {
+
+namespace json = boost::json;
+
+namespace {
+
+    /// A claim is made on what was read at most this long ago; older views are refreshed first.
+    constexpr Duration freshView = std::chrono::milliseconds(1500);
+    /// Pause after an append that was not done or whose outcome is unknown.
+    constexpr Duration retryInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+std::string encodeTermRecord(const TermRecord& record)
+{
+    return json::serialize(json::object { { "kind", static_cast<int>(record.m_kind) }, { "term", record.m_term },
+        { "daemon", record.m_daemon.value() }, { "address", record.m_address } });
+}
+
+Result<TermRecord> decodeTermRecord(std::string_view text)
+{
+    const Error malformed { ErrorKind::InvalidRequest, "the term record is malformed" };
+    boost::system::error_code error;
+    const json::value document = json::parse(text, error);
+    const json::object* object = error ? nullptr : document.if_object();
+    if (object == nullptr)
+        return malformed;
+    const json::value* kind = object->if_contains("kind");
+    const json::value* term = object->if_contains("term");
+    const json::value* daemon = object->if_contains("daemon");
+    const json::value* address = object->if_contains("address");
+    if (kind == nullptr || !kind->is_int64() || kind->get_int64() < 0 || kind->get_int64() > 2 || term == nullptr
+        || !term->is_int64() || daemon == nullptr || !daemon->is_string() || address == nullptr
+        || !address->is_string())
+        return malformed;
+    return TermRecord { static_cast<TermRecord::Kind>(kind->get_int64()), static_cast<std::uint64_t>(term->get_int64()),
+        DaemonId(std::string(daemon->get_string())), std::string(address->get_string()) };
+}
+
+Election::Election(const ElectionSettings& settings)
+    : m_settings(settings)
+{
+}
+
+void Election::recordRead(std::uint64_t offset, const TermRecord& record, TimePoint now)
+{
+    m_end = std::max(m_end, offset + 1);
+    const std::uint64_t term = record.m_kind == TermRecord::Kind::Claim ? offset + 1 : record.m_term;
+    if (term < m_term)
+        return;
+    if (term > m_term) {
+        m_holdsTerm = false;
+        m_term = term;
+        m_holderAddress = record.m_address;
+        // The answer to a claim may be lost; the record itself proves that it was done.
+        if (record.m_kind == TermRecord::Kind::Claim && m_claim && record == m_appended) {
+            takeTerm(term);
+            return;
+        }
+    }
+    m_recordAt = now;
+    m_isVacant = record.m_kind == TermRecord::Kind::Release;
+    if (m_isVacant) {
+        m_holdsTerm = false;
+        m_holderAddress.clear();
+    }
+}
+
+void Election::caughtUp(std::uint64_t end, TimePoint askedAt)
+{
+    m_end = std::max(m_end, end);
+    m_hasRead = true;
+    m_readAt = askedAt;
+}
+
+std::optional<Election::Append> Election::next(TimePoint now)
+{
+    if (m_appending || !m_hasRead || now < m_nextRenewal)
+        return std::nullopt;
+    TermRecord record { TermRecord::Kind::Renewal, m_term, m_settings.m_daemon, m_settings.m_address };
+    if (m_holdsTerm) {
+        if (m_isLeaving)
+            record.m_kind = TermRecord::Kind::Release;
+    } else {
+        const TimePoint claimAt
+            = m_recordAt + m_settings.m_claimDelay + (m_isVacant ? Duration::zero() : m_settings.m_claimAfter);
+        if (m_isLeaving || now < claimAt || now - m_readAt > freshView)
+            return std::nullopt;
+        record.m_kind = TermRecord::Kind::Claim;
+        record.m_term = m_end + 1;
+    }
+    m_appending = true;
+    m_appended = record;
+    m_claim.reset();
+    if (record.m_kind == TermRecord::Kind::Claim)
+        m_claim = { now, m_isVacant ? m_recordAt : m_recordAt + m_settings.m_authority, m_term == 0 };
+    return Append { record, m_end };
+}
+
+void Election::takeTerm(std::uint64_t term)
+{
+    m_term = term;
+    m_holdsTerm = true;
+    m_isVacant = false;
+    m_holderAddress = m_settings.m_address;
+    m_isFirstTerm = m_claim->m_isFirst;
+    m_predecessorCeasedAt = m_claim->m_predecessorCeasedAt;
+    m_authorityUntil = m_claim->m_sentAt + m_settings.m_authority;
+    m_recordAt = m_claim->m_sentAt;
+    m_claim.reset();
+}
+
+void Election::appendEnded(AppendOutcome outcome, std::uint64_t offset, TimePoint sentAt)
+{
+    m_appending = false;
+    m_nextRenewal = sentAt + retryInterval;
+    if (outcome != AppendOutcome::Appended)
+        return;
+    m_end = std::max(m_end, offset + 1);
+    m_nextRenewal = sentAt + m_settings.m_renewInterval;
+    switch (m_appended.m_kind) {
+    case TermRecord::Kind::Claim:
+        if (m_claim && offset + 1 > m_term)
+            takeTerm(offset + 1);
+        return;
+    case TermRecord::Kind::Renewal:
+        if (m_holdsTerm && m_appended.m_term == m_term)
+            m_authorityUntil = sentAt + m_settings.m_authority;
+        return;
+    case TermRecord::Kind::Release:
+        m_holdsTerm = false;
+        m_isVacant = true;
+        m_holderAddress.clear();
+        return;
+    }
+}
+
+TimePoint Election::nextWake() const
+{
+    if (m_appending || !m_hasRead)
+        return TimePoint::max();
+    if (m_holdsTerm)
+        return m_nextRenewal;
+    const TimePoint claimAt
+        = m_recordAt + m_settings.m_claimDelay + (m_isVacant ? Duration::zero() : m_settings.m_claimAfter);
+    return std::max(claimAt, m_nextRenewal);
+}
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/JobProgress.cpp
@@ -0,0 +1,76 @@
+// Stored form of a job's progress: words separated by blanks, "s" for the state, "d" for succeeded tasks of one step as
+// ranges, "f" for the failed runs of one task.
+
+#include "jobs/JobProgress.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace sapphiredale::jobs {
+
+namespace {
+
+    void appendRanges(std::string& text, const std::vector<TaskIndex>& tasks)
+    {
+        std::vector<TaskIndex> sorted = tasks;
+        std::sort(sorted.begin(), sorted.end());
+        for (std::size_t first = 0; first < sorted.size();) {
+            std::size_t last = first;
+            const auto continues = [&](std::size_t next) {
+                return next < sorted.size() && sorted[next].m_occurrence == sorted[first].m_occurrence
+                    && sorted[next].m_step == sorted[first].m_step && sorted[next].m_task == sorted[last].m_task + 1;
+            };
+            while (continues(last + 1))
+                ++last;
+            text += " d " + std::to_string(sorted[first].m_occurrence) + ' ' + std::to_string(sorted[first].m_step)
+                + ' ' + std::to_string(sorted[first].m_task) + ' ' + std::to_string(sorted[last].m_task);
+            first = last + 1;
+        }
+    }
+
+} // namespace
+
+std::string encodeProgress(const JobProgress& progress)
+{
+    std::string text = "s " + std::to_string(static_cast<int>(progress.m_state));
+    appendRanges(text, progress.m_done);
+    for (const auto& [task, runs] : progress.m_failedRuns) {
+        for (const std::uint32_t run : runs)
+            text += " f " + std::to_string(task.m_occurrence) + ' ' + std::to_string(task.m_step) + ' '
+                + std::to_string(task.m_task) + ' ' + std::to_string(run);
+    }
+    return text;
+}
+
+Result<JobProgress> decodeProgress(std::string_view text)
+{
+    const Error malformed { ErrorKind::InvalidRequest, "the progress record is malformed" };
+    std::istringstream words { std::string(text) };
+    JobProgress progress;
+    std::string kind;
+    while (words >> kind) {
+        if (kind == "s") {
+            int state = 0;
+            if (!(words >> state) || state < 0 || state > static_cast<int>(JobState::Cancelled))
+                return malformed;
+            progress.m_state = static_cast<JobState>(state);
+            continue;
+        }
+        TaskIndex task;
+        std::uint32_t value = 0;
+        if (!(words >> task.m_occurrence >> task.m_step >> task.m_task >> value))
+            return malformed;
+        if (kind == "f") {
+            progress.m_failedRuns[task].push_back(value);
+            continue;
+        }
+        if (kind != "d" || value < task.m_task || value - task.m_task >= maxTasksPerStep)
+            return malformed;
+        for (; task.m_task <= value; ++task.m_task)
+            progress.m_done.push_back(task);
+    }
+    return progress;
+}
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/JobProgress.h
@@ -0,0 +1,45 @@
+// What must survive a scheduler: which tasks have succeeded, which runs have failed, and how a job ended.
+#pragma once
+
+#include "jobs/JobSpec.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphiredale::jobs {
+
+/// Place of a task in its job.
+struct TaskIndex {
+    std::uint32_t m_occurrence = 0;
+    std::uint32_t m_step = 0;
+    std::uint32_t m_task = 0;
+
+    friend bool operator==(const TaskIndex&, const TaskIndex&) = default;
+    friend auto operator<=>(const TaskIndex&, const TaskIndex&) = default;
+};
+
+/// Where a job stands for its caller.
+enum class JobState : std::uint8_t { Queued, Running, Done, Failed, Cancelled };
+
+inline bool isFinal(JobState state) { return state != JobState::Queued && state != JobState::Running; }
+
+/// The durable part of a job's state. A record replaces the one before it.
+struct JobProgress {
+    /// Queued or Running while the job is open.
+    JobState m_state = JobState::Queued;
+    /// Tasks that have succeeded; empty once the job is Done.
+    std::vector<TaskIndex> m_done;
+    /// Numbers of the failed runs by task.
+    std::map<TaskIndex, std::vector<std::uint32_t>> m_failedRuns;
+
+    friend bool operator==(const JobProgress&, const JobProgress&) = default;
+};
+
+std::string encodeProgress(const JobProgress&);
+/// Fails with InvalidRequest when the text was not written by encodeProgress.
+Result<JobProgress> decodeProgress(std::string_view);
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/JobScheduler.h
@@ -0,0 +1,181 @@
+// The job scheduler of one term: decides which task of which job starts on which worker, from reports of the workers
+// and answers of the adviser. A deterministic state machine without I/O, clock or threads.
+#pragma once
+
+#include "jobs/SchedulerState.h"
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace sapphiredale::jobs {
+
+/// Limits of a scheduler; docs/platform.md derives them.
+struct SchedulerSettings {
+    /// Number of the term; the numbers of its runs follow from it.
+    std::uint64_t m_term = 1;
+    /// A worker that has not reported for this long gets no new work. Longer than one long poll and its answer.
+    Duration m_silence = std::chrono::milliseconds(1800);
+    /// Time between two stops of a run whose worker has not confirmed its end.
+    Duration m_stopInterval = std::chrono::milliseconds(700);
+    /// Part of a ticket's life that is left for the start to arrive.
+    Duration m_ticketMargin = std::chrono::milliseconds(120);
+    /// Time for which the outcome of a closed job is kept.
+    Duration m_retention = std::chrono::seconds(150);
+    /// Rest of a run that is let finish on a draining worker.
+    Duration m_drainPatience = std::chrono::milliseconds(1500);
+    /// Most waiting steps that one pass looks at.
+    std::uint32_t m_stepsPerPass = 200;
+};
+
+/// Counts of decisions since the start of the term.
+struct SchedulerCounters {
+    std::uint64_t m_starts = 0;
+    std::uint64_t m_refusedStarts = 0;
+    std::uint64_t m_unknownStarts = 0;
+    std::uint64_t m_stops = 0;
+    std::uint64_t m_questions = 0;
+    std::uint64_t m_doneRuns = 0;
+    std::uint64_t m_failedRuns = 0;
+    std::uint64_t m_lostRuns = 0;
+};
+
+/// See the head of the file. Functions that take `now` are called with times that do not decrease.
+class JobScheduler {
+public:
+    explicit JobScheduler(const SchedulerSettings&);
+    ~JobScheduler();
+    JobScheduler(const JobScheduler&) = delete;
+    JobScheduler& operator=(const JobScheduler&) = delete;
+
+    /// \name Recovery
+    /// @{
+    /// A job that was accepted before this term, with its stored progress.
+    void restoreJob(const JobRecord&, const JobProgress&, std::int64_t wallNowMs, TimePoint now);
+    /// Workers that may run tasks of an earlier term: tasks of restored jobs wait until each has reported, or until the
+    /// given instant, by which everything that an earlier term ordered has lapsed.
+    void expectReports(const std::vector<WorkerId>&, TimePoint lapsedAt);
+    bool isRecovered(TimePoint now) const;
+    /// @}
+
+    /// Adds a job; a repeated call with the same identifier has no effect.
+    void acceptJob(const JobRecord&, std::int64_t wallNowMs, TimePoint now);
+    /// Ends a job that is open. A job that arrives later is cancelled at once.
+    void cancelJob(const JobId&, TimePoint now);
+
+    /// The registry lists a worker, with this description.
+    void workerListed(const WorkerDescription&, TimePoint now);
+    /// The registry no longer lists it. Its runs may go on until its lease ends.
+    void workerDelisted(const WorkerId&, TimePoint now);
+    /// The store knows that this term gives orders to the worker.
+    void workerRecorded(const WorkerId&);
+    void workerReported(const WorkerId&, const WorkerReport&, TimePoint now);
+    /// An order that extends the worker's lease is about to be sent.
+    void leaseExtended(const WorkerId&, TimePoint leaseEnd);
+    void startAnswered(const WorkerId&, const RunName&, StartOutcome, TimePoint now);
+    /// A stop was confirmed, or not answered.
+    void stopAnswered(const WorkerId&, const RunName&, bool confirmed, TimePoint now);
+    /// The adviser's answer to a question sent at askedAt; the tickets expire after their validity from then on.
+    void adviceAnswered(
+        const AdviceQuestion&, const std::vector<Ticket>&, TimePoint askedAt, Duration validity, TimePoint now);
+    /// The question was not answered.
+    void adviceFailed(const AdviceQuestion&, TimePoint now);
+
+    /// Decides as much as is possible now, with at most this many questions to the adviser.
+    std::vector<SchedulerAction> step(std::int64_t wallNowMs, TimePoint now, std::uint32_t questions);
+
+    /// \name Durable state
+    /// @{
+    /// Changed progress since the last call. The batch number is given to stored() once the store has the records.
+    struct Batch {
+        std::uint64_t m_number = 0;
+        std::vector<ProgressRecord> m_records;
+    };
+    Batch takeChanges();
+    bool hasChanges() const { return !m_dirty.empty() || m_hasNewEnds; }
+    void stored(std::uint64_t batch);
+    /// The batch was not stored; its jobs are part of the next one.
+    void notStored(const Batch&);
+    /// Ends of the worker up to this number are stored and may be acknowledged.
+    std::uint64_t storedEnd(const WorkerId&) const;
+    /// Closed jobs whose retention is over; they are forgotten.
+    std::vector<JobId> takeExpired(TimePoint now);
+    /// @}
+
+    /// \name Queries
+    /// @{
+    bool knows(const JobId&) const;
+    /// What the caller of a known job is shown.
+    JobState state(const JobId&) const;
+    /// Open jobs of a queue of which no task has started.
+    std::uint32_t pending(const std::string& queue) const;
+    const Worker* worker(const WorkerId&) const;
+    const std::map<WorkerId, Worker>& workers() const { return m_workers; }
+    const SchedulerCounters& counters() const { return m_counters; }
+    std::size_t jobCount() const { return m_jobs.size(); }
+    /// @}
+
+private:
+    friend class Placement;
+
+    Job& addJob(const JobRecord&, std::int64_t wallNowMs, TimePoint now);
+    void openOccurrence(Job&, TimePoint now);
+    void openDueOccurrences(Job&, std::int64_t wallNowMs, TimePoint now);
+    void restoreTasks(Job&, const JobProgress&, TimePoint now);
+    Step* stepOf(const TaskName&);
+    static Task& taskOf(Step& step, const RunName& run) { return step.m_tasks[run.m_task.m_index.m_task]; }
+    void refreshWaiting(Step&, Task&, TimePoint now);
+    void refreshAllWaiting(Step&, TimePoint now);
+    void setActive(Run&, bool, TimePoint now);
+    void taskFinished(Step&, Task&, TimePoint now);
+    void stepFinished(Step&, TimePoint now);
+    void closeJob(Job&, JobState, TimePoint now);
+    void changed(Job&);
+
+    Run& addRun(Step&, Task&, Worker&, const RunName&, RunPhase, TimePoint now);
+    /// Takes a run from its worker; the task waits again unless it is done.
+    void removeRun(Worker&, const RunName&, TimePoint now);
+    void requestStop(Run&, TimePoint now);
+    void stopRunsOf(const Job&, TimePoint now);
+    void stopGang(const Step&, std::uint32_t run, TimePoint now);
+    static std::uint32_t nextRun(const SchedulerSettings&, const Task&);
+    void endReported(Worker&, const EndReport&, TimePoint now);
+    void runReported(Worker&, const RunReport&, TimePoint now);
+    void failureReported(Worker&, Step&, const RunName&, TimePoint now);
+    void dropMissingRuns(Worker&, const WorkerReport&, TimePoint now);
+    void workerReborn(Worker&, std::int64_t bornMs, TimePoint now);
+    void superviseWorkers(TimePoint now);
+    void superviseRuns(Worker&, TimePoint now);
+    void evacuate(Worker&, TimePoint now);
+    void paceFillers(Worker&, TimePoint now);
+
+    const SchedulerSettings m_settings;
+    std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
+    std::unordered_map<JobId, TimePoint> m_cancelledEarly;
+    std::map<WorkerId, Worker> m_workers;
+    /// Steps that have waiting tasks and no open dependency.
+    std::vector<Step*> m_waiting;
+    /// Jobs with occurrences that are not due yet.
+    std::vector<Job*> m_timed;
+    std::vector<Job*> m_dirty;
+    bool m_hasNewEnds = false;
+    std::uint64_t m_lastBatch = 0;
+    /// Ends that a worker had reported in this life when a batch was taken.
+    struct SeenEnd {
+        WorkerId m_worker;
+        std::int64_t m_bornMs = 0;
+        std::uint64_t m_end = 0;
+    };
+    std::map<std::uint64_t, std::vector<SeenEnd>> m_batchEnds;
+    std::map<std::uint64_t, std::vector<std::pair<JobId, JobState>>> m_batchStates;
+    TimePoint m_nextSupervision {};
+    std::vector<WorkerId> m_awaited;
+    TimePoint m_lapsedAt {};
+    std::vector<SchedulerAction> m_actions;
+    /// Share of the asked workers that the adviser allows, by queue.
+    std::map<std::string, double> m_allowedShare;
+    SchedulerCounters m_counters;
+};
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/JobSpec.h
@@ -0,0 +1,125 @@
+// What a caller submits: a job of dependent steps, each a number of equal tasks; and the policy of its queue.
+#pragma once
+
+#include "model/Identifier.h"
+#include "model/Resources.h"
+#include "model/Result.h"
+#include "model/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphiredale::jobs {
+
+/// One step: m_count equal tasks that may start once all tasks of the steps in m_dependsOn have succeeded.
+struct StepSpec {
+    std::uint32_t m_count = 1;
+    Resources m_need;
+    /// Declared run time of a task; often far off.
+    Duration m_estimate {};
+    std::vector<std::uint32_t> m_dependsOn;
+    bool m_savesCheckpoints = false;
+    /// The tasks work only while all of them run, with one run number, and end together.
+    bool m_isGang = false;
+    /// The tasks are slower when they run on more than one rack.
+    bool m_isRackLocal = false;
+    /// Copies of a task may run at the same time; the first result counts.
+    bool m_allowsCopies = false;
+    /// The tasks run until the job is cancelled and are started again however they end.
+    bool m_isLongRunning = false;
+    /// The tasks use processor time that others leave unused; m_need.m_cpuMillis is not reserved.
+    bool m_isFilling = false;
+    /// Label that a worker must have; empty for any.
+    std::string m_requiredLabel;
+    /// Rack on which the data lies; empty for none.
+    std::string m_dataRack;
+    /// Most tasks of the step on one worker; zero for no limit.
+    std::uint32_t m_maxPerWorker = 0;
+    std::string m_image;
+    /// Response time that the users of a serving task expect; zero for a task that serves nobody.
+    Duration m_responseTarget {};
+    /// Tasks of a long-running step that may be away at once through orders of the scheduler.
+    std::uint32_t m_maxAway = 0;
+
+    /// What a task reserves on a worker.
+    Resources reserved() const
+    {
+        return { m_isFilling ? 0 : m_need.m_cpuMillis, m_need.m_memoryMiB, m_need.m_accelerators };
+    }
+    bool isServing() const { return m_responseTarget.count() > 0; }
+
+    friend bool operator==(const StepSpec&, const StepSpec&) = default;
+};
+
+/// A job as submitted.
+struct JobSpec {
+    /// Opaque text that is handed to every task.
+    std::string m_payload;
+    std::vector<StepSpec> m_steps;
+    /// Number of times that the steps run; zero for once, at once.
+    std::uint32_t m_occurrences = 0;
+    /// Due time of occurrence 0 and the time between two occurrences, in milliseconds (since 1970 for the former).
+    std::int64_t m_firstDueMs = 0;
+    std::int64_t m_intervalMs = 0;
+
+    std::uint32_t occurrenceCount() const { return m_occurrences == 0 ? 1 : m_occurrences; }
+
+    friend bool operator==(const JobSpec&, const JobSpec&) = default;
+};
+
+/// Cost and lifetime of the tickets of a placement adviser.
+struct AdvicePolicy {
+    Duration m_base {};
+    Duration m_perWorker {};
+    Duration m_validity {};
+
+    friend bool operator==(const AdvicePolicy&, const AdvicePolicy&) = default;
+};
+
+/// Policy of a queue as the configuration in force declares it.
+struct QueuePolicy {
+    std::string m_queue;
+    /// Service whose workers run the tasks.
+    std::string m_service;
+    /// 0 is the most urgent.
+    std::uint32_t m_priority = 0;
+    /// Failed runs of a task after which its job fails.
+    std::uint32_t m_maxAttempts = 1;
+    /// Factor from the longest chain of work to the objective of a job, and the time added to it.
+    double m_slackFactor = 1.0;
+    Duration m_latencyTarget {};
+    std::optional<AdvicePolicy> m_advice;
+
+    friend bool operator==(const QueuePolicy&, const QueuePolicy&) = default;
+};
+
+/// A job as it is stored when it is accepted.
+struct JobRecord {
+    JobId m_job;
+    QueuePolicy m_policy;
+    JobSpec m_spec;
+    /// Wall-clock time of the acceptance in milliseconds since 1970.
+    std::int64_t m_acceptedMs = 0;
+
+    friend bool operator==(const JobRecord&, const JobRecord&) = default;
+};
+
+/// Bounds of a submission.
+inline constexpr std::size_t maxPayloadBytes = 4000; // the callers' interface allows no more
+inline constexpr std::size_t maxSteps = 256; // bounds the memory of one job; callers use up to 5
+inline constexpr std::uint32_t maxTasksPerStep = 10000; // bounds the memory of one job; callers use up to 52
+
+/// InvalidRequest with the place of the first fault, or success.
+Result<Unit> validate(const JobSpec&);
+
+/// The text of a record in the store, and its inverse. Parsing fails with InvalidRequest.
+std::string encodeJobRecord(const JobRecord&);
+Result<JobRecord> decodeJobRecord(const JobId&, std::string_view);
+
+/// The steps of a job on the longest chain of estimates, summed.
+Duration longestChain(const JobSpec&);
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/Placement.cpp
@@ -0,0 +1,338 @@
+// Order of waiting steps, choice of workers, and questions to the adviser.
+
+#include "jobs/Placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace sapphiredale::jobs {
+
+namespace {
+
+    // Costs of a placement, in units of a worker's whole room that is left unused.
+    constexpr double otherRackCost = 4.0;
+    constexpr double interferenceCost = 2.0;
+    constexpr double avoidedWorkerCost = 8.0;
+    /// Expected room that a question asks for, as a multiple of the need.
+    constexpr double questionMargin = 1.6;
+    /// Most workers of one question; the adviser accepts no more.
+    constexpr std::size_t maxQuestionWorkers = 100;
+    /// Room for one more slot is not worth a name beyond this many slots on one worker.
+    constexpr std::uint32_t maxSlotsPerName = 8;
+
+    std::int64_t slotsOf(std::int64_t free, std::int64_t need)
+    {
+        return need <= 0 ? std::numeric_limits<std::int32_t>::max() : std::max<std::int64_t>(0, free) / need;
+    }
+
+    /// Share of allowed workers from which on a question pledges a slot on each worker that it names.
+    constexpr double pledgedShare = 0.3;
+
+} // namespace
+
+void Placement::pass(std::uint32_t questions)
+{
+    std::erase_if(m_scheduler.m_waiting, [](Step* step) {
+        step->m_isQueued = step->m_waitingTasks > 0;
+        return !step->m_isQueued;
+    });
+    if (m_scheduler.m_waiting.empty())
+        return;
+    const bool isRecovered = m_scheduler.isRecovered(m_now);
+    std::uint32_t looked = 0;
+    for (const Rank& rank : order()) {
+        Step& step = *rank.m_step;
+        if (step.m_job->m_isInherited && !isRecovered)
+            continue;
+        if (++looked > m_scheduler.m_settings.m_stepsPerPass)
+            break;
+        if (step.m_spec->m_isGang)
+            placeGang(step);
+        else
+            placeTasks(step);
+        const bool needsTickets = step.m_job->m_record.m_policy.m_advice && step.m_waitingTasks > 0;
+        if (needsTickets && questions > 0 && !step.m_isAsking && step.m_nextAskAt <= m_now && ask(step))
+            --questions;
+    }
+}
+
+std::vector<Placement::Rank> Placement::order() const
+{
+    std::vector<Rank> ranks;
+    ranks.reserve(m_scheduler.m_waiting.size());
+    for (Step* step : m_scheduler.m_waiting)
+        ranks.push_back(rankOf(*step));
+    std::sort(ranks.begin(), ranks.end());
+    return ranks;
+}
+
+Placement::Rank Placement::rankOf(Step& step) const
+{
+    const Job& job = *step.m_job;
+    Rank rank;
+    rank.m_step = &step;
+    rank.m_priority = job.m_record.m_policy.m_priority;
+    rank.m_deadline = job.m_objective;
+    if (step.m_spec->m_isLongRunning) {
+        // Every second away counts alike, however late it is.
+        rank.m_priority = 0;
+        rank.m_deadline = job.m_acceptedAt;
+        return rank;
+    }
+    rank.m_lateness = m_now + step.m_spec->m_estimate <= job.m_objective ? 0 : m_now <= job.m_worthlessAt ? 1 : 2;
+    return rank;
+}
+
+bool Placement::isEligible(const Worker& worker, const Step& step) const
+{
+    const WorkerDescription& description = worker.m_description;
+    if (!worker.m_isListed || !worker.m_isRecorded || !worker.m_hasReported || worker.m_isSilent
+        || description.m_isDraining || worker.m_quarantinedUntil > m_now)
+        return false;
+    if (description.m_service != step.m_job->m_record.m_policy.m_service)
+        return false;
+    const std::string& label = step.m_spec->m_requiredLabel;
+    const std::vector<std::string>& labels = description.m_labels;
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool Placement::hasTicket(const Worker& worker, const Step& step) const
+{
+    const auto found = step.m_permissions.find(worker.m_description.m_worker);
+    return found != step.m_permissions.end() && found->second.m_isAllowed
+        && found->second.m_bornMs == worker.m_description.m_bornMs
+        && m_now + m_scheduler.m_settings.m_ticketMargin < found->second.m_expiresAt;
+}
+
+std::uint32_t Placement::runsOn(const Worker& worker, const Step& step) const
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        worker.m_runs.begin(), worker.m_runs.end(), [&](const auto& entry) { return entry.second.m_step == &step; }));
+}
+
+std::uint32_t Placement::slots(const Worker& worker, const Step& step, const Resources& free) const
+{
+    const Resources need = step.m_spec->reserved();
+    std::int64_t count = std::min({ slotsOf(free.m_cpuMillis, need.m_cpuMillis),
+        slotsOf(free.m_memoryMiB, need.m_memoryMiB), slotsOf(free.m_accelerators, need.m_accelerators) });
+    if (step.m_spec->m_isFilling) {
+        const std::int64_t unused = free.m_cpuMillis - worker.m_fillingMillis;
+        count = std::min(count, slotsOf(unused, step.m_spec->m_need.m_cpuMillis));
+    }
+    if (step.m_spec->m_maxPerWorker > 0)
+        count = std::min<std::int64_t>(
+            count, step.m_spec->m_maxPerWorker - std::min(step.m_spec->m_maxPerWorker, runsOn(worker, step)));
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::int32_t>::max()));
+}
+
+bool Placement::fits(const Worker& worker, const Step& step, const Resources& free) const
+{
+    if (!step.m_spec->reserved().fitsIn(free))
+        return false;
+    return slots(worker, step, free) > 0;
+}
+
+double Placement::cost(const Worker& worker, const Step& step, const Task& task, const RackId& rack) const
+{
+    const StepSpec& spec = *step.m_spec;
+    const Resources left = worker.free() - spec.reserved();
+    const Resources& capacity = worker.m_description.m_capacity;
+    const auto share = [](std::int64_t part, std::int64_t whole) {
+        return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 1.0;
+    };
+    // Best fit by the scarcest resource; a filling task wants the opposite.
+    double cost
+        = std::min(share(left.m_cpuMillis, capacity.m_cpuMillis), share(left.m_memoryMiB, capacity.m_memoryMiB));
+    if (spec.m_isFilling)
+        cost = 1.0 - share(left.m_cpuMillis - worker.m_fillingMillis - spec.m_need.m_cpuMillis, capacity.m_cpuMillis);
+    const RackId& at = worker.m_description.m_rack;
+    if (!spec.m_dataRack.empty() && at.value() != spec.m_dataRack)
+        cost += otherRackCost;
+    if (!rack.empty() && at != rack)
+        cost += otherRackCost;
+    if ((spec.m_isFilling && worker.m_servingRuns > 0) || (spec.isServing() && worker.m_fillingRuns > 0))
+        cost += interferenceCost;
+    if (task.m_avoid == worker.m_description.m_worker)
+        cost += avoidedWorkerCost;
+    return cost;
+}
+
+Worker* Placement::choose(const Step& step, const Task& task, const RackId& rack)
+{
+    Worker* best = nullptr;
+    double bestCost = 0;
+    const auto consider = [&](Worker& worker) {
+        if (!isEligible(worker, step) || !fits(worker, step, worker.free()))
+            return;
+        const double candidate = cost(worker, step, task, rack);
+        if (best == nullptr || candidate < bestCost) {
+            best = &worker;
+            bestCost = candidate;
+        }
+    };
+    if (!step.m_job->m_record.m_policy.m_advice) {
+        for (auto& [id, worker] : m_scheduler.m_workers)
+            consider(worker);
+        return best;
+    }
+    for (const auto& [id, permission] : step.m_permissions) {
+        const auto found = m_scheduler.m_workers.find(id);
+        if (permission.m_isAllowed && found != m_scheduler.m_workers.end() && hasTicket(found->second, step))
+            consider(found->second);
+    }
+    return best;
+}
+
+RackId Placement::rackWithMostRoom(const Step& step) const
+{
+    std::map<RackId, std::uint64_t> room;
+    const bool needsTicket = step.m_job->m_record.m_policy.m_advice.has_value();
+    for (const auto& [id, worker] : m_scheduler.m_workers) {
+        if (runsOn(worker, step) > 0)
+            return worker.m_description.m_rack;
+        if (isEligible(worker, step) && (!needsTicket || hasTicket(worker, step)))
+            room[worker.m_description.m_rack] += slots(worker, step, worker.free());
+    }
+    const auto best
+        = std::max_element(room.begin(), room.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    return best == room.end() ? RackId() : best->first;
+}
+
+void Placement::placeTasks(Step& step)
+{
+    const RackId rack = step.m_spec->m_isRackLocal ? rackWithMostRoom(step) : RackId();
+    for (std::uint32_t i = 0; i < step.m_tasks.size() && step.m_waitingTasks > 0; ++i) {
+        Task& task = step.m_tasks[i];
+        if (!task.m_isWaiting)
+            continue;
+        Worker* worker = choose(step, task, rack);
+        if (worker == nullptr)
+            return;
+        start(step, i, *worker, JobScheduler::nextRun(m_scheduler.m_settings, task));
+    }
+}
+
+std::vector<Worker*> Placement::chooseTogether(Step& step, const RackId& rack)
+{
+    const bool needsTicket = step.m_job->m_record.m_policy.m_advice.has_value();
+    std::vector<std::pair<double, Worker*>> candidates;
+    for (auto& [id, worker] : m_scheduler.m_workers) {
+        if (isEligible(worker, step) && (!needsTicket || hasTicket(worker, step))
+            && (rack.empty() || worker.m_description.m_rack == rack))
+            candidates.emplace_back(cost(worker, step, step.m_tasks.front(), rack), &worker);
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first < b.first
+                                  : a.second->m_description.m_worker < b.second->m_description.m_worker;
+    });
+    std::vector<Worker*> chosen;
+    for (const auto& [cost, worker] : candidates) {
+        const std::uint32_t room = slots(*worker, step, worker->free());
+        for (std::uint32_t i = 0; i < room && chosen.size() < step.m_tasks.size(); ++i)
+            chosen.push_back(worker);
+    }
+    if (chosen.size() < step.m_tasks.size())
+        chosen.clear();
+    return chosen;
+}
+
+void Placement::placeGang(Step& step)
+{
+    // The members share one run number, so all earlier runs must be over.
+    if (step.m_waitingTasks < step.m_tasks.size())
+        return;
+    std::vector<Worker*> workers;
+    if (step.m_spec->m_isRackLocal)
+        workers = chooseTogether(step, rackWithMostRoom(step));
+    if (workers.empty())
+        workers = chooseTogether(step, RackId());
+    if (workers.empty())
+        return;
+    std::uint32_t run = 0;
+    for (const Task& task : step.m_tasks)
+        run = std::max(run, JobScheduler::nextRun(m_scheduler.m_settings, task));
+    // All members must carry the same checkpoint.
+    for (Task& task : step.m_tasks)
+        task.m_checkpoint = step.m_tasks.front().m_checkpoint;
+    for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i)
+        start(step, i, *workers[i], run);
+}
+
+void Placement::start(Step& step, std::uint32_t index, Worker& worker, std::uint32_t number)
+{
+    Task& task = step.m_tasks[index];
+    const RunName name { { step.m_name.m_job, { step.m_name.m_occurrence, step.m_name.m_step, index } }, number };
+    m_scheduler.addRun(step, task, worker, name, RunPhase::Starting, m_now);
+    StartOrder order { worker.m_description.m_worker, name, step.m_job->m_record.m_spec.m_payload, task.m_checkpoint,
+        {} };
+    if (step.m_job->m_record.m_policy.m_advice)
+        order.m_ticket = step.m_permissions.at(worker.m_description.m_worker).m_ticket;
+    ++m_scheduler.m_counters.m_starts;
+    m_scheduler.m_actions.emplace_back(std::move(order));
+}
+
+bool Placement::ask(Step& step)
+{
+    const AdvicePolicy& advice = *step.m_job->m_record.m_policy.m_advice;
+    const double share
+        = m_scheduler.m_allowedShare.try_emplace(step.m_job->m_record.m_policy.m_queue, 0.5).first->second;
+    struct Candidate {
+        double m_expected;
+        double m_rackBonus;
+        Worker* m_worker;
+    };
+    std::vector<Candidate> candidates;
+    for (auto& [id, worker] : m_scheduler.m_workers) {
+        if (!isEligible(worker, step) || hasTicket(worker, step))
+            continue;
+        const auto known = step.m_permissions.find(id);
+        const bool isKnown
+            = known != step.m_permissions.end() && known->second.m_bornMs == worker.m_description.m_bornMs;
+        if (known != step.m_permissions.end() && !known->second.m_isAllowed)
+            continue;
+        const std::uint32_t room = std::min(maxSlotsPerName, slots(worker, step, worker.free() - worker.m_pledged));
+        if (room == 0)
+            continue;
+        const bool isNear
+            = step.m_spec->m_dataRack.empty() || worker.m_description.m_rack.value() == step.m_spec->m_dataRack;
+        candidates.push_back({ (isKnown ? 1.0 : share) * room, isNear ? 1.0 : 0.0, &worker });
+    }
+    if (candidates.empty())
+        return false;
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+        if (a.m_rackBonus != b.m_rackBonus)
+            return a.m_rackBonus > b.m_rackBonus;
+        if (a.m_expected != b.m_expected)
+            return a.m_expected > b.m_expected;
+        return a.m_worker->m_description.m_worker < b.m_worker->m_description.m_worker;
+    });
+    const double wanted = step.m_waitingTasks * questionMargin;
+    AdviceQuestion question { step.m_name, {}, {} };
+    double expected = 0;
+    for (const Candidate& candidate : candidates) {
+        if (expected >= wanted || question.m_workers.size() >= maxQuestionWorkers)
+            break;
+        expected += candidate.m_expected;
+        question.m_workers.push_back(candidate.m_worker->m_description.m_worker);
+        if (share < pledgedShare)
+            continue;
+        step.m_pledges.emplace_back(question.m_workers.back(), step.m_spec->reserved());
+        candidate.m_worker->m_pledged += step.m_spec->reserved();
+    }
+    question.m_expected = advice.m_base + advice.m_perWorker * static_cast<std::int64_t>(question.m_workers.size());
+    step.m_isAsking = true;
+    ++m_scheduler.m_counters.m_questions;
+    m_scheduler.m_actions.emplace_back(std::move(question));
+    return true;
+}
+
+void Placement::withdrawPledges(Step& step)
+{
+    for (const auto& [id, pledge] : step.m_pledges) {
+        if (const auto found = m_scheduler.m_workers.find(id); found != m_scheduler.m_workers.end())
+            found->second.m_pledged -= pledge;
+    }
+    step.m_pledges.clear();
+}
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/SchedulerState.h
@@ -0,0 +1,156 @@
+// Records of the job scheduler: jobs with their steps and tasks, workers with their runs.
+#pragma once
+
+#include "jobs/SchedulerTypes.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace sapphiredale::jobs {
+
+struct Job;
+struct Step;
+struct Worker;
+
+/// Where a run stands; every run reserves room on its worker until it is resolved.
+enum class RunPhase : std::uint8_t {
+    /// The start was sent and is not answered yet.
+    Starting,
+    /// The worker confirmed the start or listed the run.
+    Running,
+    /// The start or its answer may be under way; a stop makes the number unusable.
+    Unknown,
+    /// A stop was sent.
+    Stopping,
+};
+
+struct Run {
+    RunName m_name;
+    Step* m_step = nullptr;
+    Worker* m_worker = nullptr;
+    RunPhase m_phase = RunPhase::Starting;
+    Resources m_reserved;
+    /// Processor use of a filling task, which reserves none.
+    std::int64_t m_fillingMillis = 0;
+    TimePoint m_orderedAt {};
+    bool m_isActive = true;
+    /// When the worker's confirmation arrived; max() before. A report that was asked for later must list the run.
+    TimePoint m_confirmedAt = TimePoint::max();
+    /// When the answer to the start was given up; max() otherwise.
+    TimePoint m_unknownSince = TimePoint::max();
+    /// When the answer to the stop arrived; max() before. A report that was asked for later lists the run, or it is
+    /// over.
+    TimePoint m_stopConfirmedAt = TimePoint::max();
+    TimePoint m_nextStopAt {};
+    double m_percent = 0;
+    /// When m_percent last rose.
+    TimePoint m_progressAt {};
+    std::uint32_t m_pace = 100;
+    /// Since when the tail of a serving task has been over its target; max() while it is not.
+    TimePoint m_overTargetSince = TimePoint::max();
+};
+
+struct Task {
+    bool m_isDone = false;
+    bool m_isWaiting = false;
+    /// Unresolved runs, and those among them that are expected to deliver a result.
+    std::uint32_t m_liveRuns = 0;
+    std::uint32_t m_activeRuns = 0;
+    std::uint32_t m_highestRun = 0;
+    std::vector<std::uint32_t> m_failedRuns;
+    std::string m_checkpoint;
+    /// Worker on which the last run failed or was slow.
+    WorkerId m_avoid;
+    TimePoint m_waitingSince {};
+};
+
+/// What the adviser said about a worker for a step.
+struct Permission {
+    bool m_isAllowed = false;
+    std::string m_ticket;
+    TimePoint m_expiresAt {};
+    /// Life of the worker for which the ticket was given.
+    std::int64_t m_bornMs = 0;
+};
+
+/// A step of one occurrence.
+struct Step {
+    Job* m_job = nullptr;
+    const StepSpec* m_spec = nullptr;
+    StepName m_name;
+    std::vector<Task> m_tasks;
+    std::uint32_t m_doneTasks = 0;
+    std::uint32_t m_waitingTasks = 0;
+    /// Steps of this occurrence on which it depends and that are not finished.
+    std::uint32_t m_openDependencies = 0;
+    bool m_isQueued = false;
+    std::map<WorkerId, Permission> m_permissions;
+    bool m_isAsking = false;
+    /// Room that the open question has pledged.
+    std::vector<std::pair<WorkerId, Resources>> m_pledges;
+    TimePoint m_nextAskAt {};
+    std::uint32_t m_askFailures = 0;
+
+    bool isFinished() const { return m_doneTasks == m_tasks.size(); }
+};
+
+struct Job {
+    JobRecord m_record;
+    JobState m_state = JobState::Queued;
+    /// State that the store has; what callers are shown once the job has ended.
+    JobState m_storedState = JobState::Queued;
+    bool m_isInherited = false;
+    bool m_hasStarted = false;
+    bool m_isDirty = false;
+    TimePoint m_acceptedAt {};
+    /// Objective of the job and the instant after which its result is worth nothing to the caller.
+    TimePoint m_objective {};
+    TimePoint m_worthlessAt {};
+    TimePoint m_closedAt {};
+    /// Occurrence by occurrence, step by step; filled when the occurrence is due.
+    std::deque<Step> m_steps;
+    std::uint32_t m_openedOccurrences = 0;
+    std::uint32_t m_finishedSteps = 0;
+
+    bool isOpen() const { return !isFinal(m_state); }
+    std::uint32_t stepsPerOccurrence() const { return static_cast<std::uint32_t>(m_record.m_spec.m_steps.size()); }
+    Step* step(std::uint32_t occurrence, std::uint32_t step)
+    {
+        const std::size_t index = std::size_t { occurrence } * stepsPerOccurrence() + step;
+        return step < stepsPerOccurrence() && index < m_steps.size() ? &m_steps[index] : nullptr;
+    }
+};
+
+struct Worker {
+    WorkerDescription m_description;
+    bool m_isListed = false;
+    /// The store knows that this term may give the worker orders.
+    bool m_isRecorded = false;
+    /// A report has arrived in this term and life.
+    bool m_hasReported = false;
+    TimePoint m_lastReportAt {};
+    /// Latest instant until which anything that was ordered may run there without further orders.
+    TimePoint m_leaseEnd {};
+    Resources m_reserved;
+    std::int64_t m_fillingMillis = 0;
+    std::uint32_t m_servingRuns = 0;
+    std::uint32_t m_fillingRuns = 0;
+    /// Expected use by steps whose questions to the adviser name this worker.
+    Resources m_pledged;
+    /// Failures less successes, each success halves it.
+    double m_failureScore = 0;
+    TimePoint m_quarantinedUntil {};
+    std::uint32_t m_quarantines = 0;
+    std::uint64_t m_seenEnd = 0;
+    std::uint64_t m_storedEnd = 0;
+    std::map<RunName, Run> m_runs;
+
+    bool m_isSilent = false;
+
+    Resources free() const { return m_description.m_capacity - m_reserved; }
+};
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/SchedulerTypes.h
@@ -0,0 +1,180 @@
+// What the job scheduler is told and what it decides: reports of workers, orders to them, questions to the adviser.
+#pragma once
+
+#include "jobs/JobProgress.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sapphiredale::jobs {
+
+/// A task of a job.
+struct TaskName {
+    JobId m_job;
+    TaskIndex m_index;
+
+    friend bool operator==(const TaskName&, const TaskName&) = default;
+    friend auto operator<=>(const TaskName& a, const TaskName& b)
+    {
+        const auto order = a.m_job <=> b.m_job;
+        return order != 0 ? order : a.m_index <=> b.m_index;
+    }
+};
+
+/// One start of a task. Numbers of later starts are higher.
+struct RunName {
+    TaskName m_task;
+    std::uint32_t m_run = 0;
+
+    friend bool operator==(const RunName&, const RunName&) = default;
+    friend auto operator<=>(const RunName& a, const RunName& b)
+    {
+        const auto order = a.m_task <=> b.m_task;
+        return order != 0 ? order : a.m_run <=> b.m_run;
+    }
+};
+
+/// A step of one occurrence of a job.
+struct StepName {
+    JobId m_job;
+    std::uint32_t m_occurrence = 0;
+    std::uint32_t m_step = 0;
+
+    friend bool operator==(const StepName&, const StepName&) = default;
+    friend auto operator<=>(const StepName& a, const StepName& b)
+    {
+        const auto order = a.m_job <=> b.m_job;
+        if (order != 0)
+            return order;
+        const auto occurrences = a.m_occurrence <=> b.m_occurrence;
+        return occurrences != 0 ? occurrences : a.m_step <=> b.m_step;
+    }
+};
+
+/// A worker as the registry describes it.
+struct WorkerDescription {
+    WorkerId m_worker;
+    std::string m_service;
+    /// "address:port" of its order interface.
+    std::string m_address;
+    FailureDomainId m_failureDomain;
+    RackId m_rack;
+    std::vector<std::string> m_labels;
+    Resources m_capacity;
+    bool m_isDraining = false;
+    /// Start of this life of the worker, in milliseconds since 1970.
+    std::int64_t m_bornMs = 0;
+
+    friend bool operator==(const WorkerDescription&, const WorkerDescription&) = default;
+};
+
+/// A run that a worker lists as running.
+struct RunReport {
+    RunName m_run;
+    std::string m_checkpoint;
+    /// Work that is done, in percent; 100 for a serving task that is at work.
+    double m_percent = 0;
+    /// Tail of the response times in milliseconds for a serving task, processor use in thousandths of a core otherwise.
+    double m_recent = 0;
+
+    friend bool operator==(const RunReport&, const RunReport&) = default;
+};
+
+enum class RunEnd : std::uint8_t { Done, Failed, Stopped, Lapsed, Broken, Alone };
+
+/// The end of a run as its worker lists it until it is acknowledged.
+struct EndReport {
+    /// Position in the worker's list of ends; rises within one life of the worker.
+    std::uint64_t m_number = 0;
+    RunName m_run;
+    RunEnd m_end = RunEnd::Lapsed;
+    std::string m_checkpoint;
+
+    friend bool operator==(const EndReport&, const EndReport&) = default;
+};
+
+/// A full report of a worker.
+struct WorkerReport {
+    std::int64_t m_bornMs = 0;
+    /// When the report was asked for; what happened later may be missing in it.
+    TimePoint m_askedAt {};
+    std::vector<RunReport> m_running;
+    std::vector<EndReport> m_ended;
+
+    friend bool operator==(const WorkerReport&, const WorkerReport&) = default;
+};
+
+/// What became of an order to start a run.
+enum class StartOutcome : std::uint8_t {
+    Started,
+    /// The worker did nothing and will do nothing.
+    Refused,
+    /// The worker has no room.
+    RefusedForRoom,
+    /// The ticket was not accepted.
+    RefusedForTicket,
+    /// The worker obeys a scheduler of a later term.
+    RefusedForTerm,
+    /// No answer: the run may exist or may begin later.
+    Unknown,
+};
+
+/// Permission to run the tasks of a step on a worker.
+struct Ticket {
+    WorkerId m_worker;
+    std::string m_text;
+
+    friend bool operator==(const Ticket&, const Ticket&) = default;
+};
+
+// Orders, in the order in which they are to be carried out.
+
+struct StartOrder {
+    WorkerId m_worker;
+    RunName m_run;
+    std::string m_payload;
+    std::string m_checkpoint;
+    /// Empty where the queue has no adviser.
+    std::string m_ticket;
+
+    friend bool operator==(const StartOrder&, const StartOrder&) = default;
+};
+
+struct StopOrder {
+    WorkerId m_worker;
+    RunName m_run;
+
+    friend bool operator==(const StopOrder&, const StopOrder&) = default;
+};
+
+struct PaceOrder {
+    WorkerId m_worker;
+    RunName m_run;
+    std::uint32_t m_percent = 100;
+
+    friend bool operator==(const PaceOrder&, const PaceOrder&) = default;
+};
+
+/// A question to the adviser: which of the workers may run the step?
+struct AdviceQuestion {
+    StepName m_step;
+    std::vector<WorkerId> m_workers;
+    /// Time that the adviser needs.
+    Duration m_expected {};
+
+    friend bool operator==(const AdviceQuestion&, const AdviceQuestion&) = default;
+};
+
+using SchedulerAction = std::variant<StartOrder, StopOrder, PaceOrder, AdviceQuestion>;
+
+/// Progress of a job that is to be stored.
+struct ProgressRecord {
+    JobId m_job;
+    JobProgress m_progress;
+
+    friend bool operator==(const ProgressRecord&, const ProgressRecord&) = default;
+};
+
+} // namespace sapphiredale::jobs
--- a/src/observability/EventLog.cpp
+++ b/src/observability/EventLog.cpp
@@ -133,7 +133,7 @@
     {
         log4cplus::SharedAppenderPtr appender;
         if (settings.m_file.empty()) {
-            appender = new log4cplus::ConsoleAppender(true, true);
+            appender = new log4cplus::ConsoleAppender(!settings.m_toStandardOutput, true);
         } else {
             if (!std::ofstream(settings.m_file, std::ios::app))
                 return Error { ErrorKind::Internal, "cannot write the log file " + settings.m_file };
--- a/src/platform/HttpChannel.cpp
+++ b/src/platform/HttpChannel.cpp
@@ -202,11 +202,12 @@
     std::string requestText() const
     {
         const HttpCall& call = m_active->m_call;
-        std::string text = call.m_method + ' ' + call.m_target + " HTTP/1.1\r\nHost:\r\n";
+        std::string text = call.m_method + ' ' + call.m_target + " HTTP/1.1\r\nHost: " + m_settings.m_address + "\r\n";
         if (!m_link->m_reused && !m_settings.m_daemon.empty())
             text += "Sapphire-Daemon: " + m_settings.m_failureDomain.value() + '/' + m_settings.m_daemon.value()
                 + "\r\n";
-        if (!call.m_body.empty())
+        text += call.m_headers;
+        if (!call.m_body.empty() || call.m_method == "POST")
             text += "Content-Length: " + std::to_string(call.m_body.size()) + "\r\n";
         return text + "\r\n" + call.m_body;
     }
--- a/src/platform/HttpChannel.h
+++ b/src/platform/HttpChannel.h
@@ -28,6 +28,8 @@
     Duration m_timeout {};
     /// The request may be sent again when a kept connection turns out to be closed before any answer byte arrived.
     bool m_repeatable = false;
+    /// Further header lines, each ended by CRLF.
+    std::string m_headers {};
 };
 
 /// Sends one request at a time. A connection is closed after every failure, so that an answer that arrives late cannot
