Let the lease of a silent worker end; start tasks only on places of the newest record

The log line step-waits showed runs "stopping" or "unknown" on workers that were gone: each unanswered hold extended the lease, so its end never came. Second cause: a run placed while a progress record without its worker was on its way waited for ever. Ruled out: adviser and room (five workers free and ticketed in the trace). Change: holds without an extension once the last report is 1.3 s old; places are compared with the newest record that was sent; a new life of a worker is used once the registry describes it; runs inherited from an earlier term keep that term's lease end; unanswered starts become unknown.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -22,6 +22,10 @@
     constexpr Duration storeWait = std::chrono::milliseconds(400);
     /// A registry entry may vanish for about two seconds while the store recovers.
     constexpr Duration vanishedGrace = std::chrono::milliseconds(2500);
+    /// Steps that wait for longer are named in the log, a few at a time.
+    constexpr Duration waitLogAge = std::chrono::seconds(4);
+    constexpr Duration waitLogInterval = std::chrono::seconds(3);
+    constexpr std::size_t waitLogLines = 3;
     constexpr Duration forgetInterval = std::chrono::seconds(5);
     constexpr char cancellationMark = '-';
     /// Jobs for which the follower's view may be this old: a younger answer "unknown" is certain.
@@ -334,9 +338,7 @@
     WorkerLink* target = link(order.m_worker);
     if (target == nullptr)
         return m_scheduler->startAnswered(order.m_worker, order.m_run, jobs::StartOutcome::Refused, bootNow());
-    ++m_openOrders;
     target->start(order, [this, worker = order.m_worker, run = order.m_run](const userplatform::StartAnswer& answer) {
-        --m_openOrders;
         if (answer.m_outcome != jobs::StartOutcome::Started)
             m_log.write(LogEvent::OrderNotObeyed,
                 { { "worker", worker.value() }, { "job", run.m_task.m_job.value() },
@@ -357,9 +359,7 @@
     WorkerLink* target = link(order.m_worker);
     if (target == nullptr)
         return;
-    ++m_openOrders;
     target->stop(order, [this, order](bool confirmed) {
-        --m_openOrders;
         m_scheduler->stopAnswered(order.m_worker, order.m_run, confirmed, bootNow());
     });
 }
@@ -448,6 +448,13 @@
             hold(id);
     }
     std::erase_if(m_links, [this](const auto& entry) { return m_scheduler->worker(entry.first) == nullptr; });
+    if (m_nextWaitLogAt <= now) {
+        m_nextWaitLogAt = now + waitLogInterval;
+        for (const jobs::JobScheduler::Wait& wait : m_scheduler->longWaits(waitLogAge, waitLogLines, now))
+            m_log.write(LogEvent::StepWaits,
+                { { "job", wait.m_step.m_job.value() }, { "step", std::uint64_t { wait.m_step.m_step } },
+                    { "reason", wait.m_reason } });
+    }
     if (m_nextForgetAt <= now) {
         m_nextForgetAt = now + forgetInterval;
         forget(m_scheduler->takeExpired(now));
@@ -503,7 +510,7 @@
 
 bool SchedulerTerm::isHandedOver() const
 {
-    return m_isHandingOver && m_openOrders == 0 && !m_writer->isBusy() && (!m_scheduler || !m_scheduler->hasChanges());
+    return m_isHandingOver && !m_writer->isBusy() && (!m_scheduler || !m_scheduler->hasChanges());
 }
 
 void SchedulerTerm::depose()
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -39,7 +39,7 @@
     SchedulerTerm& operator=(const SchedulerTerm&) = delete;
 
     void start();
-    /// No orders from now on; what was sent is awaited.
+    /// No orders from now on; what has changed is stored.
     void beginHandover();
     bool isHandedOver() const;
 
@@ -101,10 +101,10 @@
     boost::asio::steady_timer m_superviseTimer;
     TimePoint m_lastStepAt {};
     TimePoint m_nextForgetAt {};
+    TimePoint m_nextWaitLogAt {};
     bool m_isStepScheduled = false;
     bool m_isHandingOver = false;
     bool m_isDeposed = false;
-    std::uint32_t m_openOrders = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -30,6 +30,9 @@
         return header;
     const TimePoint now = bootNow();
     const Duration age = now - m_clockAt;
+    // The lease of a worker that does not answer has to end some time.
+    if (age > m_settings.m_extendableAge)
+        return header;
     header.m_runUntilMs
         = m_clockMs + std::chrono::duration_cast<std::chrono::milliseconds>(age + m_settings.m_lease).count();
     m_leaseEnd = std::max(
--- a/src/controller/WorkerLink.h
+++ b/src/controller/WorkerLink.h
@@ -18,6 +18,8 @@
     Duration m_lease = std::chrono::seconds(8);
     /// Wait of a hold for the end of a run.
     Duration m_holdWait = std::chrono::milliseconds(1000);
+    /// Leases are extended while the last report is at most this old: one wait and its answer.
+    Duration m_extendableAge = std::chrono::milliseconds(1300);
     Duration m_holdPatience = std::chrono::milliseconds(500);
     Duration m_orderTimeout = std::chrono::milliseconds(600);
 };
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -407,6 +407,8 @@
         return;
     worker.m_description = description;
     worker.m_isListed = true;
+    worker.m_isDescribed = true;
+    worker.m_describedBornMs = description.m_bornMs;
     if (born != 0 && description.m_bornMs > born) {
         worker.m_description.m_bornMs = born;
         workerReborn(worker, description.m_bornMs, now);
@@ -423,6 +425,7 @@
 
 void JobScheduler::workerReborn(Worker& worker, std::int64_t bornMs, TimePoint now)
 {
+    worker.m_isDescribed = worker.m_isDescribed && worker.m_describedBornMs == bornMs;
     worker.m_description.m_bornMs = bornMs;
     worker.m_hasReported = false;
     worker.m_seenEnd = 0;
@@ -467,7 +470,9 @@
     for (const RunReport& run : report.m_running)
         runReported(worker, run, now);
     dropMissingRuns(worker, report, now);
-    worker.m_hasReported = true;
+    // What an earlier term ordered may run until then, whatever this term adds.
+    if (!std::exchange(worker.m_hasReported, true))
+        worker.m_leaseEnd = std::max(worker.m_leaseEnd, m_lapsedAt);
     paceFillers(worker, now);
 }
 
@@ -624,6 +629,12 @@
         }
         if (worker.m_isSilent && run.m_step->m_spec->m_allowsCopies)
             setActive(run, false, now);
+        // An order whose connection was given up has no answer.
+        if (run.m_phase == RunPhase::Starting && now - run.m_orderedAt > m_settings.m_answerPatience) {
+            run.m_phase = RunPhase::Unknown;
+            run.m_unknownSince = now;
+            setActive(run, false, now);
+        }
         if (run.m_phase == RunPhase::Stopping && run.m_nextStopAt <= now && !worker.m_isSilent)
             requestStop(run, now);
     }
@@ -740,7 +751,7 @@
         if (found == m_workers.end() || run == found->second.m_runs.end() || run->second.m_phase != RunPhase::Recording)
             continue;
         Step& step = *run->second.m_step;
-        if (!step.m_storedPlaces.contains(id)) {
+        if (!step.m_storedPlaces.contains(id) || !step.m_sentPlaces.contains(id)) {
             m_recording.emplace_back(id, name);
             continue;
         }
@@ -796,6 +807,11 @@
     for (Job* job : m_dirty) {
         job->m_isDirty = false;
         batch.m_records.push_back(progressOf(*job));
+        const auto& places = batch.m_records.back().m_progress.m_places;
+        for (Step& step : job->m_steps) {
+            const auto found = places.find({ step.m_name.m_occurrence, step.m_name.m_step });
+            step.m_sentPlaces = found == places.end() ? std::set<WorkerId>() : found->second;
+        }
     }
     m_dirty.clear();
     m_batchRecords[batch.m_number] = batch.m_records;
@@ -895,6 +911,26 @@
     }));
 }
 
+std::vector<JobScheduler::Wait> JobScheduler::longWaits(Duration age, std::size_t most, TimePoint now)
+{
+    std::vector<Wait> waits;
+    for (const Step* step : m_waiting) {
+        const bool isLong = std::any_of(step->m_tasks.begin(), step->m_tasks.end(),
+            [&](const Task& task) { return task.m_isWaiting && now - task.m_waitingSince > age; });
+        if (isLong && waits.size() < most)
+            waits.push_back({ step->m_name, Placement(*this, now).explain(*step) });
+    }
+    static constexpr const char* phases[] = { "recording", "starting", "running", "unknown", "stopping" };
+    for (const auto& [id, worker] : m_workers) {
+        for (const auto& [name, run] : worker.m_runs) {
+            if (run.m_phase != RunPhase::Running && now - run.m_orderedAt > age && waits.size() < most)
+                waits.push_back({ run.m_step->m_name,
+                    std::string("a run is ") + phases[static_cast<int>(run.m_phase)] + " on " + id.value() });
+        }
+    }
+    return waits;
+}
+
 const Worker* JobScheduler::worker(const WorkerId& id) const
 {
     const auto found = m_workers.find(id);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -19,6 +19,8 @@
     Duration m_silence = std::chrono::milliseconds(1800);
     /// Time between two stops of a run whose worker has not confirmed its end.
     Duration m_stopInterval = std::chrono::milliseconds(700);
+    /// A start that is not answered for this long is taken as lost.
+    Duration m_answerPatience = std::chrono::milliseconds(1500);
     /// Part of a ticket's life that is left for the start to arrive.
     Duration m_ticketMargin = std::chrono::milliseconds(120);
     /// Time for which the outcome of a closed job is kept.
@@ -110,6 +112,13 @@
     /// Open jobs of a queue of which no task has started.
     std::uint32_t pending(const std::string& queue) const;
     const Worker* worker(const WorkerId&) const;
+    /// A task that has not been running for long though its job is open, with the reason.
+    struct Wait {
+        StepName m_step;
+        std::string m_reason;
+    };
+    /// Steps with tasks that have been waiting, or in an order that is not confirmed, for longer than `age`.
+    std::vector<Wait> longWaits(Duration age, std::size_t most, TimePoint now);
     const std::map<WorkerId, Worker>& workers() const { return m_workers; }
     const SchedulerCounters& counters() const { return m_counters; }
     std::size_t jobCount() const { return m_jobs.size(); }
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -85,8 +85,8 @@
 bool Placement::isEligible(const Worker& worker, const Step& step) const
 {
     const WorkerDescription& description = worker.m_description;
-    if (!worker.m_isListed || !worker.m_hasReported || worker.m_isSilent || description.m_isDraining
-        || worker.m_quarantinedUntil > m_now)
+    if (!worker.m_isListed || !worker.m_isDescribed || !worker.m_hasReported || worker.m_isSilent
+        || description.m_isDraining || worker.m_quarantinedUntil > m_now)
         return false;
     if (description.m_service != step.m_job->m_record.m_policy.m_service)
         return false;
@@ -263,7 +263,7 @@
     const RunName name { { step.m_name.m_job, { step.m_name.m_occurrence, step.m_name.m_step, index } }, number };
     m_scheduler.addRun(step, task, worker, name, RunPhase::Recording, m_now);
     m_scheduler.m_recording.emplace_back(worker.m_description.m_worker, name);
-    if (!step.m_storedPlaces.contains(worker.m_description.m_worker))
+    if (!step.m_sentPlaces.contains(worker.m_description.m_worker))
         m_scheduler.changed(*step.m_job);
 }
 
@@ -322,6 +322,35 @@
     return true;
 }
 
+std::string Placement::explain(const Step& step) const
+{
+    std::map<std::string, std::uint32_t> reasons;
+    for (const auto& [id, worker] : m_scheduler.m_workers) {
+        const auto known = step.m_permissions.find(id);
+        const bool needsTicket = step.m_job->m_record.m_policy.m_advice.has_value();
+        const char* reason = !worker.m_isListed                                              ? "unlisted"
+            : !worker.m_hasReported                                                          ? "notReported"
+            : worker.m_isSilent                                                              ? "silent"
+            : !worker.m_isDescribed                                                          ? "notDescribed"
+            : worker.m_description.m_isDraining                                              ? "draining"
+            : worker.m_quarantinedUntil > m_now                                              ? "quarantined"
+            : !isEligible(worker, step)                                                      ? "otherPoolOrLabel"
+            : needsTicket && known != step.m_permissions.end() && !known->second.m_isAllowed ? "notAllowed"
+            : !fits(worker, step, worker.free())                                             ? "noRoom"
+            : needsTicket && !hasTicket(worker, step)                                        ? "noTicket"
+                                                                                             : "free";
+        ++reasons[reason];
+    }
+    std::string text = "waiting " + std::to_string(step.m_waitingTasks) + " of " + std::to_string(step.m_tasks.size());
+    if (step.m_isAsking)
+        text += ", asks the adviser";
+    if (m_scheduler.mayRunElsewhere(step, m_now))
+        text += ", may run on an unreachable worker";
+    for (const auto& [reason, count] : reasons)
+        text += std::string(", ") + reason + ' ' + std::to_string(count);
+    return text;
+}
+
 void Placement::withdrawPledges(Step& step)
 {
     for (const auto& [id, pledge] : step.m_pledges) {
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -28,6 +28,9 @@
         return isEligible(worker, step) && (!step.m_job->m_record.m_policy.m_advice || hasTicket(worker, step));
     }
 
+    /// Why tasks of the step wait, for the log: counts of workers by the first thing that stands against them.
+    std::string explain(const Step&) const;
+
 private:
     /// What decides between two waiting steps; the smaller goes first.
     struct Rank {
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -93,8 +93,9 @@
     std::map<WorkerId, Permission> m_permissions;
     /// Unresolved runs by worker.
     std::map<WorkerId, std::uint32_t> m_places;
-    /// Places that the stored record names.
+    /// Places that the stored record names, and those that the newest record on its way to the store names.
     std::set<WorkerId> m_storedPlaces;
+    std::set<WorkerId> m_sentPlaces;
     /// Places at which an earlier term may have started tasks.
     std::set<WorkerId> m_inheritedPlaces;
     bool m_isAsking = false;
@@ -135,6 +136,9 @@
 struct Worker {
     WorkerDescription m_description;
     bool m_isListed = false;
+    /// The description is that of the life that reports; a new life may have less room.
+    bool m_isDescribed = false;
+    std::int64_t m_describedBornMs = 0;
     /// A report has arrived in this term and life.
     bool m_hasReported = false;
     TimePoint m_lastReportAt {};
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -30,6 +30,7 @@
         { RecoveryFinished, 3012, Info, "recovery-finished", "The recovery has finished" },
         { OrderNotObeyed, 3013, Info, "order-not-obeyed", "A worker did not confirm an order" },
         { AdviceFailed, 3014, Info, "advice-failed", "A question to the adviser was not answered" },
+        { StepWaits, 3015, Info, "step-waits", "Tasks of a step have waited for long" },
         { TaskStarted, 4001, Debug, "task-started", "A task was started" },
         { TaskStopped, 4002, Debug, "task-stopped", "A task was stopped" },
         { JobAccepted, 4008, Debug, "job-accepted", "A job was accepted" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -31,6 +31,7 @@
     RecoveryFinished,
     OrderNotObeyed,
     AdviceFailed,
+    StepWaits,
     TaskStarted,
     TaskStopped,
     JobAccepted,
