--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -99,7 +99,7 @@
     , m_election(m_context, m_settings.m_store, electionSettings(m_settings, seed), [this] { electionChanged(); })
     , m_gateway(m_context, m_settings, *m_log, [this] { return scheduler(); })
     , m_configurationObserver(std::make_unique<ConfigurationObserver>(*this))
-    , m_configuration(m_context, m_settings.m_store, { userplatform::operatorTopic }, *m_configurationObserver)
+    , m_configuration(m_context, m_settings.m_store, { { userplatform::operatorTopic } }, *m_configurationObserver)
     , m_callers(m_context, userplatform::deadlineHeader,
           [this](
               ServerRequest request, Responder respond) { m_gateway.handle(std::move(request), std::move(respond)); })
@@ -249,6 +249,12 @@
         m_term->advance();
         return respond({ 200, "{}" });
     }
+    if (request.m_target == inner::storePath) {
+        const Result<inner::StoreRequest> record = inner::decodeStoreRequest(request.m_body);
+        if (!succeeded(record))
+            return respond(errorResponse(ErrorKind::NotScheduler));
+        return m_gateway.storeFor(valueOf(record), respond);
+    }
     const Result<std::string> name = inner::decodeName(request.m_body);
     if (!m_term || !succeeded(name))
         return respond(errorResponse(ErrorKind::NotScheduler));
--- a/src/controller/ElectionDriver.cpp
+++ b/src/controller/ElectionDriver.cpp
@@ -40,7 +40,7 @@
     , m_changed(std::move(changed))
     , m_store(context, store)
     , m_timer(context)
-    , m_follower(context, store, { termTopic }, *this)
+    , m_follower(context, store, { { termTopic } }, *this)
 {
 }
 
@@ -72,7 +72,7 @@
     if (const auto append = m_election.next(now)) {
         userplatform::AppendCondition condition;
         condition.m_end = append->m_end;
-        m_store.append(termTopic, { { termKey, jobs::encodeTermRecord(append->m_record) } }, condition, appendTimeout,
+        m_store.append({ termTopic }, { { termKey, jobs::encodeTermRecord(append->m_record) } }, condition, appendTimeout,
             [this, now](const userplatform::AppendAnswer& answer) {
                 m_election.appendEnded(outcomeOf(answer.m_kind), answer.m_offset, now);
                 advance();
--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -19,6 +19,13 @@
     /// Patience with the scheduler's answer to one query; a query may be repeated.
     constexpr Duration queryTimeout = std::chrono::milliseconds(700);
     constexpr unsigned retryAfterSeconds = 1;
+    /// The same while the store is away: outages last for some seconds, and a caller comes back only a few times.
+    constexpr unsigned retryAfterOutageSeconds = 2;
+    /// Patience with the store before a record goes through the scheduler's daemon, and the time for which all do then.
+    constexpr Duration ownStorePatience = std::chrono::milliseconds(1000);
+    constexpr Duration ownStorePause = std::chrono::milliseconds(1500);
+    /// Patience with the store on behalf of another daemon.
+    constexpr Duration storeForPatience = std::chrono::milliseconds(1500);
 
     std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -42,7 +49,8 @@
     : m_context(context)
     , m_log(log)
     , m_scheduler(std::move(scheduler))
-    , m_appender(context, settings.m_store, jobTopic)
+    , m_appender(context, settings.m_store,
+          { jobTopic, static_cast<std::uint32_t>(std::hash<std::string> {}(settings.m_daemon.value()) % jobPartitions) })
 {
 }
 
@@ -111,7 +119,8 @@
             { "detail", detail } });
     ServerResponse response;
     response.m_status = table.m_httpStatus;
-    response.m_retryAfterSeconds = table.m_httpStatus == 503 ? retryAfterSeconds : 0;
+    if (table.m_httpStatus == 503)
+        response.m_retryAfterSeconds = kind == ErrorKind::LogUnavailable ? retryAfterOutageSeconds : retryAfterSeconds;
     response.m_body
         = boost::json::serialize(boost::json::object { { "error", std::string(table.m_name) }, { "detail", detail } });
     call->m_respond(std::move(response));
@@ -125,8 +134,7 @@
         return answer(call, ErrorKind::InvalidRequest, errorOf(spec).m_detail);
     }
     const jobs::JobRecord record { call->m_job, call->m_route->m_policy, valueOf(std::move(spec)), wallNowMs() };
-    m_appender.append(
-        call->m_job.value(), jobs::encodeJobRecord(record), call->m_deadline, [this, call](StoreOutcome outcome) {
+    store(call->m_job.value(), jobs::encodeJobRecord(record), call->m_deadline, [this, call](StoreOutcome outcome) {
             switch (outcome) {
             case StoreOutcome::Stored:
                 ++m_counters.m_accepted;
@@ -171,7 +179,7 @@
 
 void Gateway::storeCancellation(const CallPointer& call)
 {
-    m_appender.append(cancellationKey(call->m_job), "1", call->m_deadline, [this, call](StoreOutcome outcome) {
+    store(cancellationKey(call->m_job), "1", call->m_deadline, [this, call](StoreOutcome outcome) {
         switch (outcome) {
         case StoreOutcome::Stored:
             return call->m_respond({ 200, "{}" });
@@ -183,6 +191,66 @@
     });
 }
 
+void Gateway::store(const std::string& key, const std::string& value, TimePoint deadline,
+    std::function<void(StoreOutcome)> handler)
+{
+    const inner::StoreRequest request { key, value };
+    const SchedulerPlace place = m_scheduler();
+    const bool canGoElsewhere = place.m_own == nullptr && !place.m_address.empty();
+    if (canGoElsewhere && bootNow() < m_avoidOwnStoreUntil)
+        return storeElsewhere(request, deadline, StoreOutcome::NotStored, handler);
+    const TimePoint ownDeadline = canGoElsewhere ? std::min(deadline, bootNow() + ownStorePatience) : deadline;
+    m_appender.append(key, value, ownDeadline, [this, request, deadline, handler](StoreOutcome outcome) {
+        if (outcome == StoreOutcome::Stored)
+            return handler(outcome);
+        m_avoidOwnStoreUntil = bootNow() + ownStorePause;
+        storeElsewhere(request, deadline, outcome, handler);
+    });
+}
+
+void Gateway::storeElsewhere(const inner::StoreRequest& request, TimePoint deadline, StoreOutcome own,
+    const std::function<void(StoreOutcome)>& handler)
+{
+    const SchedulerPlace place = m_scheduler();
+    if (place.m_own != nullptr || place.m_address.empty() || bootNow() >= deadline)
+        return handler(own);
+    useChannel(place.m_address);
+    platform::HttpCall call;
+    call.m_method = "POST";
+    call.m_target = inner::storePath;
+    call.m_body = inner::encode(request);
+    call.m_timeout = deadline - bootNow();
+    call.m_repeatable = true;
+    m_storeChannel->send(std::move(call),
+        [own, handler, channel = m_storeChannel](const Result<platform::HttpAnswer>& result) {
+            if (succeeded(result) && valueOf(result).m_status == 200)
+                return handler(StoreOutcome::Stored);
+            const bool isRefused = succeeded(result) ? valueOf(result).m_status == 503
+                                                     : answerFor(errorOf(result).m_kind).m_runState == RunState::NotRun;
+            handler(isRefused ? own : StoreOutcome::Unknown);
+        });
+}
+
+void Gateway::storeFor(const inner::StoreRequest& request, const Responder& respond)
+{
+    m_appender.append(request.m_key, request.m_value, bootNow() + storeForPatience, [respond](StoreOutcome outcome) {
+        respond({ outcome == StoreOutcome::Stored ? 200U : outcome == StoreOutcome::NotStored ? 503U : 504U, "{}" });
+    });
+}
+
+void Gateway::useChannel(const std::string& address)
+{
+    if (address == m_channelAddress)
+        return;
+    m_channelAddress = address;
+    const auto open = [&] {
+        return std::make_shared<platform::HttpChannel>(
+            m_context, userplatform::channelSettings(address), platform::ClientKind::HostList, ErrorKind::NotScheduler);
+    };
+    m_channel = open();
+    m_storeChannel = open();
+}
+
 void Gateway::showPending(const CallPointer& call)
 {
     const std::string& queue = call->m_route->m_policy.m_queue;
@@ -210,11 +278,7 @@
     const std::string address = m_scheduler().m_address;
     if (address.empty())
         return handler(Error { ErrorKind::NotScheduler, "no daemon schedules at the moment" });
-    if (address != m_channelAddress) {
-        m_channelAddress = address;
-        m_channel = std::make_shared<platform::HttpChannel>(
-            m_context, userplatform::channelSettings(address), platform::ClientKind::HostList, ErrorKind::NotScheduler);
-    }
+    useChannel(address);
     platform::HttpCall call;
     call.m_method = "POST";
     call.m_target = path;
--- a/src/controller/Gateway.h
+++ b/src/controller/Gateway.h
@@ -43,6 +43,8 @@
     void configure(std::shared_ptr<const userplatform::Configuration>);
     bool isConfigured() const { return m_configuration != nullptr; }
     void handle(ServerRequest, Responder);
+    /// Stores a record for another daemon: 200 when it is stored, 503 when it is certain that it is not.
+    void storeFor(const inner::StoreRequest&, const Responder&);
     bool isStoreAway() const { return m_appender.isStoreAway(); }
     const GatewayCounters& counters() const { return m_counters; }
 
@@ -56,6 +58,11 @@
     void cancel(const CallPointer&);
     void storeCancellation(const CallPointer&);
     void showPending(const CallPointer&);
+    /// Stores a record: by itself, or through the scheduler's daemon when the store does not serve this one.
+    void store(const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)>);
+    void storeElsewhere(const inner::StoreRequest&, TimePoint deadline, StoreOutcome own,
+        const std::function<void(StoreOutcome)>&);
+    void useChannel(const std::string& address);
     void queryState(const JobId&, TimePoint deadline, std::function<void(Result<jobs::JobState>)>);
     template <typename Decode, typename T>
     void ask(const char* path, const std::string& body, TimePoint deadline, Decode, std::function<void(Result<T>)>);
@@ -66,8 +73,12 @@
     std::function<SchedulerPlace()> m_scheduler;
     std::shared_ptr<const userplatform::Configuration> m_configuration;
     JobAppender m_appender;
+    /// Until then records go through the scheduler's daemon first.
+    TimePoint m_avoidOwnStoreUntil {};
     std::string m_channelAddress;
     std::shared_ptr<platform::HttpChannel> m_channel;
+    /// Apart from the queries, which are short.
+    std::shared_ptr<platform::HttpChannel> m_storeChannel;
     GatewayCounters m_counters;
 };
 
--- a/src/controller/InnerProtocol.cpp
+++ b/src/controller/InnerProtocol.cpp
@@ -64,6 +64,11 @@
         json::object { { "tickets", std::move(tickets) }, { "validityMicros", reply.m_validity.count() } });
 }
 
+std::string encode(const StoreRequest& request)
+{
+    return json::serialize(json::object { { "key", request.m_key }, { "value", request.m_value } });
+}
+
 std::string encodeName(const std::string& name) { return json::serialize(json::object { { "name", name } }); }
 
 std::string encodeState(jobs::JobState state)
@@ -106,6 +111,16 @@
     return question;
 }
 
+Result<StoreRequest> decodeStoreRequest(std::string_view text)
+{
+    const json::object object = parse(text);
+    const json::string* key = textOf(object, "key");
+    const json::string* value = textOf(object, "value");
+    if (key == nullptr || value == nullptr)
+        return malformed;
+    return StoreRequest { std::string(*key), std::string(*value) };
+}
+
 Result<AdviceReply> decodeReply(std::string_view text)
 {
     const json::object object = parse(text);
--- a/src/controller/InnerProtocol.h
+++ b/src/controller/InnerProtocol.h
@@ -14,6 +14,7 @@
 inline constexpr const char* statePath = "/inner/job-state";
 inline constexpr const char* pendingPath = "/inner/pending";
 inline constexpr const char* helloPath = "/inner/hello";
+inline constexpr const char* storePath = "/inner/store";
 inline constexpr const char* advisePath = "/inner/advise";
 
 /// A daemon tells the scheduler that it can put questions to the adviser.
@@ -26,6 +27,14 @@
     friend bool operator==(const Hello&, const Hello&) = default;
 };
 
+/// A record of a job that a daemon stores for another one, which does not reach the store.
+struct StoreRequest {
+    std::string m_key;
+    std::string m_value;
+
+    friend bool operator==(const StoreRequest&, const StoreRequest&) = default;
+};
+
 /// Answer of a daemon that put a question to the adviser.
 struct AdviceReply {
     std::vector<jobs::Ticket> m_tickets;
@@ -37,6 +46,7 @@
 std::string encode(const Hello&);
 std::string encode(const jobs::AdviceQuestion&);
 std::string encode(const AdviceReply&);
+std::string encode(const StoreRequest&);
 /// A body with one text, for queries by job or queue.
 std::string encodeName(const std::string&);
 std::string encodeState(jobs::JobState);
@@ -45,6 +55,7 @@
 // All fail with InvalidRequest when the text was not written by the matching encode().
 Result<Hello> decodeHello(std::string_view);
 Result<jobs::AdviceQuestion> decodeQuestion(std::string_view);
+Result<StoreRequest> decodeStoreRequest(std::string_view);
 Result<AdviceReply> decodeReply(std::string_view);
 Result<std::string> decodeName(std::string_view);
 Result<jobs::JobState> decodeState(std::string_view);
--- a/src/controller/JobAppender.cpp
+++ b/src/controller/JobAppender.cpp
@@ -12,14 +12,14 @@
     constexpr std::size_t maxRecords = 200;
     constexpr std::size_t maxBytes = 1 << 20;
     /// Patience with one append, so that a silent connection is given up with time left for another.
-    constexpr Duration appendTimeout = std::chrono::milliseconds(800);
+    constexpr Duration appendTimeout = std::chrono::milliseconds(900);
     constexpr Duration retryPause = std::chrono::milliseconds(60);
 
 } // namespace
 
-JobAppender::JobAppender(boost::asio::io_context& context, const std::string& store, std::string topic)
+JobAppender::JobAppender(boost::asio::io_context& context, const std::string& store, userplatform::Partition partition)
     : m_store(context, store)
-    , m_topic(std::move(topic))
+    , m_partition(std::move(partition))
     , m_retryTimer(context)
     , m_expiryTimer(context)
 {
@@ -67,8 +67,7 @@
     if (records.empty())
         return;
     m_isSending = true;
-    m_store.append(
-        m_topic, records, {}, appendTimeout, [this, alive = m_isAlive](const userplatform::AppendAnswer& answer) {
+    m_store.append(m_partition, records, {}, appendTimeout, [this, alive = m_isAlive](const userplatform::AppendAnswer& answer) {
             if (!*alive)
                 return;
             m_isSending = false;
--- a/src/controller/JobAppender.h
+++ b/src/controller/JobAppender.h
@@ -22,10 +22,10 @@
     Unknown,
 };
 
-/// Appends to one topic. A record is a key and a value, so storing it twice is harmless.
+/// Appends to one partition. A record is a key and a value, so storing it twice is harmless.
 class JobAppender {
 public:
-    JobAppender(boost::asio::io_context&, const std::string& store, std::string topic);
+    JobAppender(boost::asio::io_context&, const std::string& store, userplatform::Partition);
     ~JobAppender();
     JobAppender(const JobAppender&) = delete;
     JobAppender& operator=(const JobAppender&) = delete;
@@ -55,7 +55,7 @@
     static void finish(const EntryPointer&, StoreOutcome);
 
     userplatform::StoreConnection m_store;
-    const std::string m_topic;
+    const userplatform::Partition m_partition;
     boost::asio::steady_timer m_retryTimer;
     boost::asio::steady_timer m_expiryTimer;
     std::deque<EntryPointer> m_queue;
--- a/src/controller/ProgressWriter.cpp
+++ b/src/controller/ProgressWriter.cpp
@@ -44,7 +44,7 @@
     condition.m_writer = writerName;
     condition.m_epoch = m_term;
     condition.m_sequence = m_sequence;
-    m_store.append(progressTopic, m_records, condition, appendTimeout,
+    m_store.append({ progressTopic }, m_records, condition, appendTimeout,
         [self = shared_from_this()](const userplatform::AppendAnswer& answer) { self->answered(answer); });
 }
 
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -153,7 +153,6 @@
     , m_mayOrder(std::move(mayOrder))
     , m_deposed(std::move(deposed))
     , m_writer(std::make_shared<ProgressWriter>(context, site.m_store, settings.m_term))
-    , m_jobObserver(std::make_unique<JobObserver>(*this))
     , m_workerObserver(std::make_unique<WorkerObserver>(*this))
     , m_progressObserver(std::make_unique<ProgressObserver>(*this))
     , m_stepTimer(context)
@@ -170,7 +169,7 @@
 void SchedulerTerm::start()
 {
     m_log.write(LogEvent::SchedulerBecame, { { "term", m_settings.m_term } });
-    FollowerSettings workers { userplatform::workerTopic };
+    FollowerSettings workers { { userplatform::workerTopic } };
     // Heartbeats of all workers arrive all the time; they are read together.
     workers.m_wait = Duration::zero();
     workers.m_pause = std::chrono::milliseconds(400);
@@ -183,18 +182,20 @@
         if (!isOpen)
             return depose();
         m_progressFollower = std::make_unique<TopicFollower>(
-            m_context, m_site.m_store, FollowerSettings { progressTopic }, *m_progressObserver);
+            m_context, m_site.m_store, FollowerSettings { { progressTopic } }, *m_progressObserver);
         m_progressFollower->start();
-        FollowerSettings jobs { jobTopic };
-        jobs.m_pause = std::chrono::milliseconds(5);
-        m_jobFollower = std::make_unique<TopicFollower>(m_context, m_site.m_store, jobs, *m_jobObserver);
-        m_jobFollower->start();
+        for (std::uint32_t part = 0; part < jobPartitions; ++part) {
+            m_jobObservers.push_back(std::make_unique<JobObserver>(*this));
+            m_jobFollowers.push_back(std::make_unique<TopicFollower>(
+                m_context, m_site.m_store, FollowerSettings { { jobTopic, part } }, *m_jobObservers.back()));
+            m_jobFollowers.back()->start();
+        }
     });
 }
 
 void SchedulerTerm::recover()
 {
-    if (m_scheduler || !m_jobObserver->m_isListed || !m_workerObserver->m_isListed || !m_progressObserver->m_isListed)
+    if (m_scheduler || !hasListedAll())
         return;
     const TimePoint now = bootNow();
     jobs::SchedulerSettings settings;
@@ -202,48 +203,63 @@
     m_scheduler = std::make_unique<jobs::JobScheduler>(settings);
     for (const auto& [id, worker] : m_workerObserver->m_entries)
         m_scheduler->workerListed(worker, now);
-    std::set<std::string> cancelled;
-    for (const userplatform::KeyedRecord& record : m_jobObserver->m_records) {
-        if (!record.m_key.empty() && record.m_key.front() == cancellationMark && record.m_value)
-            cancelled.insert(record.m_key.substr(1));
-    }
-    const std::map<std::string, std::string>& progress = m_progressObserver->m_records;
-    for (const userplatform::KeyedRecord& record : m_jobObserver->m_records) {
-        if (record.m_key.empty() || record.m_key.front() == cancellationMark || !record.m_value)
-            continue;
-        const JobId id(record.m_key);
-        const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, *record.m_value);
-        if (!succeeded(job)) {
-            m_log.write(
-                LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
-            continue;
-        }
-        jobs::JobProgress known;
-        if (const auto found = progress.find(id.value()); found != progress.end()) {
-            const Result<jobs::JobProgress> decoded = jobs::decodeProgress(found->second);
-            if (succeeded(decoded))
-                known = valueOf(decoded);
-            else
-                m_log.write(LogEvent::StoredRecordUnreadable,
-                    { { "job", id.value() }, { "detail", errorOf(decoded).m_detail } });
-        }
-        m_scheduler->restoreJob(valueOf(job), known, wallNowMs(), now);
-        if (cancelled.contains(id.value()))
-            m_scheduler->cancelJob(id, now);
-    }
+    restoreJobs(now);
     // Everything that an earlier term ordered has lapsed one lease after it ceased; worker clocks may be slow.
     const Duration lapse = m_settings.m_lease + m_settings.m_lease / 20 + std::chrono::milliseconds(200);
     m_scheduler->setInheritedLapse(m_settings.m_predecessorCeasedAt + lapse);
     m_log.write(LogEvent::RecoveryFinished,
         { { "term", m_settings.m_term }, { "jobs", std::uint64_t { m_scheduler->jobCount() } },
             { "workers", std::uint64_t { m_workerObserver->m_entries.size() } } });
-    m_jobObserver->m_records.clear();
+    for (const auto& observer : m_jobObservers)
+        observer->m_records.clear();
     m_progressObserver->m_records.clear();
     m_progressFollower.reset();
     superviseLinks();
     scheduleStep();
 }
 
+bool SchedulerTerm::hasListedAll() const
+{
+    return m_workerObserver->m_isListed && m_progressObserver->m_isListed && m_jobObservers.size() == jobPartitions
+        && std::all_of(m_jobObservers.begin(), m_jobObservers.end(), [](const auto& observer) { return observer->m_isListed; });
+}
+
+void SchedulerTerm::restoreJobs(TimePoint now)
+{
+    std::vector<JobId> cancelled;
+    for (const auto& observer : m_jobObservers) {
+        for (const userplatform::KeyedRecord& record : observer->m_records) {
+            if (record.m_key.empty() || !record.m_value)
+                continue;
+            if (record.m_key.front() == cancellationMark) {
+                cancelled.emplace_back(record.m_key.substr(1));
+                continue;
+            }
+            const JobId id(record.m_key);
+            const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, *record.m_value);
+            if (succeeded(job))
+                m_scheduler->restoreJob(valueOf(job), storedProgress(id), wallNowMs(), now);
+            else
+                m_log.write(
+                    LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
+        }
+    }
+    for (const JobId& id : cancelled)
+        m_scheduler->cancelJob(id, now);
+}
+
+jobs::JobProgress SchedulerTerm::storedProgress(const JobId& id) const
+{
+    const auto found = m_progressObserver->m_records.find(id.value());
+    if (found == m_progressObserver->m_records.end())
+        return {};
+    const Result<jobs::JobProgress> progress = jobs::decodeProgress(found->second);
+    if (succeeded(progress))
+        return valueOf(progress);
+    m_log.write(LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(progress).m_detail } });
+    return {};
+}
+
 // Input from the store
 
 void SchedulerTerm::workerEntry(const userplatform::KeyedRecord& record)
@@ -361,9 +377,24 @@
         return;
     target->stop(order, [this, order](bool confirmed) {
         m_scheduler->stopAnswered(order.m_worker, order.m_run, confirmed, bootNow());
+        scheduleStep();
     });
 }
 
+void SchedulerTerm::order(const jobs::LookOrder& order)
+{
+    WorkerLink* target = link(order.m_worker);
+    if (target == nullptr)
+        return;
+    target->look(m_scheduler->storedEnd(order.m_worker),
+        [this, worker = order.m_worker](const Result<jobs::WorkerReport>& result) {
+            if (succeeded(result) && !m_isDeposed)
+                m_scheduler->workerReported(worker, valueOf(result), bootNow());
+            scheduleStep();
+        });
+    m_scheduler->leaseExtended(order.m_worker, target->leaseEnd());
+}
+
 void SchedulerTerm::order(const jobs::PaceOrder& order)
 {
     if (WorkerLink* target = link(order.m_worker))
@@ -532,7 +563,9 @@
         return Error { ErrorKind::NotReady, "the scheduler reads the stored jobs" };
     if (m_scheduler->knows(job))
         return m_scheduler->state(job);
-    if (bootNow() - m_jobObserver->m_caughtUpAt > certainView)
+    const bool isFresh = std::all_of(m_jobObservers.begin(), m_jobObservers.end(),
+        [](const auto& observer) { return bootNow() - observer->m_caughtUpAt <= certainView; });
+    if (!isFresh)
         return Error { ErrorKind::NotReady, "the stored jobs were not read for a while" };
     return Error { ErrorKind::NotFound, "no such job" };
 }
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -16,6 +16,9 @@
 namespace sapphiredale::controller {
 
 inline constexpr const char* jobTopic = "keyed.jobs";
+/// Partitions of the topic of the jobs. A slow store serves one append of a partition at a time, so daemons that append
+/// to different ones do not wait for each other.
+inline constexpr std::uint32_t jobPartitions = 8;
 /// Key of the cancellation of a job in the topic of the jobs.
 std::string cancellationKey(const JobId&);
 
@@ -59,11 +62,15 @@
     struct LinkState;
 
     void recover();
+    bool hasListedAll() const;
+    void restoreJobs(TimePoint now);
+    jobs::JobProgress storedProgress(const JobId&) const;
     void scheduleStep();
     void step();
     void carryOut(const jobs::SchedulerAction&);
     void order(const jobs::StartOrder&);
     void order(const jobs::StopOrder&);
+    void order(const jobs::LookOrder&);
     void order(const jobs::PaceOrder&);
     void order(const jobs::AdviceQuestion&);
     void writeProgress();
@@ -84,10 +91,10 @@
     std::function<bool()> m_mayOrder;
     std::function<void()> m_deposed;
     std::shared_ptr<ProgressWriter> m_writer;
-    std::unique_ptr<JobObserver> m_jobObserver;
+    std::vector<std::unique_ptr<JobObserver>> m_jobObservers;
     std::unique_ptr<WorkerObserver> m_workerObserver;
     std::unique_ptr<ProgressObserver> m_progressObserver;
-    std::unique_ptr<TopicFollower> m_jobFollower;
+    std::vector<std::unique_ptr<TopicFollower>> m_jobFollowers;
     std::unique_ptr<TopicFollower> m_workerFollower;
     std::unique_ptr<TopicFollower> m_progressFollower;
     /// Null until the recovery has read the store.
--- a/src/controller/TopicFollower.cpp
+++ b/src/controller/TopicFollower.cpp
@@ -37,7 +37,7 @@
     {
         const TimePoint askedAt = bootNow();
         // The store takes long for its first pages when it is slow; a listing has no wait of its own.
-        m_store.newest(m_settings.m_topic, after, m_settings.m_wait + m_settings.m_patience,
+        m_store.newest(m_settings.m_partition, after, m_settings.m_wait + m_settings.m_patience,
             [self = shared_from_this(), after, askedAt](
                 Result<userplatform::NewestPage> result) { self->listed(after, askedAt, std::move(result)); });
     }
@@ -78,7 +78,7 @@
         if (m_observer == nullptr)
             return;
         const TimePoint askedAt = bootNow();
-        m_store.read(m_settings.m_topic, m_next, m_settings.m_wait, m_settings.m_wait + m_settings.m_patience,
+        m_store.read(m_settings.m_partition, m_next, m_settings.m_wait, m_settings.m_wait + m_settings.m_patience,
             [self = shared_from_this(), askedAt](
                 Result<userplatform::ReadAnswer> result) { self->received(askedAt, std::move(result)); });
     }
--- a/src/controller/TopicFollower.h
+++ b/src/controller/TopicFollower.h
@@ -1,4 +1,4 @@
-// Follows a keyed topic of the store: first the newest record of each key, then every record as it is appended.
+// Follows a partition of a keyed topic of the store: first the newest record of each key, then every record as it is appended.
 #pragma once
 
 #include "controller/Clock.h"
@@ -13,7 +13,7 @@
 
 /// What is followed and how often.
 struct FollowerSettings {
-    std::string m_topic;
+    userplatform::Partition m_partition;
     /// Time for which a read waits for a record; short, so that a connection that went silent is noticed.
     Duration m_wait = std::chrono::milliseconds(1000);
     /// Pause between two reads; records that arrive meanwhile are read together.
@@ -35,7 +35,7 @@
     virtual void readFailed(const Error&) { }
 };
 
-/// One connection that reads one topic until the follower is destroyed.
+/// One connection that reads one partition until the follower is destroyed.
 class TopicFollower {
 public:
     TopicFollower(boost::asio::io_context&, const std::string& store, const FollowerSettings&, FollowerObserver&);
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -42,22 +42,32 @@
 
 void WorkerLink::hold(std::uint64_t acknowledged, std::function<void(Result<jobs::WorkerReport>)> handler)
 {
-    const TimePoint askedAt = bootNow();
     const Duration wait = m_hasClock ? m_settings.m_holdWait : Duration::zero();
-    m_connection.hold(header(), acknowledged, wait, wait + m_settings.m_holdPatience,
-        [this, alive = m_isAlive, askedAt, handler = std::move(handler)](Result<userplatform::HoldAnswer> result) {
-            if (!*alive)
-                return;
-            if (!succeeded(result))
-                return handler(errorOf(result));
-            userplatform::HoldAnswer answer = valueOf(std::move(result));
-            m_clockMs = answer.m_clockMs;
-            m_clockAt = bootNow();
-            m_hasClock = true;
-            m_bornMs = answer.m_report.m_bornMs;
-            answer.m_report.m_askedAt = askedAt;
-            handler(std::move(answer.m_report));
-        });
+    m_connection.hold(
+        header(), acknowledged, wait, wait + m_settings.m_holdPatience, reader(bootNow(), std::move(handler)));
+}
+
+void WorkerLink::look(std::uint64_t acknowledged, std::function<void(Result<jobs::WorkerReport>)> handler)
+{
+    m_connection.look(
+        header(), acknowledged, m_settings.m_orderTimeout, reader(bootNow(), std::move(handler)));
+}
+
+std::function<void(Result<userplatform::HoldAnswer>)> WorkerLink::reader(
+    TimePoint askedAt, std::function<void(Result<jobs::WorkerReport>)> handler)
+{
+    return [this, alive = m_isAlive, askedAt, handler = std::move(handler)](Result<userplatform::HoldAnswer> result) {
+        if (!*alive)
+            return;
+        if (!succeeded(result))
+            return handler(errorOf(result));
+        userplatform::HoldAnswer answer = valueOf(std::move(result));
+        m_clockMs = answer.m_clockMs;
+        m_clockAt = bootNow();
+        m_hasClock = true;
+        answer.m_report.m_askedAt = askedAt;
+        handler(std::move(answer.m_report));
+    };
 }
 
 void WorkerLink::start(const jobs::StartOrder& order, std::function<void(userplatform::StartAnswer)> handler)
--- a/src/controller/WorkerLink.h
+++ b/src/controller/WorkerLink.h
@@ -21,7 +21,7 @@
     /// Leases are extended while the last report is at most this old: one wait and its answer.
     Duration m_extendableAge = std::chrono::milliseconds(1300);
     Duration m_holdPatience = std::chrono::milliseconds(500);
-    Duration m_orderTimeout = std::chrono::milliseconds(600);
+    Duration m_orderTimeout = std::chrono::milliseconds(400);
 };
 
 /// Connection of one term to one worker.
@@ -32,6 +32,8 @@
     const std::string& address() const { return m_address; }
     /// Asks for a report and acknowledges ends. Waits for an end unless it is the first call.
     void hold(std::uint64_t acknowledged, std::function<void(Result<jobs::WorkerReport>)>);
+    /// Asks for a report that is answered at once, beside the waiting one.
+    void look(std::uint64_t acknowledged, std::function<void(Result<jobs::WorkerReport>)>);
     void start(const jobs::StartOrder&, std::function<void(userplatform::StartAnswer)>);
     void stop(const jobs::StopOrder&, std::function<void(bool)>);
     void pace(const jobs::PaceOrder&, std::function<void(bool)>);
@@ -39,6 +41,8 @@
     TimePoint leaseEnd() const { return m_leaseEnd; }
 
 private:
+    std::function<void(Result<userplatform::HoldAnswer>)> reader(
+        TimePoint askedAt, std::function<void(Result<jobs::WorkerReport>)>);
     /// The header of an order that is sent now, and the new end of the lease.
     userplatform::OrderHeader header();
 
@@ -49,7 +53,6 @@
     std::int64_t m_clockMs = 0;
     TimePoint m_clockAt {};
     bool m_hasClock = false;
-    std::int64_t m_bornMs = 0;
     TimePoint m_leaseEnd {};
     /// Order answers arrive after the link is gone.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -357,6 +357,7 @@
             run.m_phase = RunPhase::Unknown;
             run.m_unknownSince = now;
             setActive(run, false, now);
+            m_actions.emplace_back(LookOrder { id });
         }
         return;
     case StartOutcome::RefusedForTicket:
@@ -395,8 +396,12 @@
     if (found == m_workers.end())
         return;
     const auto run = found->second.m_runs.find(name);
-    if (run != found->second.m_runs.end() && confirmed && run->second.m_phase == RunPhase::Stopping)
-        run->second.m_stopConfirmedAt = std::min(run->second.m_stopConfirmedAt, now);
+    if (run == found->second.m_runs.end() || !confirmed || run->second.m_phase != RunPhase::Stopping)
+        return;
+    run->second.m_stopConfirmedAt = std::min(run->second.m_stopConfirmedAt, now);
+    // A run that never began has no end that a waiting report would tell of.
+    if (run->second.m_confirmedAt == TimePoint::max())
+        m_actions.emplace_back(LookOrder { id });
 }
 
 // Workers
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -149,6 +149,13 @@
     friend bool operator==(const StopOrder&, const StopOrder&) = default;
 };
 
+/// A report that is needed at once.
+struct LookOrder {
+    WorkerId m_worker;
+
+    friend bool operator==(const LookOrder&, const LookOrder&) = default;
+};
+
 struct PaceOrder {
     WorkerId m_worker;
     RunName m_run;
@@ -167,7 +174,7 @@
     friend bool operator==(const AdviceQuestion&, const AdviceQuestion&) = default;
 };
 
-using SchedulerAction = std::variant<StartOrder, StopOrder, PaceOrder, AdviceQuestion>;
+using SchedulerAction = std::variant<StartOrder, StopOrder, LookOrder, PaceOrder, AdviceQuestion>;
 
 /// Progress of a job that is to be stored.
 struct ProgressRecord {
