--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -50,7 +50,8 @@
     , m_log(log)
     , m_scheduler(std::move(scheduler))
     , m_appender(context, settings.m_store,
-          { jobTopic, static_cast<std::uint32_t>(std::hash<std::string> {}(settings.m_daemon.value()) % jobPartitions) })
+          { jobTopic,
+              static_cast<std::uint32_t>(std::hash<std::string> {}(settings.m_daemon.value()) % jobPartitions) })
 {
 }
 
@@ -135,21 +136,21 @@
     }
     const jobs::JobRecord record { call->m_job, call->m_route->m_policy, valueOf(std::move(spec)), wallNowMs() };
     store(call->m_job.value(), jobs::encodeJobRecord(record), call->m_deadline, [this, call](StoreOutcome outcome) {
-            switch (outcome) {
-            case StoreOutcome::Stored:
-                ++m_counters.m_accepted;
-                m_log.write(LogEvent::JobAccepted,
-                    { { "job", call->m_job.value() }, { "queue", call->m_route->m_policy.m_queue },
-                        { "version", call->m_configuration->m_version } });
-                return call->m_respond({ 200, "{}" });
-            case StoreOutcome::NotStored:
-                ++m_counters.m_refused;
-                return answer(call, ErrorKind::LogUnavailable, "the job was not stored");
-            case StoreOutcome::Unknown:
-                ++m_counters.m_unknownOutcome;
-                return answer(call, ErrorKind::DeadlineExceededMayHaveRun, "the job may have been stored");
-            }
-        });
+        switch (outcome) {
+        case StoreOutcome::Stored:
+            ++m_counters.m_accepted;
+            m_log.write(LogEvent::JobAccepted,
+                { { "job", call->m_job.value() }, { "queue", call->m_route->m_policy.m_queue },
+                    { "version", call->m_configuration->m_version } });
+            return call->m_respond({ 200, "{}" });
+        case StoreOutcome::NotStored:
+            ++m_counters.m_refused;
+            return answer(call, ErrorKind::LogUnavailable, "the job was not stored");
+        case StoreOutcome::Unknown:
+            ++m_counters.m_unknownOutcome;
+            return answer(call, ErrorKind::DeadlineExceededMayHaveRun, "the job may have been stored");
+        }
+    });
 }
 
 void Gateway::show(const CallPointer& call)
@@ -191,8 +192,8 @@
     });
 }
 
-void Gateway::store(const std::string& key, const std::string& value, TimePoint deadline,
-    std::function<void(StoreOutcome)> handler)
+void Gateway::store(
+    const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)> handler)
 {
     const inner::StoreRequest request { key, value };
     const SchedulerPlace place = m_scheduler();
@@ -221,8 +222,8 @@
     call.m_body = inner::encode(request);
     call.m_timeout = deadline - bootNow();
     call.m_repeatable = true;
-    m_storeChannel->send(std::move(call),
-        [own, handler, channel = m_storeChannel](const Result<platform::HttpAnswer>& result) {
+    m_storeChannel->send(
+        std::move(call), [own, handler, channel = m_storeChannel](const Result<platform::HttpAnswer>& result) {
             if (succeeded(result) && valueOf(result).m_status == 200)
                 return handler(StoreOutcome::Stored);
             const bool isRefused = succeeded(result) ? valueOf(result).m_status == 503
--- a/src/controller/JobAppender.cpp
+++ b/src/controller/JobAppender.cpp
@@ -67,7 +67,8 @@
     if (records.empty())
         return;
     m_isSending = true;
-    m_store.append(m_partition, records, {}, appendTimeout, [this, alive = m_isAlive](const userplatform::AppendAnswer& answer) {
+    m_store.append(
+        m_partition, records, {}, appendTimeout, [this, alive = m_isAlive](const userplatform::AppendAnswer& answer) {
             if (!*alive)
                 return;
             m_isSending = false;
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -56,7 +56,8 @@
     }
     void recordRead(const userplatform::KeyedRecord& record) override
     {
-        if (m_isListed)
+        // Other partitions may still be listed; what arrives meanwhile is part of the recovery.
+        if (m_term.isRecovered())
             return m_term.jobRecord(record);
         m_records.push_back(record);
     }
@@ -221,7 +222,8 @@
 bool SchedulerTerm::hasListedAll() const
 {
     return m_workerObserver->m_isListed && m_progressObserver->m_isListed && m_jobObservers.size() == jobPartitions
-        && std::all_of(m_jobObservers.begin(), m_jobObservers.end(), [](const auto& observer) { return observer->m_isListed; });
+        && std::all_of(
+            m_jobObservers.begin(), m_jobObservers.end(), [](const auto& observer) { return observer->m_isListed; });
 }
 
 void SchedulerTerm::restoreJobs(TimePoint now)
@@ -286,7 +288,7 @@
 
 void SchedulerTerm::jobRecord(const userplatform::KeyedRecord& record)
 {
-    if (!m_scheduler || record.m_key.empty() || !record.m_value)
+    if (record.m_key.empty() || !record.m_value)
         return;
     const TimePoint now = bootNow();
     if (record.m_key.front() == cancellationMark) {
--- a/src/controller/TopicFollower.h
+++ b/src/controller/TopicFollower.h
@@ -1,4 +1,5 @@
-// Follows a partition of a keyed topic of the store: first the newest record of each key, then every record as it is appended.
+// Follows a partition of a keyed topic of the store: first the newest record of each key, then every record as it is
+// appended.
 #pragma once
 
 #include "controller/Clock.h"
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -49,8 +49,7 @@
 
 void WorkerLink::look(std::uint64_t acknowledged, std::function<void(Result<jobs::WorkerReport>)> handler)
 {
-    m_connection.look(
-        header(), acknowledged, m_settings.m_orderTimeout, reader(bootNow(), std::move(handler)));
+    m_connection.look(header(), acknowledged, m_settings.m_orderTimeout, reader(bootNow(), std::move(handler)));
 }
 
 std::function<void(Result<userplatform::HoldAnswer>)> WorkerLink::reader(
