Count a job as started once a worker has begun it

Change: the first confirmed run starts a job; test added. A new life of a worker is taken to have the longest lease.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -473,7 +473,7 @@
     for (const auto& [id, worker] : m_scheduler->workers()) {
         LinkState& state = m_links[id];
         if (!state.m_link || state.m_link->address() != worker.m_description.m_address) {
-            const LinkSettings settings { m_settings.m_term, m_settings.m_lease };
+            const LinkSettings settings { m_settings.m_term, m_settings.m_lease, m_site.m_longestLease };
             state.m_link = std::make_unique<WorkerLink>(m_context, settings, id, worker.m_description.m_address);
             state.m_isHolding = false;
         }
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -13,6 +13,9 @@
     /// Time between an instant read here and its use on the worker.
     constexpr Duration leaseSlack = std::chrono::milliseconds(100);
 
+    /// Time here in which a lease has ended on a worker.
+    Duration lapseOf(Duration lease) { return lease + lease / (clockSlowness - 1) + leaseSlack; }
+
 } // namespace
 
 WorkerLink::WorkerLink(
@@ -61,6 +64,10 @@
         if (!succeeded(result))
             return handler(errorOf(result));
         userplatform::HoldAnswer answer = valueOf(std::move(result));
+        // A new life counts its clock anew: what was sent by the old clock gave it the longest lease that there is.
+        if (m_bornMs != 0 && answer.m_report.m_bornMs != m_bornMs)
+            m_leaseEnd = std::max(m_leaseEnd, bootNow() + lapseOf(m_settings.m_longestLease));
+        m_bornMs = answer.m_report.m_bornMs;
         m_clockMs = answer.m_clockMs;
         m_clockAt = bootNow();
         m_hasClock = true;
--- a/src/controller/WorkerLink.h
+++ b/src/controller/WorkerLink.h
@@ -16,6 +16,8 @@
     std::uint64_t m_term = 1;
     /// Lease that every order extends to.
     Duration m_lease = std::chrono::seconds(8);
+    /// Longest lease that a worker grants, whatever is asked for.
+    Duration m_longestLease = std::chrono::seconds(10);
     /// Wait of a hold for the end of a run.
     Duration m_holdWait = std::chrono::milliseconds(1000);
     /// Leases are extended while the last report is at most this old: one wait and its answer.
@@ -53,6 +55,7 @@
     std::int64_t m_clockMs = 0;
     TimePoint m_clockAt {};
     bool m_hasClock = false;
+    std::int64_t m_bornMs = 0;
     TimePoint m_leaseEnd {};
     /// Order answers arrive after the link is gone.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -269,14 +269,15 @@
     ++task.m_activeRuns;
     task.m_highestRun = std::max(task.m_highestRun, name.m_run);
     refreshWaiting(step, task, now);
-    Job& job = *step.m_job;
-    if (!std::exchange(job.m_hasStarted, true) && job.isOpen()) {
-        job.m_state = JobState::Running;
-        changed(job);
-    }
     return run;
 }
 
+void JobScheduler::hasStarted(Job& job)
+{
+    if (!std::exchange(job.m_hasStarted, true) && job.isOpen())
+        job.m_state = JobState::Running;
+}
+
 std::uint32_t JobScheduler::nextRun(const SchedulerSettings& settings, const Task& task)
 {
     const auto first = static_cast<std::uint32_t>((settings.m_term - 1) * runsPerTerm + 1);
@@ -345,6 +346,7 @@
     Run& run = worker.m_runs.at(name);
     switch (outcome) {
     case StartOutcome::Started:
+        hasStarted(*run.m_step->m_job);
         if (run.m_confirmedAt == TimePoint::max())
             run.m_confirmedAt = now;
         if (run.m_phase == RunPhase::Starting)
@@ -501,6 +503,7 @@
         const bool isSuperfluous
             = !step->m_job->isOpen() || task.m_isDone || (task.m_liveRuns > 0 && !step->m_spec->m_allowsCopies);
         Run& run = addRun(*step, task, worker, report.m_run, RunPhase::Running, now);
+        hasStarted(*step->m_job);
         run.m_confirmedAt = now;
         run.m_percent = report.m_percent;
         if (!report.m_checkpoint.empty())
@@ -510,6 +513,7 @@
         return;
     }
     Run& run = found->second;
+    hasStarted(*run.m_step->m_job);
     if (run.m_confirmedAt == TimePoint::max())
         run.m_confirmedAt = now;
     if (run.m_phase == RunPhase::Starting || run.m_phase == RunPhase::Unknown) {
@@ -565,6 +569,7 @@
     if (step == nullptr)
         return;
     Task& task = taskOf(*step, end.m_run);
+    hasStarted(*step->m_job);
     task.m_highestRun = std::max(task.m_highestRun, end.m_run.m_run);
     if (!end.m_checkpoint.empty())
         task.m_checkpoint = end.m_checkpoint;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -137,6 +137,8 @@
     void refreshWaiting(Step&, Task&, TimePoint now);
     void refreshAllWaiting(Step&, TimePoint now);
     void setActive(Run&, bool, TimePoint now);
+    /// A worker has begun a task of the job.
+    static void hasStarted(Job&);
     void taskFinished(Step&, Task&, TimePoint now);
     void stepFinished(Step&, TimePoint now);
     void closeJob(Job&, JobState, TimePoint now);
--- a/tests/jobs/JobSchedulerTest.cpp
+++ b/tests/jobs/JobSchedulerTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(lateStartIsBarredBeforeAnother);
     CPPUNIT_TEST(startWithLostAnswerIsAdopted);
     CPPUNIT_TEST(failedRunsCountOnceOverATakeover);
+    CPPUNIT_TEST(placedJobIsPendingUntilAWorkerHasBegunIt);
     CPPUNIT_TEST(gangStartsTogetherWithOneRunNumber);
     CPPUNIT_TEST(cancelledJobIsStoppedAndNotStarted);
     CPPUNIT_TEST(jobIsShownAsDoneOnceThatIsStored);
@@ -209,6 +210,25 @@
         CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
     }
 
+    // Guards against a job that a successor shows as started because its place was stored.
+    void placedJobIsPendingUntilAWorkerHasBegunIt()
+    {
+        SimulatedCell cell = startedCell(1);
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(1, 1000, seconds(2)) }));
+        cell.run(SimulatedCell::tick);
+        cell.m_workers.begin()->second.m_isReachable = false;
+        cell.run(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.m_store.size());
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("j"));
+        cell.takeOver();
+        cell.run(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.m_scheduler->pending("queue"));
+        cell.m_workers.begin()->second.m_isReachable = true;
+        cell.run(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.m_scheduler->pending("queue"));
+        CPPUNIT_ASSERT(cell.state("j") == JobState::Running);
+    }
+
     void gangStartsTogetherWithOneRunNumber()
     {
         SimulatedCell cell = startedCell(2);
