--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -20,7 +20,7 @@
     /// A daemon whose view of the store is older than this is not ready.
     constexpr Duration freshStore = std::chrono::milliseconds(3500);
     /// Largest difference of the claim delays of two daemons.
-    constexpr std::uint64_t maxClaimDelayMs = 300;
+    constexpr std::uint64_t maxClaimDelayMs = 150;
     /// Time for which callers are served after the notice of a stop; the balancer needs two probes, a second apart.
     constexpr Duration leaveNotice = std::chrono::milliseconds(2600);
     constexpr Duration stopCheck = std::chrono::milliseconds(20);
@@ -169,6 +169,11 @@
 void Controller::electionChanged()
 {
     const jobs::Election& election = m_election.election();
+    // A new scheduler can put its first questions as soon as it knows who asks for it.
+    if (election.holderAddress() != m_helloAddress) {
+        m_nextHelloAt = {};
+        sayHello();
+    }
     const bool isOver = m_term && (!election.isNewestTerm() || election.term() != m_term->term());
     if (isOver) {
         m_log->write(LogEvent::SchedulerCeased, { { "term", m_term->term() } });
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -38,8 +38,7 @@
         return header;
     header.m_runUntilMs
         = m_clockMs + std::chrono::duration_cast<std::chrono::milliseconds>(age + m_settings.m_lease).count();
-    m_leaseEnd = std::max(
-        m_leaseEnd, now + m_settings.m_lease + (m_settings.m_lease + age) / (clockSlowness - 1) + leaseSlack);
+    m_leaseEnd = std::max(m_leaseEnd, now + lapseOf(m_settings.m_lease) + age / (clockSlowness - 1));
     return header;
 }
 
--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -14,6 +14,9 @@
     /// A claim is made on what was read at most this long ago; older views are refreshed first.
     constexpr Duration freshView = std::chrono::milliseconds(1500);
     /// Pause after an append that was not done or whose outcome is unknown.
+    /// Bounds of the interval of a holder's records as it is counted on.
+    constexpr Duration shortestInterval = std::chrono::milliseconds(200);
+    constexpr Duration longestInterval = std::chrono::milliseconds(800);
     constexpr Duration retryInterval = std::chrono::milliseconds(100);
 
 } // namespace
@@ -65,6 +68,9 @@
             return;
         }
     }
+    const bool isOfSameTerm = record.m_kind == TermRecord::Kind::Renewal && m_recordAt != TimePoint();
+    if (isOfSameTerm)
+        m_interval = std::clamp(std::max(now - m_recordAt, m_interval - m_interval / 4), shortestInterval, longestInterval);
     m_recordAt = now;
     // A record with this daemon's address that is not its own was written by an earlier process, which is gone.
     const bool isOfEarlierProcess = !m_holdsTerm && !m_claim && record.m_address == m_settings.m_address;
@@ -91,9 +97,7 @@
         if (m_isLeaving)
             record.m_kind = TermRecord::Kind::Release;
     } else {
-        const TimePoint claimAt
-            = m_recordAt + m_settings.m_claimDelay + (m_isVacant ? Duration::zero() : m_settings.m_claimAfter);
-        if (m_isLeaving || now < claimAt || now - m_readAt > freshView)
+        if (m_isLeaving || now < claimAt() || now - m_readAt > freshView)
             return std::nullopt;
         record.m_kind = TermRecord::Kind::Claim;
         record.m_term = m_end + 1;
@@ -143,15 +147,20 @@
     }
 }
 
+TimePoint Election::claimAt() const
+{
+    if (m_isVacant)
+        return m_recordAt + m_settings.m_claimDelay;
+    return m_recordAt + m_settings.m_claimDelay + m_settings.m_claimAfter + m_interval * m_settings.m_claimIntervals;
+}
+
 TimePoint Election::nextWake() const
 {
     if (m_appending || !m_hasRead)
         return TimePoint::max();
     if (m_holdsTerm)
         return m_nextRenewal;
-    const TimePoint claimAt
-        = m_recordAt + m_settings.m_claimDelay + (m_isVacant ? Duration::zero() : m_settings.m_claimAfter);
-    return std::max(claimAt, m_nextRenewal);
+    return std::max(claimAt(), m_nextRenewal);
 }
 
 } // namespace sapphiredale::jobs
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -19,11 +19,13 @@
     DaemonId m_daemon;
     /// "address:port" under which other daemons reach this one.
     std::string m_address;
-    /// Silence of a holder after which another daemon claims.
-    Duration m_claimAfter = std::chrono::milliseconds(1400);
+    /// Silence of a holder after which another daemon claims, beyond m_claimIntervals times the usual interval of its
+    /// records, which is longer while the store is slow.
+    Duration m_claimAfter = std::chrono::milliseconds(450);
+    int m_claimIntervals = 2;
     /// Added to m_claimAfter, different on each daemon, so that claims rarely meet.
     Duration m_claimDelay {};
-    Duration m_renewInterval = std::chrono::milliseconds(400);
+    Duration m_renewInterval = std::chrono::milliseconds(300);
     /// Time after the last confirmed renewal for which a holder still gives orders. Longer than usual outages of the
     /// store; a successor waits for it where it cannot reach a worker.
     Duration m_authority = std::chrono::seconds(7);
@@ -103,6 +105,9 @@
     bool m_isLeaving = false;
     std::string m_holderAddress;
     TimePoint m_recordAt {};
+    /// Longest of the recent intervals between two records of the holder; it fades.
+    Duration m_interval = std::chrono::milliseconds(300);
+    TimePoint claimAt() const;
     TimePoint m_authorityUntil {};
     TimePoint m_predecessorCeasedAt {};
     TimePoint m_nextRenewal {};
