Account for tasks of ended jobs after a takeover

The trace shows six runs of one job in a new scheduler's first report that were "unknown": the job had ended in the store, so its steps were not opened, and the room of its runs that were still being stopped was given away. Ruled out: worker reborn, orders of two terms, late reports (no such line in the trace). Change: steps of an ended job are opened when a run of it is reported. Test: runsOfEndedJobsKeepTheirRoomOverATakeover failed before.

--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -70,7 +70,8 @@
     }
     const bool isOfSameTerm = record.m_kind == TermRecord::Kind::Renewal && m_recordAt != TimePoint();
     if (isOfSameTerm)
-        m_interval = std::clamp(std::max(now - m_recordAt, m_interval - m_interval / 4), shortestInterval, longestInterval);
+        m_interval
+            = std::clamp(std::max(now - m_recordAt, m_interval - m_interval / 4), shortestInterval, longestInterval);
     m_recordAt = now;
     // A record with this daemon's address that is not its own was written by an earlier process, which is gone.
     const bool isOfEarlierProcess = !m_holdsTerm && !m_claim && record.m_address == m_settings.m_address;
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -187,12 +187,17 @@
         m_dirty.push_back(&job);
 }
 
-Step* JobScheduler::stepOf(const TaskName& name)
+Step* JobScheduler::stepOf(const TaskName& name, TimePoint now)
 {
     const auto found = m_jobs.find(name.m_job);
     if (found == m_jobs.end())
         return nullptr;
-    Step* step = found->second->step(name.m_index.m_occurrence, name.m_index.m_step);
+    Job& job = *found->second;
+    // The steps of a job that had ended before this term are needed only for runs that are still there.
+    while (!job.isOpen() && job.m_openedOccurrences <= name.m_index.m_occurrence
+        && job.m_openedOccurrences < job.m_record.m_spec.occurrenceCount())
+        openOccurrence(job, now);
+    Step* step = job.step(name.m_index.m_occurrence, name.m_index.m_step);
     return step != nullptr && name.m_index.m_task < step->m_tasks.size() ? step : nullptr;
 }
 
@@ -494,7 +499,7 @@
 {
     const auto found = worker.m_runs.find(report.m_run);
     if (found == worker.m_runs.end()) {
-        Step* step = stepOf(report.m_run.m_task);
+        Step* step = stepOf(report.m_run.m_task, now);
         if (step == nullptr) {
             m_actions.emplace_back(StopOrder { worker.m_description.m_worker, report.m_run });
             return;
@@ -565,7 +570,7 @@
         return;
     worker.m_seenEnd = end.m_number;
     m_hasNewEnds = true;
-    Step* step = stepOf(end.m_run.m_task);
+    Step* step = stepOf(end.m_run.m_task, now);
     if (step == nullptr)
         return;
     Task& task = taskOf(*step, end.m_run);
@@ -700,7 +705,7 @@
 void JobScheduler::adviceAnswered(const AdviceQuestion& question, const std::vector<Ticket>& tickets, TimePoint askedAt,
     Duration validity, TimePoint now)
 {
-    Step* step = stepOf({ question.m_step.m_job, { question.m_step.m_occurrence, question.m_step.m_step, 0 } });
+    Step* step = stepOf({ question.m_step.m_job, { question.m_step.m_occurrence, question.m_step.m_step, 0 } }, now);
     if (step == nullptr)
         return;
     Placement(*this, now).withdrawPledges(*step);
@@ -723,7 +728,7 @@
 
 void JobScheduler::adviceFailed(const AdviceQuestion& question, TimePoint now)
 {
-    Step* step = stepOf({ question.m_step.m_job, { question.m_step.m_occurrence, question.m_step.m_step, 0 } });
+    Step* step = stepOf({ question.m_step.m_job, { question.m_step.m_occurrence, question.m_step.m_step, 0 } }, now);
     if (step == nullptr)
         return;
     Placement(*this, now).withdrawPledges(*step);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -132,7 +132,7 @@
     void openDueOccurrences(Job&, std::int64_t wallNowMs, TimePoint now);
     ProgressRecord progressOf(const Job&) const;
     void restoreTasks(Job&, const JobProgress&, TimePoint now);
-    Step* stepOf(const TaskName&);
+    Step* stepOf(const TaskName&, TimePoint now);
     static Task& taskOf(Step& step, const RunName& run) { return step.m_tasks[run.m_task.m_index.m_task]; }
     void refreshWaiting(Step&, Task&, TimePoint now);
     void refreshAllWaiting(Step&, TimePoint now);
