--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -205,6 +205,7 @@
         m_context, m_settings, settings, *m_desk, *m_log, [this] { return m_election.election().holdsTerm(bootNow()); },
         [this] {
             // The follower reads of the later term soon; until then this daemon gives no orders.
+            m_election.depose();
             m_term.reset();
             m_desk.reset();
         });
@@ -333,6 +334,7 @@
         put("done_runs_total", counters.m_doneRuns);
         put("failed_runs_total", counters.m_failedRuns);
         put("lost_runs_total", counters.m_lostRuns);
+        put("stalled_runs_total", counters.m_stalledRuns);
     }
     respond({ 200, text, 0, "text/plain" });
 }
--- a/src/controller/ElectionDriver.h
+++ b/src/controller/ElectionDriver.h
@@ -19,6 +19,7 @@
 
     void start() { m_follower.start(); }
     const jobs::Election& election() const { return m_election; }
+    void depose() { m_election.depose(); }
     /// Gives the term up, if this daemon holds it.
     void leave();
     /// When the newest answer of the store was asked for.
--- a/src/controller/JobAppender.cpp
+++ b/src/controller/JobAppender.cpp
@@ -13,7 +13,10 @@
     constexpr std::size_t maxBytes = 1 << 20;
     /// Patience with one append, so that a silent connection is given up with time left for another.
     constexpr Duration appendTimeout = std::chrono::milliseconds(900);
-    constexpr Duration retryPause = std::chrono::milliseconds(60);
+    constexpr Duration retryPause = std::chrono::milliseconds(100);
+    /// Patience with a probe: a slow store takes a quarter of a second.
+    constexpr Duration probeTimeout = std::chrono::milliseconds(600);
+    constexpr const char* probeName = "probe";
 
 } // namespace
 
@@ -30,6 +33,8 @@
 void JobAppender::append(
     const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)> handler)
 {
+    if (m_isAway)
+        return handler(StoreOutcome::NotStored);
     auto entry = std::make_shared<Entry>();
     entry->m_key = key;
     entry->m_value = value;
@@ -80,14 +85,10 @@
 {
     using Kind = userplatform::AppendAnswer::Kind;
     if (answer.m_kind == Kind::Appended) {
-        m_failures = 0;
-        m_isSilent = false;
         for (const EntryPointer& entry : sent)
             finish(entry, StoreOutcome::Stored);
         return send();
     }
-    ++m_failures;
-    m_isSilent = answer.m_kind == Kind::Unknown || m_isSilent;
     const TimePoint now = bootNow();
     for (auto entry = sent.rbegin(); entry != sent.rend(); ++entry) {
         (*entry)->m_mayBeStored = (*entry)->m_mayBeStored || answer.m_kind == Kind::Unknown;
@@ -98,16 +99,38 @@
         else
             finish(*entry, StoreOutcome::Unknown);
     }
+    m_isAway = true;
     m_isWaiting = true;
+    probe();
+}
+
+void JobAppender::probe()
+{
     m_retryTimer.expires_after(retryPause);
     m_retryTimer.async_wait([this, alive = m_isAlive](boost::system::error_code error) {
         if (error || !*alive)
             return;
-        m_isWaiting = false;
-        send();
+        // Appends nothing, whatever becomes of it.
+        userplatform::AppendCondition condition;
+        condition.m_writer = probeName;
+        m_store.append(m_partition, {}, condition, probeTimeout,
+            [this, alive = m_isAlive](const userplatform::AppendAnswer& answer) {
+                if (*alive)
+                    probed(answer);
+            });
     });
 }
 
+void JobAppender::probed(const userplatform::AppendAnswer& answer)
+{
+    if (answer.m_kind == userplatform::AppendAnswer::Kind::NotDone
+        || answer.m_kind == userplatform::AppendAnswer::Kind::Unknown)
+        return probe();
+    m_isAway = false;
+    m_isWaiting = false;
+    send();
+}
+
 void JobAppender::armExpiry()
 {
     TimePoint next = TimePoint::max();
--- a/src/controller/JobAppender.h
+++ b/src/controller/JobAppender.h
@@ -34,8 +34,9 @@
     /// way at once; one that was is sent again until its deadline.
     void append(
         const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)>);
-    /// Whether the store has failed to answer lately and has not answered since.
-    bool isStoreAway() const { return m_failures > 0 && m_isSilent; }
+    /// Whether the store has turned an append away or left it unanswered and has not answered since. Records are refused
+    /// at once meanwhile, so that it stays certain that they are not stored.
+    bool isStoreAway() const { return m_isAway; }
 
 private:
     struct Entry {
@@ -51,6 +52,8 @@
     void send();
     void answered(const std::vector<EntryPointer>&, const userplatform::AppendAnswer&);
     void expire();
+    void probe();
+    void probed(const userplatform::AppendAnswer&);
     void armExpiry();
     static void finish(const EntryPointer&, StoreOutcome);
 
@@ -62,8 +65,7 @@
     std::vector<EntryPointer> m_sent;
     bool m_isSending = false;
     bool m_isWaiting = false;
-    std::uint32_t m_failures = 0;
-    bool m_isSilent = false;
+    bool m_isAway = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -26,6 +26,8 @@
     constexpr Duration waitLogAge = std::chrono::seconds(4);
     constexpr Duration waitLogInterval = std::chrono::seconds(3);
     constexpr std::size_t waitLogLines = 3;
+    /// Two heartbeats, which are 1.5 s apart.
+    constexpr Duration freshEntry = std::chrono::milliseconds(3000);
     constexpr Duration forgetInterval = std::chrono::seconds(5);
     constexpr char cancellationMark = '-';
     /// Jobs for which the follower's view may be this old: a younger answer "unknown" is certain.
@@ -269,11 +271,17 @@
     const WorkerId id(record.m_key);
     const auto entry = record.m_value ? userplatform::decodeWorkerEntry(record.m_key, *record.m_value) : std::nullopt;
     if (!entry) {
+        const bool wasFresh = bootNow() - std::exchange(m_entryAt[id], TimePoint()) < freshEntry;
+        // An entry lapses after three heartbeats; one that goes earlier was removed because its worker has ended.
+        if (wasFresh && !record.m_value && m_scheduler)
+            m_scheduler->workerLeft(id, bootNow());
         if (m_workerObserver->m_known.erase(id) > 0)
             m_vanished.try_emplace(id, bootNow() + vanishedGrace);
         m_workerObserver->m_entries.erase(id);
+        m_entryAt.erase(id);
         return;
     }
+    m_entryAt[id] = bootNow();
     m_vanished.erase(id);
     m_workerObserver->m_known.insert(id);
     jobs::WorkerDescription& known = m_workerObserver->m_entries[id];
@@ -522,6 +530,7 @@
     if (!succeeded(result)) {
         if (errorOf(result).m_kind == ErrorKind::StaleEpoch)
             return depose();
+        m_scheduler->reportFailed(id, now);
         state.m_nextHoldAt = now + holdRetry;
         return;
     }
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -18,7 +18,7 @@
 inline constexpr const char* jobTopic = "keyed.jobs";
 /// Partitions of the topic of the jobs. A slow store serves one append of a partition at a time, so daemons that append
 /// to different ones do not wait for each other.
-inline constexpr std::uint32_t jobPartitions = 8;
+inline constexpr std::uint32_t jobPartitions = 16;
 /// Key of the cancellation of a job in the topic of the jobs.
 std::string cancellationKey(const JobId&);
 
@@ -104,6 +104,8 @@
     ProgressWriter::Records m_removals;
     /// Entries that have vanished from the registry, with the instant at which they count as gone.
     std::map<WorkerId, TimePoint> m_vanished;
+    /// When the newest entry of each worker was read.
+    std::map<WorkerId, TimePoint> m_entryAt;
     boost::asio::steady_timer m_stepTimer;
     boost::asio::steady_timer m_superviseTimer;
     TimePoint m_lastStepAt {};
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -72,6 +72,8 @@
     /// The instant at which next() may return something without further input.
     TimePoint nextWake() const;
 
+    /// A worker or the store obeys a later term than this daemon's.
+    void depose() { m_holdsTerm = false; }
     /// No claims from now on; a term that is held is released with the next append.
     void leave() { m_isLeaving = true; }
     bool isReleased() const { return m_isLeaving && !m_holdsTerm && !m_appending; }
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -18,7 +18,7 @@
     /// An order without an answer may be carried out this much later.
     constexpr Duration latestOrder = std::chrono::seconds(13);
     /// Failures in a row, less successes, that put a worker into quarantine, and the first time there.
-    constexpr double quarantineScore = 3.0;
+    constexpr double quarantineScore = 2.0;
     constexpr Duration quarantineTime = std::chrono::seconds(4);
     constexpr std::uint32_t maxQuarantineDoublings = 3;
     /// Workers that the callers' objectives count for one question to the adviser.
@@ -29,15 +29,16 @@
     constexpr double strainedTail = 0.9;
     constexpr std::uint32_t paceStep = 10;
 
-    Duration longestChainWithAdvice(const JobRecord& record)
+    /// The steps of a job with the time of a question to the adviser as part of their estimates.
+    JobSpec withAdvice(const JobRecord& record)
     {
-        if (!record.m_policy.m_advice)
-            return longestChain(record.m_spec);
         JobSpec spec = record.m_spec;
+        if (!record.m_policy.m_advice)
+            return spec;
         const AdvicePolicy& advice = *record.m_policy.m_advice;
         for (StepSpec& step : spec.m_steps)
             step.m_estimate += advice.m_base + advice.m_perWorker * workersPerQuestion;
-        return longestChain(spec);
+        return spec;
     }
 
     Duration scaled(Duration duration, double factor)
@@ -64,7 +65,7 @@
     const Duration age = std::chrono::milliseconds(std::max<std::int64_t>(0, wallNowMs - record.m_acceptedMs));
     job.m_acceptedAt = now - age;
     const Duration objective
-        = scaled(longestChainWithAdvice(record), record.m_policy.m_slackFactor) + record.m_policy.m_latencyTarget;
+        = scaled(longestChain(withAdvice(record)), record.m_policy.m_slackFactor) + record.m_policy.m_latencyTarget;
     job.m_objective = job.m_acceptedAt + objective;
     job.m_worthlessAt = job.m_acceptedAt + objective * worthlessObjectives;
     m_jobs.emplace(record.m_job, std::move(owned));
@@ -147,12 +148,14 @@
     const std::uint32_t occurrence = job.m_openedOccurrences++;
     const std::vector<StepSpec>& specs = job.m_record.m_spec.m_steps;
     const std::size_t first = job.m_steps.size();
+    const std::vector<Duration> rest = chains(job.m_record.m_spec);
     for (std::uint32_t i = 0; i < specs.size(); ++i) {
         Step& step = job.m_steps.emplace_back();
         step.m_job = &job;
         step.m_spec = &specs[i];
         step.m_name = { job.m_record.m_job, occurrence, i };
         step.m_tasks.resize(specs[i].m_count);
+        step.m_chain = rest[i];
         step.m_openDependencies = static_cast<std::uint32_t>(specs[i].m_dependsOn.size());
     }
     for (std::size_t i = first; i < job.m_steps.size(); ++i)
@@ -342,6 +345,12 @@
     }
 }
 
+void JobScheduler::reportFailed(const WorkerId& id, TimePoint now)
+{
+    if (const auto found = m_workers.find(id); found != m_workers.end())
+        found->second.m_unansweredAt = now;
+}
+
 void JobScheduler::startAnswered(const WorkerId& id, const RunName& name, StartOutcome outcome, TimePoint now)
 {
     const auto found = m_workers.find(id);
@@ -360,6 +369,7 @@
     case StartOutcome::Unknown:
         ++m_counters.m_unknownStarts;
         worker.m_unanswered.emplace_back(name, now);
+        worker.m_unansweredAt = now;
         if (run.m_phase == RunPhase::Starting) {
             run.m_phase = RunPhase::Unknown;
             run.m_unknownSince = now;
@@ -438,6 +448,22 @@
         found->second.m_isListed = false;
 }
 
+void JobScheduler::workerLeft(const WorkerId& id, TimePoint now)
+{
+    workerDelisted(id, now);
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || !found->second.m_description.m_isDraining)
+        return;
+    Worker& worker = found->second;
+    std::vector<RunName> ended;
+    for (const auto& [name, run] : worker.m_runs)
+        ended.push_back(name);
+    for (const RunName& name : ended) {
+        ++m_counters.m_lostRuns;
+        removeRun(worker, name, now);
+    }
+}
+
 void JobScheduler::workerReborn(Worker& worker, std::int64_t bornMs, TimePoint now)
 {
     worker.m_isDescribed = worker.m_isDescribed && worker.m_describedBornMs == bornMs;
@@ -525,11 +551,14 @@
         run.m_phase = RunPhase::Running;
         setActive(run, true, now);
     }
-    if (report.m_percent > run.m_percent)
+    const bool hasProgress = report.m_percent > run.m_percent;
+    if (hasProgress)
         run.m_progressAt = now;
     run.m_percent = report.m_percent;
     if (!report.m_checkpoint.empty())
         taskOf(*run.m_step, report.m_run).m_checkpoint = report.m_checkpoint;
+    if (!hasProgress && isStalled(run, now))
+        return stallReported(worker, run, now);
     if (!run.m_step->m_spec->isServing())
         return;
     const bool isOver
@@ -604,6 +633,35 @@
     }
 }
 
+bool JobScheduler::isStalled(const Run& run, TimePoint now) const
+{
+    const StepSpec& spec = *run.m_step->m_spec;
+    // A gang waits for its members, and a filling task for processors that others leave.
+    if (run.m_phase != RunPhase::Running || spec.m_isGang || spec.m_isFilling || run.m_percent >= 100)
+        return false;
+    // One percent of a long task takes long.
+    return now - run.m_progressAt > m_settings.m_stall + spec.m_estimate / 25;
+}
+
+void JobScheduler::stallReported(Worker& worker, Run& run, TimePoint now)
+{
+    ++m_counters.m_stalledRuns;
+    taskOf(*run.m_step, run.m_name).m_avoid = worker.m_description.m_worker;
+    worker.m_failureScore += 1;
+    quarantineIfBad(worker, now);
+    requestStop(run, now);
+}
+
+void JobScheduler::quarantineIfBad(Worker& worker, TimePoint now)
+{
+    if (worker.m_failureScore < quarantineScore)
+        return;
+    const std::uint32_t doublings = std::min(worker.m_quarantines++, maxQuarantineDoublings);
+    worker.m_quarantinedUntil = now + quarantineTime * (1 << doublings);
+    // One more failure after its return is enough.
+    worker.m_failureScore = quarantineScore - 1;
+}
+
 void JobScheduler::failureReported(Worker& worker, Step& step, const RunName& name, TimePoint now)
 {
     // The members of a gang fail together: the run counts once.
@@ -613,11 +671,7 @@
     ++m_counters.m_failedRuns;
     task.m_avoid = worker.m_description.m_worker;
     worker.m_failureScore += 1;
-    if (worker.m_failureScore >= quarantineScore) {
-        const std::uint32_t doublings = std::min(worker.m_quarantines++, maxQuarantineDoublings);
-        worker.m_quarantinedUntil = now + quarantineTime * (1 << doublings);
-        worker.m_failureScore = quarantineScore - 1;
-    }
+    quarantineIfBad(worker, now);
     if (step.m_spec->m_isLongRunning)
         return;
     task.m_failedRuns.push_back(name.m_run);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -25,6 +25,9 @@
     Duration m_ticketMargin = std::chrono::milliseconds(120);
     /// Time for which the outcome of a closed job is kept.
     Duration m_retention = std::chrono::seconds(150);
+    /// A run without progress for this long, and one percent of its estimate four times, stands still. Reports arrive
+    /// every second.
+    Duration m_stall = std::chrono::milliseconds(1600);
     /// Rest of a run that is let finish on a draining worker.
     Duration m_drainPatience = std::chrono::milliseconds(1500);
     /// Most waiting steps that one pass looks at.
@@ -41,6 +44,7 @@
     std::uint64_t m_doneRuns = 0;
     std::uint64_t m_failedRuns = 0;
     std::uint64_t m_lostRuns = 0;
+    std::uint64_t m_stalledRuns = 0;
 };
 
 /// See the head of the file. Functions that take `now` are called with times that do not decrease.
@@ -71,7 +75,11 @@
     void workerListed(const WorkerDescription&, TimePoint now);
     /// The registry no longer lists it. Its runs may go on until its lease ends.
     void workerDelisted(const WorkerId&, TimePoint now);
+    /// The registry removed the entry of a worker that had just written to it: a draining worker has ended.
+    void workerLeft(const WorkerId&, TimePoint now);
     void workerReported(const WorkerId&, const WorkerReport&, TimePoint now);
+    /// A request for a report was not answered.
+    void reportFailed(const WorkerId&, TimePoint now);
     /// An order that extends the worker's lease is about to be sent.
     void leaseExtended(const WorkerId&, TimePoint leaseEnd);
     void startAnswered(const WorkerId&, const RunName&, StartOutcome, TimePoint now);
@@ -154,6 +162,9 @@
     static std::uint32_t nextRun(const SchedulerSettings&, const Task&);
     void endReported(Worker&, const EndReport&, TimePoint now);
     void runReported(Worker&, const RunReport&, TimePoint now);
+    bool isStalled(const Run&, TimePoint now) const;
+    void stallReported(Worker&, Run&, TimePoint now);
+    void quarantineIfBad(Worker&, TimePoint now);
     void failureReported(Worker&, Step&, const RunName&, TimePoint now);
     void dropMissingRuns(Worker&, const WorkerReport&, TimePoint now);
     void workerReborn(Worker&, std::int64_t bornMs, TimePoint now);
--- a/src/jobs/JobSpec.cpp
+++ b/src/jobs/JobSpec.cpp
@@ -201,18 +201,22 @@
     return record;
 }
 
-Duration longestChain(const JobSpec& spec)
+std::vector<Duration> chains(const JobSpec& spec)
 {
-    std::vector<Duration> ends;
-    Duration longest {};
-    for (const StepSpec& step : spec.m_steps) {
-        Duration start {};
-        for (const std::uint32_t dependency : step.m_dependsOn)
-            start = std::max(start, ends[dependency]);
-        ends.push_back(start + step.m_estimate);
-        longest = std::max(longest, ends.back());
+    std::vector<Duration> result(spec.m_steps.size());
+    // Steps depend on earlier ones only.
+    for (std::size_t i = spec.m_steps.size(); i-- > 0;) {
+        result[i] += spec.m_steps[i].m_estimate;
+        for (const std::uint32_t dependency : spec.m_steps[i].m_dependsOn)
+            result[dependency] = std::max(result[dependency], result[i]);
     }
-    return longest;
+    return result;
+}
+
+Duration longestChain(const JobSpec& spec)
+{
+    const std::vector<Duration> all = chains(spec);
+    return all.empty() ? Duration::zero() : *std::max_element(all.begin(), all.end());
 }
 
 } // namespace sapphiredale::jobs
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -119,7 +119,9 @@
 std::string encodeJobRecord(const JobRecord&);
 Result<JobRecord> decodeJobRecord(const JobId&, std::string_view);
 
-/// The steps of a job on the longest chain of estimates, summed.
+/// The longest chain of estimates from each step to the end of the job, the step included.
+std::vector<Duration> chains(const JobSpec&);
+/// The longest chain of a job.
 Duration longestChain(const JobSpec&);
 
 } // namespace sapphiredale::jobs
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -11,6 +11,7 @@
 
     // Costs of a placement, in units of a worker's whole room that is left unused.
     constexpr double otherRackCost = 4.0;
+    constexpr double otherDomainCost = 1.5;
     constexpr double interferenceCost = 2.0;
     constexpr double avoidedWorkerCost = 8.0;
     /// Expected room that a question asks for, as a multiple of the need.
@@ -78,14 +79,14 @@
         rank.m_deadline = job.m_acceptedAt;
         return rank;
     }
-    rank.m_lateness = m_now + step.m_spec->m_estimate <= job.m_objective ? 0 : m_now <= job.m_worthlessAt ? 1 : 2;
+    rank.m_lateness = m_now + step.m_chain <= job.m_objective ? 0 : m_now <= job.m_worthlessAt ? 1 : 2;
     return rank;
 }
 
 bool Placement::isEligible(const Worker& worker, const Step& step) const
 {
     const WorkerDescription& description = worker.m_description;
-    if (!worker.m_isListed || !worker.m_isDescribed || !worker.m_hasReported || worker.m_isSilent
+    if (!worker.m_isListed || !worker.m_isDescribed || !worker.m_hasReported || !worker.isAnswering()
         || description.m_isDraining || worker.m_quarantinedUntil > m_now)
         return false;
     if (description.m_service != step.m_job->m_record.m_policy.m_service)
@@ -149,6 +150,8 @@
         cost += otherRackCost;
     if (!rack.empty() && at != rack)
         cost += otherRackCost;
+    if (!step.m_job->m_domain.empty() && worker.m_description.m_failureDomain != step.m_job->m_domain)
+        cost += otherDomainCost;
     if ((spec.m_isFilling && worker.m_servingRuns > 0) || (spec.isServing() && worker.m_fillingRuns > 0))
         cost += interferenceCost;
     if (task.m_avoid == worker.m_description.m_worker)
@@ -182,6 +185,31 @@
     return best;
 }
 
+void Placement::chooseDomain(Step& step)
+{
+    // A job moves to another domain only when none of its tasks runs.
+    const bool runsSomewhere = !step.m_places.empty();
+    if (step.m_spec->m_isLongRunning || runsSomewhere)
+        return;
+    std::map<FailureDomainId, double> room;
+    for (const auto& [id, worker] : m_scheduler.m_workers) {
+        if (!isEligible(worker, step))
+            continue;
+        const auto known = step.m_permissions.find(id);
+        if (known != step.m_permissions.end() && !known->second.m_isAllowed)
+            continue;
+        room[worker.m_description.m_failureDomain] += slots(worker, step, worker.free() - worker.m_pledged);
+    }
+    const double wanted = step.m_waitingTasks * questionMargin;
+    FailureDomainId& domain = step.m_job->m_domain;
+    if (const auto present = room.find(domain); present != room.end() && present->second >= wanted)
+        return;
+    const auto best = std::max_element(
+        room.begin(), room.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (best != room.end() && best->second > 0)
+        domain = best->first;
+}
+
 RackId Placement::rackWithMostRoom(const Step& step) const
 {
     std::map<RackId, std::uint64_t> room;
@@ -269,12 +297,14 @@
 
 bool Placement::ask(Step& step)
 {
+    chooseDomain(step);
     const AdvicePolicy& advice = *step.m_job->m_record.m_policy.m_advice;
     const double share
         = m_scheduler.m_allowedShare.try_emplace(step.m_job->m_record.m_policy.m_queue, 0.5).first->second;
     struct Candidate {
         double m_expected;
         double m_rackBonus;
+        bool m_isInDomain;
         Worker* m_worker;
     };
     std::vector<Candidate> candidates;
@@ -291,13 +321,16 @@
             continue;
         const bool isNear
             = step.m_spec->m_dataRack.empty() || worker.m_description.m_rack.value() == step.m_spec->m_dataRack;
-        candidates.push_back({ (isKnown ? 1.0 : share) * room, isNear ? 1.0 : 0.0, &worker });
+        candidates.push_back({ (isKnown ? 1.0 : share) * room, isNear ? 1.0 : 0.0, worker.m_description.m_failureDomain == step.m_job->m_domain,
+                &worker });
     }
     if (candidates.empty())
         return false;
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
         if (a.m_rackBonus != b.m_rackBonus)
             return a.m_rackBonus > b.m_rackBonus;
+        if (a.m_isInDomain != b.m_isInDomain)
+            return a.m_isInDomain;
         if (a.m_expected != b.m_expected)
             return a.m_expected > b.m_expected;
         return a.m_worker->m_description.m_worker < b.m_worker->m_description.m_worker;
@@ -330,7 +363,7 @@
         const bool needsTicket = step.m_job->m_record.m_policy.m_advice.has_value();
         const char* reason = !worker.m_isListed                                              ? "unlisted"
             : !worker.m_hasReported                                                          ? "notReported"
-            : worker.m_isSilent                                                              ? "silent"
+            : !worker.isAnswering()                ? "silent"
             : !worker.m_isDescribed                                                          ? "notDescribed"
             : worker.m_description.m_isDraining                                              ? "draining"
             : worker.m_quarantinedUntil > m_now                                              ? "quarantined"
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -66,6 +66,8 @@
     /// Reserves a worker for every task, on one rack if one is given; none when they don't fit together.
     std::vector<Worker*> chooseTogether(Step&, const RackId& rack);
     RackId rackWithMostRoom(const Step&) const;
+    /// Keeps the tasks of a job in one failure domain while it has room for them.
+    void chooseDomain(Step&);
     void start(Step&, std::uint32_t task, Worker&, std::uint32_t run);
     /// Asks the adviser for the tasks of the step that still wait; false when there is nobody to ask about.
     bool ask(Step&);
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -89,6 +89,8 @@
     std::uint32_t m_waitingTasks = 0;
     /// Steps of this occurrence on which it depends and that are not finished.
     std::uint32_t m_openDependencies = 0;
+    /// Longest chain of estimates that begins with this step.
+    Duration m_chain {};
     bool m_isQueued = false;
     std::map<WorkerId, Permission> m_permissions;
     /// Unresolved runs by worker.
@@ -119,6 +121,8 @@
     TimePoint m_objective {};
     TimePoint m_worthlessAt {};
     TimePoint m_closedAt {};
+    /// Failure domain in which the tasks are kept together, so that the loss of a domain hits few jobs.
+    FailureDomainId m_domain;
     /// Occurrence by occurrence, step by step; filled when the occurrence is due.
     std::deque<Step> m_steps;
     std::uint32_t m_openedOccurrences = 0;
@@ -142,6 +146,8 @@
     /// A report has arrived in this term and life.
     bool m_hasReported = false;
     TimePoint m_lastReportAt {};
+    /// When an order or a request for a report was last left unanswered; no new work until a later report.
+    TimePoint m_unansweredAt {};
     /// Latest instant until which anything that was ordered may run there without further orders.
     TimePoint m_leaseEnd {};
     Resources m_reserved;
@@ -162,6 +168,8 @@
     std::vector<std::pair<RunName, TimePoint>> m_unanswered;
 
     bool m_isSilent = false;
+    /// Whether the worker has answered everything lately.
+    bool isAnswering() const { return !m_isSilent && m_unansweredAt < m_lastReportAt; }
 
     Resources free() const { return m_description.m_capacity - m_reserved; }
 };
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -18,7 +18,7 @@
     friend bool operator==(const TaskName&, const TaskName&) = default;
     friend auto operator<=>(const TaskName& a, const TaskName& b)
     {
-        const auto order = a.m_job <=> b.m_job;
+        const std::strong_ordering order = a.m_job <=> b.m_job;
         return order != 0 ? order : a.m_index <=> b.m_index;
     }
 };
@@ -31,7 +31,7 @@
     friend bool operator==(const RunName&, const RunName&) = default;
     friend auto operator<=>(const RunName& a, const RunName& b)
     {
-        const auto order = a.m_task <=> b.m_task;
+        const std::strong_ordering order = a.m_task <=> b.m_task;
         return order != 0 ? order : a.m_run <=> b.m_run;
     }
 };
@@ -45,10 +45,10 @@
     friend bool operator==(const StepName&, const StepName&) = default;
     friend auto operator<=>(const StepName& a, const StepName& b)
     {
-        const auto order = a.m_job <=> b.m_job;
+        const std::strong_ordering order = a.m_job <=> b.m_job;
         if (order != 0)
             return order;
-        const auto occurrences = a.m_occurrence <=> b.m_occurrence;
+        const std::strong_ordering occurrences = a.m_occurrence <=> b.m_occurrence;
         return occurrences != 0 ? occurrences : a.m_step <=> b.m_step;
     }
 };
