--- a/src/controller/AdviceDesk.cpp
+++ b/src/controller/AdviceDesk.cpp
@@ -46,18 +46,24 @@
     helper.m_heardAt = bootNow();
 }
 
-bool AdviceDesk::isIdle(const Helper& helper) const
+bool AdviceDesk::isPresent(const Helper& helper) const
 {
     const TimePoint now = bootNow();
-    return !helper.m_isBusy && now - helper.m_heardAt < helperSilence && helper.m_avoidUntil <= now;
+    return now - helper.m_heardAt < helperSilence && helper.m_avoidUntil <= now;
 }
 
-std::uint32_t AdviceDesk::idle() const
+jobs::AdviceCapacity AdviceDesk::capacity() const
 {
-    const bool isOwnIdle = m_own != nullptr && !m_isOwnBusy && m_avoidOwnUntil <= bootNow();
-    return static_cast<std::uint32_t>(std::count_if(m_helpers.begin(), m_helpers.end(), [this](const auto& entry) {
-        return isIdle(entry.second);
-    })) + (isOwnIdle ? 1 : 0);
+    jobs::AdviceCapacity capacity;
+    for (const auto& [address, helper] : m_helpers) {
+        capacity.m_all += isPresent(helper) ? 1 : 0;
+        capacity.m_idle += isIdle(helper) ? 1 : 0;
+    }
+    if (m_own != nullptr && m_avoidOwnUntil <= bootNow()) {
+        ++capacity.m_all;
+        capacity.m_idle += m_isOwnBusy ? 0 : 1;
+    }
+    return capacity;
 }
 
 void AdviceDesk::ask(const jobs::AdviceQuestion& question, AnswerHandler handler)
--- a/src/controller/AdviceDesk.h
+++ b/src/controller/AdviceDesk.h
@@ -20,8 +20,7 @@
     AdviceDesk(boost::asio::io_context&, userplatform::AdviceConnection* own);
 
     void heard(const inner::Hello&);
-    /// Daemons that can take a question now.
-    std::uint32_t idle() const;
+    jobs::AdviceCapacity capacity() const;
     /// Hands the question to an idle daemon; fails with Overloaded when there is none.
     void ask(const jobs::AdviceQuestion&, AnswerHandler);
 
@@ -33,7 +32,8 @@
         TimePoint m_avoidUntil {};
     };
 
-    bool isIdle(const Helper&) const;
+    bool isPresent(const Helper&) const;
+    bool isIdle(const Helper& helper) const { return !helper.m_isBusy && isPresent(helper); }
     void askOwn(const jobs::AdviceQuestion&, AnswerHandler);
     void askHelper(const std::string& address, Helper&, const jobs::AdviceQuestion&, AnswerHandler);
 
--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -110,6 +110,7 @@
     , m_adviser(m_settings.m_adviser.empty()
               ? nullptr
               : std::make_unique<userplatform::AdviceConnection>(m_context, m_settings.m_adviser))
+    , m_desk(m_context, m_adviser.get())
     , m_election(m_context, m_settings.m_store, electionSettings(m_settings, seed), [this] { electionChanged(); })
     , m_gateway(m_context, m_settings, *m_log, [this] { return scheduler(); })
     , m_configurationObserver(std::make_unique<ConfigurationObserver>(*this))
@@ -192,7 +193,6 @@
     if (isOver) {
         m_log->write(LogEvent::SchedulerCeased, { { "term", m_term->term() } });
         m_term.reset();
-        m_desk.reset();
     }
     if (m_term || !election.isNewestTerm() || m_isStopping)
         return;
@@ -200,14 +200,12 @@
     settings.m_term = election.term();
     settings.m_predecessorCeasedAt = election.predecessorCeasedAt();
     settings.m_lease = m_settings.m_longestLease - leaseReserve;
-    m_desk = std::make_unique<AdviceDesk>(m_context, m_adviser.get());
     m_term = std::make_unique<SchedulerTerm>(
-        m_context, m_settings, settings, *m_desk, *m_log, [this] { return m_election.election().holdsTerm(bootNow()); },
+        m_context, m_settings, settings, m_desk, *m_log, [this] { return m_election.election().holdsTerm(bootNow()); },
         [this] {
             // The follower reads of the later term soon; until then this daemon gives no orders.
             m_election.depose();
             m_term.reset();
-            m_desk.reset();
         });
     m_term->start();
 }
@@ -263,10 +261,12 @@
         return adviseFor(request, std::move(respond));
     if (request.m_target == inner::helloPath) {
         const Result<inner::Hello> hello = inner::decodeHello(request.m_body);
-        if (!m_term || !succeeded(hello))
+        if (!succeeded(hello))
             return respond(errorResponse(ErrorKind::NotScheduler));
-        m_desk->heard(valueOf(hello));
-        m_term->advance();
+        // Others may read of a claim before its own daemon does.
+        m_desk.heard(valueOf(hello));
+        if (m_term)
+            m_term->advance();
         return respond({ 200, "{}" });
     }
     if (request.m_target == inner::storePath) {
--- a/src/controller/Controller.h
+++ b/src/controller/Controller.h
@@ -53,7 +53,7 @@
     std::unique_ptr<userplatform::AdviceConnection> m_adviser;
     /// Questions that other daemons had this one ask.
     std::uint32_t m_adviceCalls = 0;
-    std::unique_ptr<AdviceDesk> m_desk;
+    AdviceDesk m_desk;
     ElectionDriver m_election;
     std::unique_ptr<SchedulerTerm> m_term;
     Gateway m_gateway;
--- a/src/controller/JobAppender.h
+++ b/src/controller/JobAppender.h
@@ -34,8 +34,8 @@
     /// way at once; one that was is sent again until its deadline.
     void append(
         const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)>);
-    /// Whether the store has turned an append away or left it unanswered and has not answered since. Records are refused
-    /// at once meanwhile, so that it stays certain that they are not stored.
+    /// Whether the store has turned an append away or left it unanswered and has not answered since. Records are
+    /// refused at once meanwhile, so that it stays certain that they are not stored.
     bool isStoreAway() const { return m_isAway; }
 
 private:
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -342,7 +342,7 @@
         return;
     m_lastStepAt = bootNow();
     if (!m_isHandingOver && m_mayOrder()) {
-        for (const jobs::SchedulerAction& action : m_scheduler->step(wallNowMs(), m_lastStepAt, m_desk.idle()))
+        for (const jobs::SchedulerAction& action : m_scheduler->step(wallNowMs(), m_lastStepAt, m_desk.capacity()))
             carryOut(action);
     }
     writeProgress();
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -472,20 +472,16 @@
     worker.m_seenEnd = 0;
     worker.m_storedEnd = 0;
     worker.m_failureScore = 0;
-    std::vector<RunName> ended;
     for (auto& [name, run] : worker.m_runs) {
-        if (run.m_confirmedAt != TimePoint::max()) {
-            ended.push_back(name);
+        // The new life may have obeyed a start before its birth was known here: its first report tells which runs it
+        // has.
+        if (run.m_confirmedAt != TimePoint::max())
             continue;
-        }
         // The start may still be on its way and would be obeyed by the new life.
         requestStop(run, now);
         run.m_stopConfirmedAt = TimePoint::max();
     }
-    for (const RunName& name : ended) {
-        ++m_counters.m_lostRuns;
-        removeRun(worker, name, now);
-    }
+    m_actions.emplace_back(LookOrder { worker.m_description.m_worker });
     for (const auto& [name, orderedAt] : worker.m_unanswered) {
         if (!worker.m_runs.contains(name))
             m_actions.emplace_back(StopOrder { worker.m_description.m_worker, name });
@@ -794,7 +790,7 @@
 
 // Decisions
 
-std::vector<SchedulerAction> JobScheduler::step(std::int64_t wallNowMs, TimePoint now, std::uint32_t questions)
+std::vector<SchedulerAction> JobScheduler::step(std::int64_t wallNowMs, TimePoint now, const AdviceCapacity& advice)
 {
     for (Job* job : m_timed) {
         if (job->isOpen())
@@ -805,7 +801,7 @@
     });
     superviseWorkers(now);
     startRecorded(now);
-    Placement(*this, now).pass(questions);
+    Placement(*this, now).pass(advice);
     return std::exchange(m_actions, {});
 }
 
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -91,8 +91,8 @@
     /// The question was not answered.
     void adviceFailed(const AdviceQuestion&, TimePoint now);
 
-    /// Decides as much as is possible now, with at most this many questions to the adviser.
-    std::vector<SchedulerAction> step(std::int64_t wallNowMs, TimePoint now, std::uint32_t questions);
+    /// Decides as much as is possible now.
+    std::vector<SchedulerAction> step(std::int64_t wallNowMs, TimePoint now, const AdviceCapacity&);
 
     /// \name Durable state
     /// @{
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -14,6 +14,10 @@
     constexpr double otherDomainCost = 1.5;
     constexpr double interferenceCost = 2.0;
     constexpr double avoidedWorkerCost = 8.0;
+    /// Questions with a longer base time leave this many daemons, at most one of three, to the others.
+    constexpr Duration longQuestion = std::chrono::milliseconds(150);
+    constexpr std::uint32_t reservedDaemons = 2;
+    constexpr std::uint32_t daemonsPerReserved = 3;
     /// Expected room that a question asks for, as a multiple of the need.
     constexpr double questionMargin = 1.6;
     /// Most workers of one question; the adviser accepts no more.
@@ -31,8 +35,9 @@
 
 } // namespace
 
-void Placement::pass(std::uint32_t questions)
+void Placement::pass(AdviceCapacity advice)
 {
+    const std::uint32_t reserve = std::min(reservedDaemons, advice.m_all / daemonsPerReserved);
     std::erase_if(m_scheduler.m_waiting, [](Step* step) {
         step->m_isQueued = step->m_waitingTasks > 0;
         return !step->m_isQueued;
@@ -51,8 +56,11 @@
         else
             placeTasks(step);
         const bool needsTickets = step.m_job->m_record.m_policy.m_advice && step.m_waitingTasks > 0;
-        if (needsTickets && questions > 0 && !step.m_isAsking && step.m_nextAskAt <= m_now && ask(step))
-            --questions;
+        if (!needsTickets || step.m_isAsking || step.m_nextAskAt > m_now)
+            continue;
+        const bool isLong = step.m_job->m_record.m_policy.m_advice->m_base > longQuestion;
+        if (advice.m_idle > (isLong ? reserve : 0) && ask(step))
+            --advice.m_idle;
     }
 }
 
@@ -204,8 +212,8 @@
     FailureDomainId& domain = step.m_job->m_domain;
     if (const auto present = room.find(domain); present != room.end() && present->second >= wanted)
         return;
-    const auto best = std::max_element(
-        room.begin(), room.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    const auto best
+        = std::max_element(room.begin(), room.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     if (best != room.end() && best->second > 0)
         domain = best->first;
 }
@@ -321,8 +329,8 @@
             continue;
         const bool isNear
             = step.m_spec->m_dataRack.empty() || worker.m_description.m_rack.value() == step.m_spec->m_dataRack;
-        candidates.push_back({ (isKnown ? 1.0 : share) * room, isNear ? 1.0 : 0.0, worker.m_description.m_failureDomain == step.m_job->m_domain,
-                &worker });
+        candidates.push_back({ (isKnown ? 1.0 : share) * room, isNear ? 1.0 : 0.0,
+            worker.m_description.m_failureDomain == step.m_job->m_domain, &worker });
     }
     if (candidates.empty())
         return false;
@@ -363,7 +371,7 @@
         const bool needsTicket = step.m_job->m_record.m_policy.m_advice.has_value();
         const char* reason = !worker.m_isListed                                              ? "unlisted"
             : !worker.m_hasReported                                                          ? "notReported"
-            : !worker.isAnswering()                ? "silent"
+            : !worker.isAnswering()                                                          ? "silent"
             : !worker.m_isDescribed                                                          ? "notDescribed"
             : worker.m_description.m_isDraining                                              ? "draining"
             : worker.m_quarantinedUntil > m_now                                              ? "quarantined"
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -18,8 +18,9 @@
     {
     }
 
-    /// Places what fits and asks at most this many questions.
-    void pass(std::uint32_t questions);
+    /// Places what fits and asks as many questions as there are idle daemons. Questions that take long leave some
+    /// daemons to the short ones, whose callers wait for less time than one long question takes.
+    void pass(AdviceCapacity);
     /// Gives back the room that the open question of the step has pledged.
     void withdrawPledges(Step&);
     /// Whether the worker may still take the tasks of the step that were placed on it.
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -174,6 +174,14 @@
     friend bool operator==(const AdviceQuestion&, const AdviceQuestion&) = default;
 };
 
+/// Daemons that put questions to the adviser, one at a time each.
+struct AdviceCapacity {
+    std::uint32_t m_idle = 0;
+    std::uint32_t m_all = 0;
+
+    friend bool operator==(const AdviceCapacity&, const AdviceCapacity&) = default;
+};
+
 using SchedulerAction = std::variant<StartOrder, StopOrder, LookOrder, PaceOrder, AdviceQuestion>;
 
 /// Progress of a job that is to be stored.
--- a/tests/jobs/JobSchedulerTest.cpp
+++ b/tests/jobs/JobSchedulerTest.cpp
@@ -21,6 +21,11 @@
     CPPUNIT_TEST(cancelledJobIsStoppedAndNotStarted);
     CPPUNIT_TEST(jobIsShownAsDoneOnceThatIsStored);
     CPPUNIT_TEST(adviserIsAskedAndRefusalsAreKept);
+    CPPUNIT_TEST(shortQuestionsDoNotWaitForLongOnes);
+    CPPUNIT_TEST(stalledRunMovesToAnotherWorker);
+    CPPUNIT_TEST(workerThatLeavesAnOrderUnansweredGetsNoMore);
+    CPPUNIT_TEST(tasksOfAJobStayInOneDomain);
+    CPPUNIT_TEST(drainingWorkerThatLeftFreesItsTasksAtOnce);
     CPPUNIT_TEST(longRunningTasksRunAgainHoweverTheyEnd);
     CPPUNIT_TEST(occurrencesRunWhenTheyAreDue);
     CPPUNIT_TEST(promisesHoldUnderRandomFaults);
@@ -88,7 +93,7 @@
         scheduler.acceptJob(SimulatedCell::job("j", { SimulatedCell::step(2, 32000, milliseconds(500)) }), 0, now);
         const auto starts = [&] {
             std::vector<RunName> runs;
-            for (const SchedulerAction& action : scheduler.step(0, now, 0)) {
+            for (const SchedulerAction& action : scheduler.step(0, now, {})) {
                 if (const auto* start = std::get_if<StartOrder>(&action))
                     runs.push_back(start->m_run);
             }
@@ -320,6 +325,89 @@
         assertNoBreach(cell);
     }
 
+    // Replays the minute after a takeover: all steps have lost their tickets, and slow questions take every daemon.
+    void shortQuestionsDoNotWaitForLongOnes()
+    {
+        SimulatedCell cell = startedCell(12);
+        cell.m_askingDaemons = 6;
+        for (int i = 0; i < 30; ++i) {
+            JobRecord slow
+                = SimulatedCell::job("slow" + std::to_string(i), { SimulatedCell::step(1, 1000, seconds(6)) });
+            slow.m_policy.m_priority = 2;
+            slow.m_policy.m_advice = AdvicePolicy { milliseconds(450), milliseconds(6), seconds(2) };
+            cell.accept(slow);
+        }
+        cell.run(milliseconds(100));
+        JobRecord urgent = SimulatedCell::job("urgent", { SimulatedCell::step(4, 1000, seconds(1)) });
+        urgent.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(1), seconds(2) };
+        cell.accept(urgent);
+        cell.run(milliseconds(150));
+        CPPUNIT_ASSERT_EQUAL(4U, cell.running("urgent"));
+    }
+
+    void stalledRunMovesToAnotherWorker()
+    {
+        SimulatedCell cell = startedCell(4);
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(2, 1000, seconds(1)) }));
+        cell.run(milliseconds(200));
+        const WorkerId stuck = firstWorkerOf(cell);
+        cell.m_workers.at(stuck).m_isStuck = true;
+        cell.run(seconds(5));
+        CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
+        CPPUNIT_ASSERT(cell.m_scheduler->counters().m_stalledRuns > 0);
+        assertNoBreach(cell);
+    }
+
+    // Guards against orders that pile up on a worker that was cut off, until its reports are missed.
+    void workerThatLeavesAnOrderUnansweredGetsNoMore()
+    {
+        SimulatedCell cell = startedCell(2);
+        const WorkerId cut = cell.m_workers.begin()->first;
+        cell.m_workers.at(cut).m_isReachable = false;
+        cell.accept(SimulatedCell::job("first", { SimulatedCell::step(12, 5000, seconds(1)) }));
+        cell.run(milliseconds(700));
+        const std::size_t lost = cell.m_scheduler->worker(cut)->m_runs.size();
+        CPPUNIT_ASSERT(lost > 0);
+        cell.accept(SimulatedCell::job("second", { SimulatedCell::step(2, 1000, milliseconds(500)) }));
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT(cell.state("second") == JobState::Done);
+        CPPUNIT_ASSERT_EQUAL(lost, cell.m_scheduler->worker(cut)->m_runs.size());
+    }
+
+    // Guards against jobs that are all hit when one domain is cut off.
+    void tasksOfAJobStayInOneDomain()
+    {
+        SimulatedCell cell = startedCell(12);
+        JobRecord job = SimulatedCell::job("j", { SimulatedCell::step(6, 4000, seconds(2)) });
+        job.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(1), seconds(2) };
+        cell.accept(job);
+        cell.run(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(6U, cell.running("j"));
+        std::set<FailureDomainId> domains;
+        for (const auto& [id, worker] : cell.m_workers) {
+            if (!worker.m_running.empty())
+                domains.insert(worker.m_description.m_failureDomain);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), domains.size());
+    }
+
+    void drainingWorkerThatLeftFreesItsTasksAtOnce()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(1, 1000, seconds(3)) }));
+        cell.run(milliseconds(200));
+        const WorkerId leaving = firstWorkerOf(cell);
+        cell.m_workers.at(leaving).m_description.m_isDraining = true;
+        cell.listAll();
+        cell.run(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+        cell.m_workers.at(leaving).m_isUp = false;
+        cell.m_scheduler->workerLeft(leaving, cell.m_now);
+        cell.run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+        assertNoBreach(cell);
+    }
+
     void longRunningTasksRunAgainHoweverTheyEnd()
     {
         SimulatedCell cell = startedCell(3);
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -38,6 +38,8 @@
     /// Starts are carried out and get no answer.
     bool m_losesAnswers = false;
     bool m_failsTasks = false;
+    /// Tasks stand still.
+    bool m_isStuck = false;
     std::uint64_t m_term = 0;
     TimePoint m_leaseEnd {};
     TimePoint m_nextReportAt {};
@@ -71,6 +73,7 @@
             worker.m_worker = WorkerId("w" + std::to_string(100 + i));
             worker.m_service = "pool";
             worker.m_rack = RackId("r" + std::to_string(i / 8));
+            worker.m_failureDomain = FailureDomainId("d" + std::to_string(i % 3));
             worker.m_labels = { "a", worker.m_rack.value() };
             worker.m_capacity = { 32000, 131072, 0 };
             worker.m_bornMs = 1;
@@ -193,6 +196,7 @@
     /// Real run time as a multiple of the estimate.
     double m_stretch = 1.0;
     double m_allowedShare = 0.6;
+    std::uint32_t m_askingDaemons = 8;
     std::uint64_t m_term = 0;
     std::uint64_t m_starts = 0;
     std::set<std::string> m_breaches;
@@ -241,8 +245,9 @@
             report(id, worker);
         answerQuestions();
         store();
-        const auto idle = static_cast<std::uint32_t>(8 - std::min<std::size_t>(8, m_questions.size()));
-        for (const SchedulerAction& action : m_scheduler->step(wallMs(), m_now, idle))
+        const auto busy = static_cast<std::uint32_t>(m_questions.size());
+        const AdviceCapacity advice { m_askingDaemons - std::min(m_askingDaemons, busy), m_askingDaemons };
+        for (const SchedulerAction& action : m_scheduler->step(wallMs(), m_now, advice))
             std::visit([this](const auto& order) { carryOut(order); }, action);
         verify();
     }
@@ -268,13 +273,22 @@
                 ends.emplace_back(name, RunEnd::Stopped);
             else if (worker.m_failsTasks && m_now - run.m_startedAt > milliseconds(100))
                 ends.emplace_back(name, RunEnd::Failed);
-            else if (run.m_endsAt <= m_now)
+            else if (run.m_endsAt <= m_now && !worker.m_isStuck)
                 ends.emplace_back(name, RunEnd::Done);
         }
         for (const auto& [name, how] : ends)
             end(worker, name, how);
     }
 
+    double percentOf(const SimulatedWorker& worker, const SimulatedWorker::RunState& run) const
+    {
+        if (run.m_endsAt == TimePoint::max())
+            return 100;
+        return worker.m_isStuck ? 0.0
+                                : 99.0 * static_cast<double>((m_now - run.m_startedAt).count())
+                / static_cast<double>((run.m_endsAt - run.m_startedAt).count());
+    }
+
     void report(const WorkerId& id, SimulatedWorker& worker)
     {
         if (!worker.m_isUp || !worker.m_isReachable || worker.m_nextReportAt > m_now)
@@ -291,7 +305,7 @@
         report.m_bornMs = worker.m_description.m_bornMs;
         report.m_askedAt = m_now - milliseconds(1);
         for (const auto& [name, run] : worker.m_running)
-            report.m_running.push_back({ name, {}, 50, 0 });
+            report.m_running.push_back({ name, {}, percentOf(worker, run), 0 });
         report.m_ended.assign(worker.m_ended.begin(), worker.m_ended.end());
         m_scheduler->workerReported(id, report, m_now);
     }
