--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -135,7 +135,7 @@
         = { { &m_callers, m_settings.m_callers }, { &m_readiness, m_settings.m_readiness },
               { &m_inner, m_settings.m_inner }, { &m_operators, m_settings.m_operators } };
     for (const auto& [listener, address] : listeners) {
-        if (const Result<Unit> opened = listener->open(address); !succeeded(opened)) {
+        if (Result<Unit> opened = listener->open(address); !succeeded(opened)) {
             m_log->write(LogEvent::ListenerFailed, { { "listener", address }, { "detail", errorOf(opened).m_detail } });
             return opened;
         }
--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -192,8 +192,8 @@
     });
 }
 
-void Gateway::store(
-    const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)> handler)
+void Gateway::store(const std::string& key, const std::string& value, TimePoint deadline,
+    const std::function<void(StoreOutcome)>& handler)
 {
     const inner::StoreRequest request { key, value };
     const SchedulerPlace place = m_scheduler();
--- a/src/controller/Gateway.h
+++ b/src/controller/Gateway.h
@@ -59,7 +59,8 @@
     void storeCancellation(const CallPointer&);
     void showPending(const CallPointer&);
     /// Stores a record: by itself, or through the scheduler's daemon when the store does not serve this one.
-    void store(const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)>);
+    void store(
+        const std::string& key, const std::string& value, TimePoint deadline, const std::function<void(StoreOutcome)>&);
     void storeElsewhere(
         const inner::StoreRequest&, TimePoint deadline, StoreOutcome own, const std::function<void(StoreOutcome)>&);
     void useChannel(const std::string& address);
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -515,11 +515,11 @@
     LinkState& state = m_links.at(id);
     state.m_isHolding = true;
     state.m_link->hold(
-        m_scheduler->storedEnd(id), [this, id](Result<jobs::WorkerReport> result) { held(id, std::move(result)); });
+        m_scheduler->storedEnd(id), [this, id](const Result<jobs::WorkerReport>& result) { held(id, result); });
     m_scheduler->leaseExtended(id, state.m_link->leaseEnd());
 }
 
-void SchedulerTerm::held(const WorkerId& id, Result<jobs::WorkerReport> result)
+void SchedulerTerm::held(const WorkerId& id, const Result<jobs::WorkerReport>& result)
 {
     const auto found = m_links.find(id);
     if (found == m_links.end() || m_isDeposed)
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -78,7 +78,7 @@
     void jobRecord(const userplatform::KeyedRecord&);
     void superviseLinks();
     void hold(const WorkerId&);
-    void held(const WorkerId&, Result<jobs::WorkerReport>);
+    void held(const WorkerId&, const Result<jobs::WorkerReport>&);
     void depose();
     WorkerLink* link(const WorkerId&);
     std::uint32_t forget(const std::vector<JobId>&);
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -456,6 +456,7 @@
         return;
     Worker& worker = found->second;
     std::vector<RunName> ended;
+    ended.reserve(worker.m_runs.size());
     for (const auto& [name, run] : worker.m_runs)
         ended.push_back(name);
     for (const RunName& name : ended) {
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -3,6 +3,7 @@
 
 #include "jobs/JobProgress.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -19,7 +20,7 @@
     friend auto operator<=>(const TaskName& a, const TaskName& b)
     {
         const std::strong_ordering order = a.m_job <=> b.m_job;
-        return order != 0 ? order : a.m_index <=> b.m_index;
+        return std::is_neq(order) ? order : a.m_index <=> b.m_index;
     }
 };
 
@@ -32,7 +33,7 @@
     friend auto operator<=>(const RunName& a, const RunName& b)
     {
         const std::strong_ordering order = a.m_task <=> b.m_task;
-        return order != 0 ? order : a.m_run <=> b.m_run;
+        return std::is_neq(order) ? order : a.m_run <=> b.m_run;
     }
 };
 
@@ -46,10 +47,10 @@
     friend auto operator<=>(const StepName& a, const StepName& b)
     {
         const std::strong_ordering order = a.m_job <=> b.m_job;
-        if (order != 0)
+        if (std::is_neq(order))
             return order;
         const std::strong_ordering occurrences = a.m_occurrence <=> b.m_occurrence;
-        return occurrences != 0 ? occurrences : a.m_step <=> b.m_step;
+        return std::is_neq(occurrences) ? occurrences : a.m_step <=> b.m_step;
     }
 };
 
--- /dev/null
+++ b/tests/controller/ControllerTest.cpp
@@ -0,0 +1,160 @@
+// Tests of the settings, the inner messages, and the appender against a store that refuses, loses answers and returns.
+
+#include "controller/HttpListener.h"
+#include "controller/InnerProtocol.h"
+#include "controller/JobAppender.h"
+#include "controller/SiteSettings.h"
+#include "controller/WorkerLink.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <optional>
+
+namespace sapphiredale::controller {
+
+using std::chrono::milliseconds;
+
+class ControllerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ControllerTest);
+    CPPUNIT_TEST(settingsAreRead);
+    CPPUNIT_TEST(allFaultsOfSettingsAreReported);
+    CPPUNIT_TEST(innerMessagesAreReversible);
+    CPPUNIT_TEST(refusedRecordEndsAtOnceAndTheStoreIsProbed);
+    CPPUNIT_TEST(recordWithoutAnAnswerIsSentAgain);
+    CPPUNIT_TEST(leaseOfASilentWorkerIsNotExtended);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char* settings = R"({
+        // A daemon of a test.
+        "daemon": "d1", "failureDomain": "z1",
+        "listeners": {"callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "inner": "127.0.0.1:3", "operators": "127.0.0.1:4"},
+        "store": "127.0.0.1:5", "host": {"cores": 0.25, "linkMbps": 10},
+    })";
+
+    /// Runs the loop until the condition holds, for some seconds at the most.
+    template <typename Condition> static void runUntil(boost::asio::io_context& context, Condition condition)
+    {
+        for (int i = 0; i < 4000 && !condition(); ++i)
+            context.run_one_for(milliseconds(2));
+    }
+
+    /// Opens a listener on a free port of the loopback address.
+    static std::string open(HttpListener& listener)
+    {
+        for (int port = 23000; port < 24000; ++port) {
+            const std::string address = "127.0.0.1:" + std::to_string(port);
+            if (succeeded(listener.open(address)))
+                return address;
+        }
+        CPPUNIT_FAIL("no free port");
+        return {};
+    }
+
+public:
+    void settingsAreRead()
+    {
+        const SiteSettingsResult result = parseSiteSettings(settings);
+        const auto* read = std::get_if<SiteSettings>(&result);
+        CPPUNIT_ASSERT(read != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:5"), read->m_store);
+        CPPUNIT_ASSERT_EQUAL(250U, read->m_coreMillis);
+        CPPUNIT_ASSERT_EQUAL(10U, read->m_linkMbps);
+    }
+
+    void allFaultsOfSettingsAreReported()
+    {
+        const SiteSettingsResult result = parseSiteSettings(
+            R"({"daemon": "", "daemon": "d", "listeners": {"callers": 5}, "store": "x", "host": {"cores": -1}, "more": 1})");
+        const auto* faults = std::get_if<std::vector<daemon::SettingsFault>>(&result);
+        CPPUNIT_ASSERT(faults != nullptr);
+        // The repeated member, failureDomain, four listeners, store, cores and the unknown member.
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(daemon::describe(*faults), std::size_t(9), faults->size());
+    }
+
+    void innerMessagesAreReversible()
+    {
+        const inner::Hello hello { DaemonId("d"), "127.0.0.1:1", true };
+        CPPUNIT_ASSERT(valueOf(inner::decodeHello(inner::encode(hello))) == hello);
+        const jobs::AdviceQuestion question { { JobId("j"), 1, 2 }, { WorkerId("a"), WorkerId("b") },
+            milliseconds(40) };
+        CPPUNIT_ASSERT(valueOf(inner::decodeQuestion(inner::encode(question))) == question);
+        const inner::AdviceReply reply { { { WorkerId("a"), "t" } }, milliseconds(2000) };
+        CPPUNIT_ASSERT(valueOf(inner::decodeReply(inner::encode(reply))) == reply);
+        const inner::StoreRequest record { "k", "v" };
+        CPPUNIT_ASSERT(valueOf(inner::decodeStoreRequest(inner::encode(record))) == record);
+        CPPUNIT_ASSERT(!succeeded(inner::decodeHello("{}")));
+        CPPUNIT_ASSERT(!succeeded(inner::decodeReply(R"({"tickets":[1],"validityMicros":1})")));
+        CPPUNIT_ASSERT(!succeeded(inner::decodeState(R"({"value":9})")));
+    }
+
+    void refusedRecordEndsAtOnceAndTheStoreIsProbed()
+    {
+        boost::asio::io_context context;
+        bool isAway = true;
+        HttpListener store(context, "", [&](const ServerRequest&, const Responder& respond) {
+            respond({ isAway ? 503U : 200U, R"({"offset":0,"end":1})" });
+        });
+        JobAppender appender(context, open(store), { "keyed.jobs" });
+        std::optional<StoreOutcome> first;
+        appender.append("a", "1", bootNow() + std::chrono::seconds(5), [&](StoreOutcome outcome) { first = outcome; });
+        runUntil(context, [&] { return first.has_value(); });
+        CPPUNIT_ASSERT(first == StoreOutcome::NotStored);
+        CPPUNIT_ASSERT(appender.isStoreAway());
+        // Refused without a call, so that it is certain that nothing was stored.
+        std::optional<StoreOutcome> second;
+        appender.append("b", "1", bootNow() + std::chrono::seconds(5), [&](StoreOutcome outcome) { second = outcome; });
+        CPPUNIT_ASSERT(second == StoreOutcome::NotStored);
+        isAway = false;
+        runUntil(context, [&] { return !appender.isStoreAway(); });
+        std::optional<StoreOutcome> third;
+        appender.append("c", "1", bootNow() + std::chrono::seconds(5), [&](StoreOutcome outcome) { third = outcome; });
+        runUntil(context, [&] { return third.has_value(); });
+        CPPUNIT_ASSERT(third == StoreOutcome::Stored);
+    }
+
+    void recordWithoutAnAnswerIsSentAgain()
+    {
+        boost::asio::io_context context;
+        std::vector<Responder> held;
+        HttpListener store(context, "", [&](const ServerRequest&, const Responder& respond) {
+            // The answer to the first append never comes.
+            if (held.empty())
+                return held.push_back(respond);
+            respond({ 200, R"({"offset":0,"end":1})" });
+        });
+        JobAppender appender(context, open(store), { "keyed.jobs" });
+        std::optional<StoreOutcome> outcome;
+        appender.append("a", "1", bootNow() + std::chrono::seconds(6), [&](StoreOutcome known) { outcome = known; });
+        runUntil(context, [&] { return outcome.has_value(); });
+        CPPUNIT_ASSERT(outcome == StoreOutcome::Stored);
+        held.clear();
+    }
+
+    // Guards against a worker that is gone and whose lease, as it is counted here, never ends.
+    void leaseOfASilentWorkerIsNotExtended()
+    {
+        boost::asio::io_context context;
+        bool answers = true;
+        std::vector<Responder> held;
+        HttpListener worker(context, "", [&](const ServerRequest&, const Responder& respond) {
+            if (!answers)
+                return held.push_back(respond);
+            respond({ 200, R"({"clock_ms":1000,"born":1,"running":[],"finished":[]})" });
+        });
+        LinkSettings link;
+        link.m_extendableAge = milliseconds(0);
+        WorkerLink workerLink(context, link, WorkerId("i-1"), open(worker));
+        bool hasReported = false;
+        workerLink.hold(0, [&](const Result<jobs::WorkerReport>& report) { hasReported = succeeded(report); });
+        runUntil(context, [&] { return hasReported; });
+        const TimePoint before = workerLink.leaseEnd();
+        answers = false;
+        workerLink.hold(0, [](const Result<jobs::WorkerReport>&) {});
+        runUntil(context, [&] { return !held.empty(); });
+        CPPUNIT_ASSERT(workerLink.leaseEnd() == before);
+        held.clear();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControllerTest);
+
+} // namespace sapphiredale::controller
--- /dev/null
+++ b/tests/jobs/ElectionTest.cpp
@@ -0,0 +1,180 @@
+// Tests of the election: one holder, takeover after silence, lost answers, restarts and releases.
+
+#include "jobs/Election.h"
+#include "jobs/JobProgress.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <vector>
+
+namespace sapphiredale::jobs {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ElectionTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ElectionTest);
+    CPPUNIT_TEST(firstDaemonHoldsTheTermAndRenewsIt);
+    CPPUNIT_TEST(silentHolderIsReplacedAndLosesTheTerm);
+    CPPUNIT_TEST(claimWithALostAnswerCountsOnceItIsRead);
+    CPPUNIT_TEST(restartedHolderClaimsAtOnce);
+    CPPUNIT_TEST(releasedTermIsClaimedAtOnce);
+    CPPUNIT_TEST(authorityEndsWithoutRenewals);
+    CPPUNIT_TEST(recordsAreReversible);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// The topic of the records, shared by the daemons of a test.
+    struct Topic {
+        std::vector<TermRecord> m_records;
+
+        AppendOutcome append(const Election::Append& append)
+        {
+            if (append.m_end != m_records.size())
+                return AppendOutcome::EndDiffers;
+            m_records.push_back(append.m_record);
+            return AppendOutcome::Appended;
+        }
+    };
+
+    struct Daemon {
+        Daemon(const std::string& name, Topic& topic)
+            : m_election({ DaemonId(name), name + ":1" })
+            , m_topic(topic)
+        {
+        }
+
+        void read(TimePoint now)
+        {
+            for (; m_read < m_topic.m_records.size(); ++m_read)
+                m_election.recordRead(m_read, m_topic.m_records[m_read], now);
+            m_election.caughtUp(m_read, now);
+        }
+
+        void step(TimePoint now)
+        {
+            read(now);
+            if (const auto append = m_election.next(now)) {
+                const AppendOutcome outcome = m_topic.append(*append);
+                m_election.appendEnded(outcome, m_topic.m_records.size() - 1, now);
+            }
+        }
+
+        Election m_election;
+        Topic& m_topic;
+        std::uint64_t m_read = 0;
+    };
+
+public:
+    void firstDaemonHoldsTheTermAndRenewsIt()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        Daemon b("b", topic);
+        TimePoint now(seconds(100));
+        for (int i = 0; i < 100; ++i, now += milliseconds(50)) {
+            a.step(now);
+            b.step(now);
+            CPPUNIT_ASSERT(!b.m_election.holdsTerm(now));
+        }
+        CPPUNIT_ASSERT(a.m_election.holdsTerm(now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), a.m_election.term());
+        CPPUNIT_ASSERT_EQUAL(std::string("a:1"), b.m_election.holderAddress());
+    }
+
+    void silentHolderIsReplacedAndLosesTheTerm()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        Daemon b("b", topic);
+        TimePoint now(seconds(100));
+        a.step(now);
+        b.step(now);
+        for (; !b.m_election.holdsTerm(now) && now < TimePoint(seconds(110)); now += milliseconds(50))
+            b.step(now);
+        CPPUNIT_ASSERT(now < TimePoint(seconds(102)));
+        CPPUNIT_ASSERT(b.m_election.term() > 1);
+        // The earlier holder may have given orders for its whole authority.
+        CPPUNIT_ASSERT(b.m_election.predecessorCeasedAt() >= TimePoint(seconds(107)));
+        a.read(now);
+        CPPUNIT_ASSERT(!a.m_election.isNewestTerm());
+    }
+
+    void claimWithALostAnswerCountsOnceItIsRead()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        const TimePoint now(seconds(100));
+        a.read(now);
+        const auto append = a.m_election.next(now);
+        CPPUNIT_ASSERT(append.has_value());
+        topic.append(*append);
+        a.m_election.appendEnded(AppendOutcome::Unknown, 0, now);
+        CPPUNIT_ASSERT(!a.m_election.holdsTerm(now));
+        a.read(now + milliseconds(20));
+        CPPUNIT_ASSERT(a.m_election.holdsTerm(now + milliseconds(20)));
+    }
+
+    void restartedHolderClaimsAtOnce()
+    {
+        Topic topic;
+        TimePoint now(seconds(100));
+        Daemon(std::string("a"), topic).step(now);
+        Daemon restarted("a", topic);
+        now += milliseconds(10);
+        restarted.step(now);
+        CPPUNIT_ASSERT(restarted.m_election.holdsTerm(now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), restarted.m_election.term());
+    }
+
+    void releasedTermIsClaimedAtOnce()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        Daemon b("b", topic);
+        TimePoint now(seconds(100));
+        a.step(now);
+        b.step(now);
+        a.m_election.leave();
+        now += seconds(1);
+        a.step(now);
+        CPPUNIT_ASSERT(a.m_election.isReleased());
+        b.step(now);
+        CPPUNIT_ASSERT(b.m_election.holdsTerm(now));
+        CPPUNIT_ASSERT(b.m_election.predecessorCeasedAt() == now);
+    }
+
+    void authorityEndsWithoutRenewals()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        const TimePoint now(seconds(100));
+        a.step(now);
+        CPPUNIT_ASSERT(a.m_election.holdsTerm(now + milliseconds(6900)));
+        CPPUNIT_ASSERT(!a.m_election.holdsTerm(now + milliseconds(7100)));
+    }
+
+    void recordsAreReversible()
+    {
+        const TermRecord record { TermRecord::Kind::Renewal, 12, DaemonId("a"), "10.0.0.1:7720" };
+        CPPUNIT_ASSERT(valueOf(decodeTermRecord(encodeTermRecord(record))) == record);
+        CPPUNIT_ASSERT(!succeeded(decodeTermRecord("{}")));
+        const JobProgress progress { JobState::Running, { { 0, 0, 1 }, { 0, 0, 2 }, { 0, 1, 0 } },
+            { { { 0, 1, 3 }, { 4, 9 } } }, { { { 0, 1 }, { WorkerId("i-1"), WorkerId("i-2") } } } };
+        CPPUNIT_ASSERT(valueOf(decodeProgress(encodeProgress(progress))) == progress);
+        CPPUNIT_ASSERT(!succeeded(decodeProgress("s 9")));
+        CPPUNIT_ASSERT(!succeeded(decodeProgress("x 1 2 3 4")));
+        JobRecord job;
+        job.m_job = JobId("5c0e7a21d94b36f8");
+        job.m_policy = { "q", "s", 2, 3, 1.5, milliseconds(250),
+            AdvicePolicy { milliseconds(28), milliseconds(1), seconds(2) } };
+        job.m_spec.m_payload = "text";
+        job.m_spec.m_steps.resize(2);
+        job.m_spec.m_steps[1].m_dependsOn = { 0 };
+        job.m_spec.m_steps[1].m_isGang = true;
+        job.m_acceptedMs = 1700000000000;
+        CPPUNIT_ASSERT(valueOf(decodeJobRecord(job.m_job, encodeJobRecord(job))) == job);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ElectionTest);
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/tests/userplatform/DocumentsTest.cpp
@@ -0,0 +1,114 @@
+// Tests of what is decoded from the platform and from callers.
+
+#include "platform/Documents.h"
+
+#include "platform/Workers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace sapphiredale::userplatform {
+
+class DocumentsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DocumentsTest);
+    CPPUNIT_TEST(configurationIsDecoded);
+    CPPUNIT_TEST(unreadableConfigurationIsRefused);
+    CPPUNIT_TEST(workerEntryIsDecoded);
+    CPPUNIT_TEST(foreignEntriesNameNoWorker);
+    CPPUNIT_TEST(submissionIsDecoded);
+    CPPUNIT_TEST(faultySubmissionsAreRefused);
+    CPPUNIT_TEST(taskNamesAreReversible);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void configurationIsDecoded()
+    {
+        const Result<Configuration> result = decodeConfiguration(
+            R"({"version":7,"routes":[{"name":"q","host":"h.example","path_prefix":"/a/","timeout_ms":2500,
+            "target_latency_ms":250,"priority":2,"service":"s","max_attempts":4,"slack_factor":1.5,
+            "advice":{"decide_ms":28.5,"period_ms":0.39,"valid_ms":2000}}],"limits":{"max_body_bytes":1000}})");
+        CPPUNIT_ASSERT(succeeded(result));
+        const Configuration& configuration = valueOf(result);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), configuration.m_version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1000), configuration.m_maxBodyBytes);
+        const QueueRoute& route = configuration.m_routes.at(0);
+        CPPUNIT_ASSERT(route.m_timeout == std::chrono::milliseconds(2500));
+        CPPUNIT_ASSERT_EQUAL(2U, route.m_policy.m_priority);
+        CPPUNIT_ASSERT(route.m_policy.m_advice->m_base == std::chrono::microseconds(28500));
+        CPPUNIT_ASSERT(route.m_policy.m_advice->m_perWorker == std::chrono::microseconds(390));
+    }
+
+    void unreadableConfigurationIsRefused()
+    {
+        for (const char* text :
+            { "", "[]", "{", R"({"version":1})", R"({"routes":[]})", R"({"version":"x","routes":[]})" })
+            CPPUNIT_ASSERT_MESSAGE(text, !succeeded(decodeConfiguration(text)));
+    }
+
+    static std::string entry(const std::string& state, const std::string& capacity)
+    {
+        return R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":")" + state + R"(","capacity":)"
+            + capacity + R"(,"labels":["a","r1-3"],"clock_ms":5,"born":1700000000123,"sequence":4})";
+    }
+
+    void workerEntryIsDecoded()
+    {
+        const auto worker = decodeWorkerEntry("i-1", entry("draining", R"({"cpu":16000,"mem_mb":32768,"gpu":1})"));
+        CPPUNIT_ASSERT(worker.has_value());
+        CPPUNIT_ASSERT(worker->m_isDraining);
+        CPPUNIT_ASSERT((worker->m_capacity == Resources { 16000, 32768, 1 }));
+        CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), worker->m_rack.value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1700000000123), worker->m_bornMs);
+    }
+
+    void foreignEntriesNameNoWorker()
+    {
+        for (const std::string& text : { std::string("\x01\xff"), std::string("[]"), entry("gone", "{}"),
+                 entry("ready", "7"), std::string(R"({"service":5,"state":"ready"})") })
+            CPPUNIT_ASSERT_MESSAGE(text, !decodeWorkerEntry("i-1", text).has_value());
+    }
+
+    void submissionIsDecoded()
+    {
+        const Result<jobs::JobSpec> result = decodeSubmission(R"({"spec":"text","repeat_count":3,"first_ms":10,
+            "interval_ms":20,"steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"affinity":"r1-3"},
+            {"count":2,"cpu":1,"depends_on":[0],"gang":true,"rack_local":true,"speculative":true,"fills":true,
+            "anti_affinity":1,"requires":"a","target_ms":40,"may_miss":1,"image":"m","long_running":true}]})");
+        CPPUNIT_ASSERT(succeeded(result));
+        const jobs::JobSpec& spec = valueOf(result);
+        CPPUNIT_ASSERT_EQUAL(3U, spec.m_occurrences);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), spec.m_steps[0].m_dataRack);
+        const jobs::StepSpec& second = spec.m_steps[1];
+        CPPUNIT_ASSERT(second.m_isGang && second.m_isRackLocal && second.m_allowsCopies && second.m_isFilling);
+        CPPUNIT_ASSERT(second.m_isLongRunning && second.isServing());
+        CPPUNIT_ASSERT((second.reserved() == Resources { 0, 0, 0 }));
+    }
+
+    void faultySubmissionsAreRefused()
+    {
+        const std::string longText(4001, 'x');
+        for (const std::string& body : { std::string("{"), std::string("{}"), std::string(R"({"steps":[]})"),
+                 std::string(R"({"steps":[{"count":0}]})"), std::string(R"({"steps":[{"count":-1}]})"),
+                 std::string(R"({"steps":[{"count":1.5}]})"), std::string(R"({"steps":[{"count":1000000}]})"),
+                 std::string(R"({"steps":[{"count":1,"depends_on":[0]}]})"),
+                 std::string(R"({"steps":[{"count":1,"depends_on":"x"}]})"),
+                 std::string(R"({"spec":7,"steps":[{"count":1}]})"),
+                 R"({"spec":")" + longText + R"(","steps":[{"count":1}]})" })
+            CPPUNIT_ASSERT_MESSAGE(body.substr(0, 60), !succeeded(decodeSubmission(body)));
+        CPPUNIT_ASSERT(isJobId("5c0e7a21d94b36f8"));
+        CPPUNIT_ASSERT(!isJobId("5c0e7a21d94b36f"));
+        CPPUNIT_ASSERT(!isJobId("5c0e7a21d94b36fz"));
+    }
+
+    void taskNamesAreReversible()
+    {
+        const jobs::TaskName task { JobId("5c0e7a21d94b36f8"), { 2, 1, 17 } };
+        CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.2.1.17"), encodeTaskName(task));
+        CPPUNIT_ASSERT(decodeTaskName(encodeTaskName(task)) == task);
+        for (const char* text : { "", "a", "a.1.2", "a.1.2.3.4", "a.1.x.3", "a.1.2." })
+            CPPUNIT_ASSERT_MESSAGE(text, !decodeTaskName(text).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DocumentsTest);
+
+} // namespace sapphiredale::userplatform
