--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -112,7 +112,7 @@
               : std::make_unique<userplatform::AdviceConnection>(m_context, m_settings.m_adviser))
     , m_desk(m_context, m_adviser.get())
     , m_election(m_context, m_settings.m_store, electionSettings(m_settings, seed), [this] { electionChanged(); })
-    , m_gateway(m_context, m_settings, *m_log, [this] { return scheduler(); })
+    , m_gateway(m_context, m_settings, *m_log, m_metrics, [this] { return scheduler(); })
     , m_configurationObserver(std::make_unique<ConfigurationObserver>(*this))
     , m_configuration(m_context, m_settings.m_store, { { userplatform::operatorTopic } }, *m_configurationObserver)
     , m_callers(m_context, userplatform::deadlineHeader,
@@ -311,7 +311,7 @@
     if (request.m_target != "/metrics")
         return respond(errorResponse(ErrorKind::NotFound));
     const GatewayCounters& gateway = m_gateway.counters();
-    std::string text;
+    std::string text = m_metrics.prometheusText();
     const auto put = [&text](const char* name, std::uint64_t value) {
         text += std::string("sapphire_") + name + ' ' + std::to_string(value) + '\n';
     };
--- a/src/controller/Controller.h
+++ b/src/controller/Controller.h
@@ -46,6 +46,7 @@
 
     const SiteSettings m_settings;
     std::unique_ptr<observability::EventLog> m_log;
+    observability::MetricsRegistry m_metrics;
     boost::asio::io_context m_context { 1 };
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -11,6 +11,7 @@
 namespace sapphiredale::controller {
 
 using observability::LogEvent;
+using observability::MetricName;
 
 namespace {
 
@@ -45,9 +46,10 @@
 };
 
 Gateway::Gateway(boost::asio::io_context& context, const SiteSettings& settings, observability::EventLog& log,
-    std::function<SchedulerPlace()> scheduler)
+    observability::MetricsRegistry& metrics, std::function<SchedulerPlace()> scheduler)
     : m_context(context)
     , m_log(log)
+    , m_metrics(metrics)
     , m_scheduler(std::move(scheduler))
     , m_appender(context, settings.m_store,
           { jobTopic,
@@ -88,6 +90,15 @@
         ++m_counters.m_noRoute;
         return answer(call, ErrorKind::NotFound, "no route leads here");
     }
+    call->m_respond
+        = [this, call = std::weak_ptr(call), respond = std::move(call->m_respond)](ServerResponse response) {
+              // The call is alive: it holds this function.
+              const Call& answered = *call.lock();
+              const Duration took = bootNow() - answered.m_request.m_receivedAt;
+              m_metrics.distribution(MetricName::RequestSeconds, { answered.m_route->m_policy.m_queue })
+                  .record(std::chrono::duration<double>(took).count());
+              respond(std::move(response));
+          };
     Duration patience = call->m_route->m_timeout;
     std::int64_t waits = 0;
     const std::string& deadline = call->m_request.m_deadline;
@@ -115,6 +126,7 @@
 void Gateway::answer(const CallPointer& call, ErrorKind kind, const std::string& detail)
 {
     const ErrorAnswer& table = answerFor(kind);
+    m_metrics.counter(MetricName::RefusalsTotal, { table.m_name }).add();
     m_log.write(LogEvent::RequestRefused,
         { { "job", call->m_job.value() }, { "method", call->m_request.m_method }, { "reason", table.m_name },
             { "detail", detail } });
--- a/src/controller/Gateway.h
+++ b/src/controller/Gateway.h
@@ -4,6 +4,7 @@
 #include "controller/HttpListener.h"
 #include "controller/JobAppender.h"
 #include "controller/SchedulerTerm.h"
+#include "observability/MetricsRegistry.h"
 #include "platform/Documents.h"
 
 #include <functional>
@@ -34,7 +35,7 @@
 /// See the head of the file.
 class Gateway {
 public:
-    Gateway(boost::asio::io_context&, const SiteSettings&, observability::EventLog&,
+    Gateway(boost::asio::io_context&, const SiteSettings&, observability::EventLog&, observability::MetricsRegistry&,
         std::function<SchedulerPlace()> scheduler);
     ~Gateway();
     Gateway(const Gateway&) = delete;
@@ -71,6 +72,7 @@
 
     boost::asio::io_context& m_context;
     observability::EventLog& m_log;
+    observability::MetricsRegistry& m_metrics;
     std::function<SchedulerPlace()> m_scheduler;
     std::shared_ptr<const userplatform::Configuration> m_configuration;
     JobAppender m_appender;
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -29,6 +29,8 @@
     /// Two heartbeats, which are 1.5 s apart.
     constexpr Duration freshEntry = std::chrono::milliseconds(3000);
     constexpr Duration forgetInterval = std::chrono::seconds(5);
+    /// Patience with the removal of old records, which nobody waits for.
+    constexpr Duration cleanTimeout = std::chrono::seconds(2);
     constexpr char cancellationMark = '-';
     /// Jobs for which the follower's view may be this old: a younger answer "unknown" is certain.
     constexpr Duration certainView = std::chrono::milliseconds(2000);
@@ -52,15 +54,16 @@
 
 class SchedulerTerm::JobObserver final : public FollowerObserver {
 public:
-    explicit JobObserver(SchedulerTerm& term)
-        : m_term(term)
+    JobObserver(SchedulerTerm& term, std::uint32_t partition)
+        : m_partition(partition)
+        , m_term(term)
     {
     }
     void recordRead(const userplatform::KeyedRecord& record) override
     {
         // Other partitions may still be listed; what arrives meanwhile is part of the recovery.
         if (m_term.isRecovered())
-            return m_term.jobRecord(record);
+            return m_term.jobRecord(m_partition, record);
         m_records.push_back(record);
     }
     void listingEnded() override
@@ -71,6 +74,7 @@
     }
     void caughtUp(std::uint64_t /*end*/, TimePoint askedAt) override { m_caughtUpAt = askedAt; }
 
+    const std::uint32_t m_partition;
     bool m_isListed = false;
     std::vector<userplatform::KeyedRecord> m_records;
     TimePoint m_caughtUpAt {};
@@ -158,6 +162,7 @@
     , m_writer(std::make_shared<ProgressWriter>(context, site.m_store, settings.m_term))
     , m_workerObserver(std::make_unique<WorkerObserver>(*this))
     , m_progressObserver(std::make_unique<ProgressObserver>(*this))
+    , m_cleaner(context, site.m_store)
     , m_stepTimer(context)
     , m_superviseTimer(context)
 {
@@ -188,7 +193,7 @@
             m_context, m_site.m_store, FollowerSettings { { progressTopic } }, *m_progressObserver);
         m_progressFollower->start();
         for (std::uint32_t part = 0; part < jobPartitions; ++part) {
-            m_jobObservers.push_back(std::make_unique<JobObserver>(*this));
+            m_jobObservers.push_back(std::make_unique<JobObserver>(*this, part));
             m_jobFollowers.push_back(std::make_unique<TopicFollower>(
                 m_context, m_site.m_store, FollowerSettings { { jobTopic, part } }, *m_jobObservers.back()));
             m_jobFollowers.back()->start();
@@ -240,6 +245,7 @@
                 continue;
             }
             const JobId id(record.m_key);
+            m_jobPartitions[id] = observer->m_partition;
             const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, *record.m_value);
             if (succeeded(job))
                 m_scheduler->restoreJob(valueOf(job), storedProgress(id), wallNowMs(), now);
@@ -294,7 +300,7 @@
     scheduleStep();
 }
 
-void SchedulerTerm::jobRecord(const userplatform::KeyedRecord& record)
+void SchedulerTerm::jobRecord(std::uint32_t partition, const userplatform::KeyedRecord& record)
 {
     if (record.m_key.empty() || !record.m_value)
         return;
@@ -309,6 +315,7 @@
         m_log.write(LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
         return;
     }
+    m_jobPartitions[id] = partition;
     m_scheduler->acceptJob(valueOf(job), wallNowMs(), now);
     scheduleStep();
 }
@@ -458,11 +465,38 @@
     m_writer->write(std::move(records), stored);
 }
 
-std::uint32_t SchedulerTerm::forget(const std::vector<JobId>& jobs)
+void SchedulerTerm::forget(const std::vector<JobId>& jobs)
 {
-    for (const JobId& job : jobs)
+    for (const JobId& job : jobs) {
         m_removals.emplace_back(job.value(), std::nullopt);
-    return static_cast<std::uint32_t>(jobs.size());
+        const auto partition = m_jobPartitions.find(job);
+        if (partition == m_jobPartitions.end())
+            continue;
+        m_jobRemovals[partition->second].emplace_back(job.value(), std::nullopt);
+        m_jobRemovals[partition->second].emplace_back(cancellationKey(job), std::nullopt);
+        m_jobPartitions.erase(partition);
+    }
+    removeStoredJobs();
+}
+
+void SchedulerTerm::removeStoredJobs()
+{
+    if (m_isCleaning || m_jobRemovals.empty())
+        return;
+    m_isCleaning = true;
+    const auto batch = m_jobRemovals.extract(m_jobRemovals.begin());
+    const std::uint32_t partition = batch.key();
+    m_cleaner.append({ jobTopic, partition }, batch.mapped(), {}, cleanTimeout,
+        [this, alive = m_isAlive, partition, records = batch.mapped()](const userplatform::AppendAnswer& answer) {
+            if (!*alive)
+                return;
+            m_isCleaning = false;
+            if (answer.m_kind == userplatform::AppendAnswer::Kind::Appended)
+                return removeStoredJobs();
+            // A removal may be repeated; it is tried again with the next jobs that are forgotten.
+            ProgressWriter::Records& kept = m_jobRemovals[partition];
+            kept.insert(kept.end(), records.begin(), records.end());
+        });
 }
 
 // Workers
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -75,13 +75,15 @@
     void order(const jobs::AdviceQuestion&);
     void writeProgress();
     void workerEntry(const userplatform::KeyedRecord&);
-    void jobRecord(const userplatform::KeyedRecord&);
+    void jobRecord(std::uint32_t partition, const userplatform::KeyedRecord&);
     void superviseLinks();
     void hold(const WorkerId&);
     void held(const WorkerId&, const Result<jobs::WorkerReport>&);
     void depose();
     WorkerLink* link(const WorkerId&);
-    std::uint32_t forget(const std::vector<JobId>&);
+    /// Removes the stored records of jobs that are forgotten here.
+    void forget(const std::vector<JobId>&);
+    void removeStoredJobs();
 
     boost::asio::io_context& m_context;
     const SiteSettings& m_site;
@@ -100,8 +102,14 @@
     /// Null until the recovery has read the store.
     std::unique_ptr<jobs::JobScheduler> m_scheduler;
     std::map<WorkerId, LinkState> m_links;
-    /// Stored keys of jobs that were forgotten.
+    /// Stored progress of jobs that were forgotten.
     ProgressWriter::Records m_removals;
+    /// Partition in which each job was read.
+    std::map<JobId, std::uint32_t> m_jobPartitions;
+    /// Stored jobs and cancellations to remove, by partition.
+    std::map<std::uint32_t, ProgressWriter::Records> m_jobRemovals;
+    userplatform::StoreConnection m_cleaner;
+    bool m_isCleaning = false;
     /// Entries that have vanished from the registry, with the instant at which they count as gone.
     std::map<WorkerId, TimePoint> m_vanished;
     /// When the newest entry of each worker was read.
