--- a/src/controller/TopicFollower.cpp
+++ b/src/controller/TopicFollower.cpp
@@ -39,7 +39,7 @@
         // The store takes long for its first pages when it is slow; a listing has no wait of its own.
         m_store.newest(m_settings.m_partition, after, m_settings.m_wait + m_settings.m_patience,
             [self = shared_from_this(), after, askedAt](
-                Result<userplatform::NewestPage> result) { self->listed(after, askedAt, result); });
+                const Result<userplatform::NewestPage>& result) { self->listed(after, askedAt, result); });
     }
 
     void listed(const std::string& after, TimePoint askedAt, const Result<userplatform::NewestPage>& result)
@@ -80,7 +80,7 @@
         const TimePoint askedAt = bootNow();
         m_store.read(m_settings.m_partition, m_next, m_settings.m_wait, m_settings.m_wait + m_settings.m_patience,
             [self = shared_from_this(), askedAt](
-                Result<userplatform::ReadAnswer> result) { self->received(askedAt, result); });
+                const Result<userplatform::ReadAnswer>& result) { self->received(askedAt, result); });
     }
 
     void received(TimePoint askedAt, const Result<userplatform::ReadAnswer>& result)
--- /dev/null
+++ b/src/jobs/SchedulerReports.cpp
@@ -0,0 +1,203 @@
+// What workers report: runs, ends, failures and stalls.
+
+#include "jobs/JobScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphiredale::jobs {
+
+namespace {
+
+    /// Failures in a row, less successes, that put a worker into quarantine, and the first time there.
+    constexpr double quarantineScore = 2.0;
+    constexpr Duration quarantineTime = std::chrono::seconds(4);
+    constexpr std::uint32_t maxQuarantineDoublings = 3;
+    /// Tail, as a part of the target, from which on filling tasks are paced.
+    constexpr double strainedTail = 0.9;
+
+} // namespace
+
+void JobScheduler::workerReported(const WorkerId& id, const WorkerReport& report, TimePoint now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end())
+        return;
+    Worker& worker = found->second;
+    if (report.m_bornMs < worker.m_description.m_bornMs)
+        return;
+    if (report.m_bornMs > worker.m_description.m_bornMs)
+        workerReborn(worker, report.m_bornMs, now);
+    worker.m_lastReportAt = now;
+    worker.m_isSilent = false;
+    for (const EndReport& end : report.m_ended)
+        endReported(worker, end, now);
+    for (const RunReport& run : report.m_running)
+        runReported(worker, run, now);
+    dropMissingRuns(worker, report, now);
+    // What an earlier term ordered may run until then, whatever this term adds.
+    if (!std::exchange(worker.m_hasReported, true))
+        worker.m_leaseEnd = std::max(worker.m_leaseEnd, m_lapsedAt);
+    paceFillers(worker, now);
+}
+
+void JobScheduler::runReported(Worker& worker, const RunReport& report, TimePoint now)
+{
+    const auto found = worker.m_runs.find(report.m_run);
+    if (found == worker.m_runs.end()) {
+        Step* step = stepOf(report.m_run.m_task, now);
+        if (step == nullptr) {
+            m_actions.emplace_back(StopOrder { worker.m_description.m_worker, report.m_run });
+            return;
+        }
+        Task& task = taskOf(*step, report.m_run);
+        const bool isSuperfluous
+            = !step->m_job->isOpen() || task.m_isDone || (task.m_liveRuns > 0 && !step->m_spec->m_allowsCopies);
+        Run& run = addRun(*step, task, worker, report.m_run, RunPhase::Running, now);
+        hasStarted(*step->m_job);
+        run.m_confirmedAt = now;
+        run.m_percent = report.m_percent;
+        if (!report.m_checkpoint.empty())
+            task.m_checkpoint = report.m_checkpoint;
+        if (isSuperfluous)
+            requestStop(run, now);
+        return;
+    }
+    Run& run = found->second;
+    hasStarted(*run.m_step->m_job);
+    if (run.m_confirmedAt == TimePoint::max())
+        run.m_confirmedAt = now;
+    if (run.m_phase == RunPhase::Starting || run.m_phase == RunPhase::Unknown) {
+        run.m_phase = RunPhase::Running;
+        setActive(run, true, now);
+    }
+    const bool hasProgress = report.m_percent > run.m_percent;
+    if (hasProgress)
+        run.m_progressAt = now;
+    run.m_percent = report.m_percent;
+    if (!report.m_checkpoint.empty())
+        taskOf(*run.m_step, report.m_run).m_checkpoint = report.m_checkpoint;
+    if (!hasProgress && isStalled(run, now))
+        return stallReported(worker, run, now);
+    if (!run.m_step->m_spec->isServing())
+        return;
+    const bool isOver
+        = report.m_recent * 1000.0 > static_cast<double>(run.m_step->m_spec->m_responseTarget.count()) * strainedTail;
+    if (!isOver)
+        run.m_overTargetSince = TimePoint::max();
+    else if (run.m_overTargetSince == TimePoint::max())
+        run.m_overTargetSince = now;
+}
+
+void JobScheduler::dropMissingRuns(Worker& worker, const WorkerReport& report, TimePoint now)
+{
+    const auto isListed = [&](const RunName& name) {
+        return std::any_of(report.m_running.begin(), report.m_running.end(),
+            [&](const RunReport& listed) { return listed.m_run == name; });
+    };
+    std::vector<RunName> missing;
+    for (auto& [name, run] : worker.m_runs) {
+        const bool mustBeListed = run.m_confirmedAt < report.m_askedAt;
+        const bool isBarred = run.m_phase == RunPhase::Stopping && run.m_stopConfirmedAt < report.m_askedAt;
+        const bool isUnseen = run.m_phase == RunPhase::Unknown && run.m_unknownSince < report.m_askedAt;
+        if ((!mustBeListed && !isBarred && !isUnseen) || isListed(name))
+            continue;
+        if (mustBeListed || isBarred)
+            missing.push_back(name);
+        else
+            requestStop(run, now);
+    }
+    for (const RunName& name : missing) {
+        ++m_counters.m_lostRuns;
+        removeRun(worker, name, now);
+    }
+}
+
+void JobScheduler::endReported(Worker& worker, const EndReport& end, TimePoint now)
+{
+    if (end.m_number <= worker.m_seenEnd)
+        return;
+    worker.m_seenEnd = end.m_number;
+    m_hasNewEnds = true;
+    Step* step = stepOf(end.m_run.m_task, now);
+    if (step == nullptr)
+        return;
+    Task& task = taskOf(*step, end.m_run);
+    hasStarted(*step->m_job);
+    task.m_highestRun = std::max(task.m_highestRun, end.m_run.m_run);
+    if (!end.m_checkpoint.empty())
+        task.m_checkpoint = end.m_checkpoint;
+    const bool isOpen = step->m_job->isOpen();
+    const bool isLongRunning = step->m_spec->m_isLongRunning;
+    if (end.m_end == RunEnd::Done && isOpen && !isLongRunning) {
+        ++m_counters.m_doneRuns;
+        worker.m_failureScore /= 2;
+        if (step->m_spec->m_isGang) {
+            for (Task& member : step->m_tasks)
+                taskFinished(*step, member, now);
+        } else {
+            taskFinished(*step, task, now);
+        }
+    } else if (end.m_end == RunEnd::Failed && isOpen) {
+        failureReported(worker, *step, end.m_run, now);
+    }
+    removeRun(worker, end.m_run, now);
+    if (!task.m_isDone || task.m_liveRuns == 0)
+        return;
+    // Copies of a task that has its result are superfluous.
+    for (auto& [id, other] : m_workers) {
+        for (auto& [name, run] : other.m_runs) {
+            if (name.m_task == end.m_run.m_task && run.m_phase != RunPhase::Stopping && !step->m_spec->m_isGang)
+                requestStop(run, now);
+        }
+    }
+}
+
+bool JobScheduler::isStalled(const Run& run, TimePoint now) const
+{
+    const StepSpec& spec = *run.m_step->m_spec;
+    // A gang waits for its members, and a filling task for processors that others leave.
+    if (run.m_phase != RunPhase::Running || spec.m_isGang || spec.m_isFilling || run.m_percent >= 100)
+        return false;
+    // One percent of a long task takes long.
+    return now - run.m_progressAt > m_settings.m_stall + spec.m_estimate / 25;
+}
+
+void JobScheduler::stallReported(Worker& worker, Run& run, TimePoint now)
+{
+    ++m_counters.m_stalledRuns;
+    taskOf(*run.m_step, run.m_name).m_avoid = worker.m_description.m_worker;
+    worker.m_failureScore += 1;
+    quarantineIfBad(worker, now);
+    requestStop(run, now);
+}
+
+void JobScheduler::quarantineIfBad(Worker& worker, TimePoint now)
+{
+    if (worker.m_failureScore < quarantineScore)
+        return;
+    const std::uint32_t doublings = std::min(worker.m_quarantines++, maxQuarantineDoublings);
+    worker.m_quarantinedUntil = now + quarantineTime * (1 << doublings);
+    // One more failure after its return is enough.
+    worker.m_failureScore = quarantineScore - 1;
+}
+
+void JobScheduler::failureReported(Worker& worker, Step& step, const RunName& name, TimePoint now)
+{
+    // The members of a gang fail together: the run counts once.
+    Task& task = step.m_spec->m_isGang ? step.m_tasks.front() : taskOf(step, name);
+    if (std::find(task.m_failedRuns.begin(), task.m_failedRuns.end(), name.m_run) != task.m_failedRuns.end())
+        return;
+    ++m_counters.m_failedRuns;
+    task.m_avoid = worker.m_description.m_worker;
+    worker.m_failureScore += 1;
+    quarantineIfBad(worker, now);
+    if (step.m_spec->m_isLongRunning)
+        return;
+    task.m_failedRuns.push_back(name.m_run);
+    changed(*step.m_job);
+    if (task.m_failedRuns.size() >= step.m_job->m_record.m_policy.m_maxAttempts)
+        closeJob(*step.m_job, JobState::Failed, now);
+}
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/SchedulerRuns.cpp
@@ -0,0 +1,219 @@
+// Life of runs: orders, their answers, and what the adviser says.
+
+#include "jobs/JobScheduler.h"
+
+#include "jobs/Placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphiredale::jobs {
+
+namespace {
+
+    /// Run numbers that one term may use for a task per renewal of the term; the next term starts above them.
+    constexpr std::uint32_t runsPerTerm = 8;
+
+} // namespace
+
+Run& JobScheduler::addRun(Step& step, Task& task, Worker& worker, const RunName& name, RunPhase phase, TimePoint now)
+{
+    Run& run = worker.m_runs[name];
+    run.m_name = name;
+    run.m_step = &step;
+    run.m_worker = &worker;
+    run.m_phase = phase;
+    run.m_reserved = step.m_spec->reserved();
+    run.m_fillingMillis = step.m_spec->m_isFilling ? step.m_spec->m_need.m_cpuMillis : 0;
+    run.m_orderedAt = now;
+    run.m_progressAt = now;
+    worker.m_reserved += run.m_reserved;
+    worker.m_fillingMillis += run.m_fillingMillis;
+    worker.m_servingRuns += step.m_spec->isServing() ? 1 : 0;
+    worker.m_fillingRuns += step.m_spec->m_isFilling ? 1 : 0;
+    ++step.m_places[worker.m_description.m_worker];
+    ++task.m_liveRuns;
+    ++task.m_activeRuns;
+    task.m_highestRun = std::max(task.m_highestRun, name.m_run);
+    refreshWaiting(step, task, now);
+    return run;
+}
+
+void JobScheduler::hasStarted(Job& job)
+{
+    if (!std::exchange(job.m_hasStarted, true) && job.isOpen())
+        job.m_state = JobState::Running;
+}
+
+std::uint32_t JobScheduler::nextRun(const SchedulerSettings& settings, const Task& task)
+{
+    const auto first = static_cast<std::uint32_t>((settings.m_term - 1) * runsPerTerm + 1);
+    return std::max(task.m_highestRun + 1, first);
+}
+
+void JobScheduler::setActive(Run& run, bool isActive, TimePoint now)
+{
+    if (run.m_isActive == isActive)
+        return;
+    run.m_isActive = isActive;
+    Task& task = taskOf(*run.m_step, run.m_name);
+    task.m_activeRuns += isActive ? 1 : -1;
+    refreshWaiting(*run.m_step, task, now);
+}
+
+void JobScheduler::removeRun(Worker& worker, const RunName& name, TimePoint now)
+{
+    const auto found = worker.m_runs.find(name);
+    if (found == worker.m_runs.end())
+        return;
+    Run& run = found->second;
+    Step& step = *run.m_step;
+    setActive(run, false, now);
+    worker.m_reserved -= run.m_reserved;
+    worker.m_fillingMillis -= run.m_fillingMillis;
+    worker.m_servingRuns -= step.m_spec->isServing() ? 1 : 0;
+    worker.m_fillingRuns -= step.m_spec->m_isFilling ? 1 : 0;
+    const auto place = step.m_places.find(worker.m_description.m_worker);
+    if (--place->second == 0)
+        step.m_places.erase(place);
+    Task& task = taskOf(step, name);
+    --task.m_liveRuns;
+    worker.m_runs.erase(found);
+    refreshWaiting(step, task, now);
+}
+
+void JobScheduler::requestStop(Run& run, TimePoint now)
+{
+    if (run.m_phase != RunPhase::Stopping) {
+        run.m_phase = RunPhase::Stopping;
+        run.m_stopConfirmedAt = TimePoint::max();
+        setActive(run, false, now);
+    }
+    run.m_nextStopAt = now + m_settings.m_stopInterval;
+    ++m_counters.m_stops;
+    m_actions.emplace_back(StopOrder { run.m_worker->m_description.m_worker, run.m_name });
+}
+
+void JobScheduler::stopRunsOf(const Job& job, TimePoint now)
+{
+    for (auto& [id, worker] : m_workers) {
+        for (auto& [name, run] : worker.m_runs) {
+            if (run.m_step->m_job == &job && run.m_phase != RunPhase::Stopping)
+                requestStop(run, now);
+        }
+    }
+}
+
+void JobScheduler::reportFailed(const WorkerId& id, TimePoint now)
+{
+    if (const auto found = m_workers.find(id); found != m_workers.end())
+        found->second.m_unansweredAt = now;
+}
+
+void JobScheduler::startAnswered(const WorkerId& id, const RunName& name, StartOutcome outcome, TimePoint now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || !found->second.m_runs.contains(name))
+        return;
+    Worker& worker = found->second;
+    Run& run = worker.m_runs.at(name);
+    switch (outcome) {
+    case StartOutcome::Started:
+        hasStarted(*run.m_step->m_job);
+        if (run.m_confirmedAt == TimePoint::max())
+            run.m_confirmedAt = now;
+        if (run.m_phase == RunPhase::Starting)
+            run.m_phase = RunPhase::Running;
+        return;
+    case StartOutcome::Unknown:
+        ++m_counters.m_unknownStarts;
+        worker.m_unanswered.emplace_back(name, now);
+        worker.m_unansweredAt = now;
+        if (run.m_phase == RunPhase::Starting) {
+            run.m_phase = RunPhase::Unknown;
+            run.m_unknownSince = now;
+            setActive(run, false, now);
+            m_actions.emplace_back(LookOrder { id });
+        }
+        return;
+    case StartOutcome::RefusedForTicket:
+        run.m_step->m_permissions[id].m_expiresAt = {};
+        break;
+    case StartOutcome::RefusedForRoom:
+    case StartOutcome::Refused:
+        // The worker's view differs from this one; the next report settles it.
+        worker.m_quarantinedUntil = std::max(worker.m_quarantinedUntil, now + m_settings.m_stopInterval);
+        break;
+    case StartOutcome::RefusedForTerm:
+        break;
+    }
+    ++m_counters.m_refusedStarts;
+    Step& step = *run.m_step;
+    // A run that a report lists did start, whatever the answer to a repeated order says.
+    if (run.m_confirmedAt == TimePoint::max())
+        removeRun(worker, name, now);
+    if (step.m_spec->m_isGang)
+        stopGang(step, name.m_run, now);
+}
+
+void JobScheduler::stopGang(const Step& step, std::uint32_t number, TimePoint now)
+{
+    for (auto& [id, worker] : m_workers) {
+        for (auto& [name, run] : worker.m_runs) {
+            if (run.m_step == &step && name.m_run == number && run.m_phase != RunPhase::Stopping)
+                requestStop(run, now);
+        }
+    }
+}
+
+void JobScheduler::stopAnswered(const WorkerId& id, const RunName& name, bool confirmed, TimePoint now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end())
+        return;
+    const auto run = found->second.m_runs.find(name);
+    if (run == found->second.m_runs.end() || !confirmed || run->second.m_phase != RunPhase::Stopping)
+        return;
+    run->second.m_stopConfirmedAt = std::min(run->second.m_stopConfirmedAt, now);
+    // A run that never began has no end that a waiting report would tell of.
+    if (run->second.m_confirmedAt == TimePoint::max())
+        m_actions.emplace_back(LookOrder { id });
+}
+
+void JobScheduler::adviceAnswered(const AdviceQuestion& question, const std::vector<Ticket>& tickets, TimePoint askedAt,
+    Duration validity, TimePoint now)
+{
+    Step* step = stepOf({ question.m_step.m_job, { question.m_step.m_occurrence, question.m_step.m_step, 0 } }, now);
+    if (step == nullptr)
+        return;
+    Placement(*this, now).withdrawPledges(*step);
+    step->m_isAsking = false;
+    step->m_askFailures = 0;
+    for (const WorkerId& id : question.m_workers)
+        step->m_permissions[id] = {};
+    for (const Ticket& ticket : tickets) {
+        const Worker* worker = this->worker(ticket.m_worker);
+        if (worker != nullptr)
+            step->m_permissions[ticket.m_worker]
+                = { true, ticket.m_text, askedAt + validity, worker->m_description.m_bornMs };
+    }
+    constexpr double weight = 0.1; // of one answer in the running mean
+    double& share = m_allowedShare.try_emplace(step->m_job->m_record.m_policy.m_queue, 0.5).first->second;
+    const double seen = static_cast<double>(tickets.size())
+        / static_cast<double>(std::max<std::size_t>(1, question.m_workers.size()));
+    share += (seen - share) * weight;
+}
+
+void JobScheduler::adviceFailed(const AdviceQuestion& question, TimePoint now)
+{
+    Step* step = stepOf({ question.m_step.m_job, { question.m_step.m_occurrence, question.m_step.m_step, 0 } }, now);
+    if (step == nullptr)
+        return;
+    Placement(*this, now).withdrawPledges(*step);
+    constexpr Duration firstWait = std::chrono::milliseconds(20);
+    constexpr std::uint32_t maxDoublings = 4;
+    step->m_isAsking = false;
+    step->m_nextAskAt = now + firstWait * (1 << std::min(step->m_askFailures++, maxDoublings));
+}
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/SchedulerStorage.cpp
@@ -0,0 +1,126 @@
+// What is stored of jobs, and when it counts.
+
+#include "jobs/JobScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphiredale::jobs {
+
+ProgressRecord JobScheduler::progressOf(const Job& job) const
+{
+    ProgressRecord record { job.m_record.m_job, {} };
+    record.m_progress.m_state = job.m_state;
+    if (!job.isOpen())
+        return record;
+    for (const Step& step : job.m_steps) {
+        const StepIndex place { step.m_name.m_occurrence, step.m_name.m_step };
+        for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
+            const TaskIndex index { step.m_name.m_occurrence, step.m_name.m_step, i };
+            if (step.m_tasks[i].m_isDone)
+                record.m_progress.m_done.push_back(index);
+            else if (!step.m_tasks[i].m_failedRuns.empty())
+                record.m_progress.m_failedRuns[index] = step.m_tasks[i].m_failedRuns;
+        }
+        if (step.isFinished())
+            continue;
+        std::set<WorkerId> places = step.m_inheritedPlaces;
+        for (const auto& [worker, runs] : step.m_places)
+            places.insert(worker);
+        if (!places.empty())
+            record.m_progress.m_places[place] = std::move(places);
+    }
+    return record;
+}
+
+JobScheduler::Batch JobScheduler::takeChanges()
+{
+    Batch batch;
+    batch.m_number = ++m_lastBatch;
+    m_hasNewEnds = false;
+    for (Job* job : m_dirty) {
+        job->m_isDirty = false;
+        batch.m_records.push_back(progressOf(*job));
+        const auto& places = batch.m_records.back().m_progress.m_places;
+        for (Step& step : job->m_steps) {
+            const auto found = places.find({ step.m_name.m_occurrence, step.m_name.m_step });
+            step.m_sentPlaces = found == places.end() ? std::set<WorkerId>() : found->second;
+        }
+    }
+    m_dirty.clear();
+    m_batchRecords[batch.m_number] = batch.m_records;
+    auto& ends = m_batchEnds[batch.m_number];
+    for (const auto& [id, worker] : m_workers) {
+        if (worker.m_seenEnd > worker.m_storedEnd)
+            ends.push_back({ id, worker.m_description.m_bornMs, worker.m_seenEnd });
+    }
+    return batch;
+}
+
+void JobScheduler::stored(std::uint64_t batch)
+{
+    for (const ProgressRecord& record : m_batchRecords[batch]) {
+        const auto found = m_jobs.find(record.m_job);
+        if (found == m_jobs.end())
+            continue;
+        Job& job = *found->second;
+        job.m_storedState = record.m_progress.m_state;
+        for (Step& step : job.m_steps) {
+            const auto places = record.m_progress.m_places.find({ step.m_name.m_occurrence, step.m_name.m_step });
+            step.m_storedPlaces = places == record.m_progress.m_places.end() ? std::set<WorkerId>() : places->second;
+        }
+    }
+    for (const SeenEnd& seen : m_batchEnds[batch]) {
+        const auto found = m_workers.find(seen.m_worker);
+        // A worker that was born again counts its ends anew.
+        if (found != m_workers.end() && found->second.m_description.m_bornMs == seen.m_bornMs)
+            found->second.m_storedEnd = std::max(found->second.m_storedEnd, seen.m_end);
+    }
+    m_batchRecords.erase(batch);
+    m_batchEnds.erase(batch);
+}
+
+void JobScheduler::notStored(const Batch& batch)
+{
+    for (const ProgressRecord& record : batch.m_records) {
+        if (const auto found = m_jobs.find(record.m_job); found != m_jobs.end())
+            changed(*found->second);
+    }
+    m_hasNewEnds = m_hasNewEnds || !m_batchEnds[batch.m_number].empty();
+    m_batchRecords.erase(batch.m_number);
+    m_batchEnds.erase(batch.m_number);
+}
+
+std::uint64_t JobScheduler::storedEnd(const WorkerId& id) const
+{
+    const Worker* found = worker(id);
+    return found == nullptr ? 0 : found->m_storedEnd;
+}
+
+std::vector<JobId> JobScheduler::takeExpired(TimePoint now)
+{
+    std::vector<JobId> expired;
+    for (const auto& [id, job] : m_jobs) {
+        if (!job->isOpen() && isFinal(job->m_storedState) && job->m_closedAt + m_settings.m_retention < now)
+            expired.push_back(id);
+    }
+    const auto hasRuns = [this](const JobId& id) {
+        const Job* job = m_jobs.at(id).get();
+        return std::any_of(m_workers.begin(), m_workers.end(), [job](const auto& entry) {
+            const auto& runs = entry.second.m_runs;
+            return std::any_of(
+                runs.begin(), runs.end(), [job](const auto& run) { return run.second.m_step->m_job == job; });
+        });
+    };
+    std::erase_if(expired, hasRuns);
+    for (const JobId& id : expired) {
+        const Job* job = m_jobs.at(id).get();
+        std::erase_if(m_waiting, [job](const Step* step) { return step->m_job == job; });
+        std::erase(m_dirty, job);
+        std::erase(m_timed, job);
+        m_jobs.erase(id);
+    }
+    return expired;
+}
+
+} // namespace sapphiredale::jobs
--- /dev/null
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -0,0 +1,172 @@
+// Which workers there are, and what is done about silent, draining and newly born ones.
+
+#include "jobs/JobScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphiredale::jobs {
+
+namespace {
+
+    /// Interval of the checks for silent workers and unconfirmed stops.
+    constexpr Duration supervisionInterval = std::chrono::milliseconds(50);
+    /// An order without an answer may be carried out this much later.
+    constexpr Duration latestOrder = std::chrono::seconds(13);
+    /// Step by which the pace of a filling task rises, in percent.
+    constexpr std::uint32_t paceStep = 10;
+
+    Duration scaled(Duration duration, double factor)
+    {
+        return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+    }
+
+} // namespace
+
+void JobScheduler::workerListed(const WorkerDescription& description, TimePoint now)
+{
+    Worker& worker = m_workers[description.m_worker];
+    const std::int64_t born = worker.m_description.m_bornMs;
+    const bool wasDraining = worker.m_isListed && worker.m_description.m_isDraining;
+    if (born != 0 && description.m_bornMs < born)
+        return;
+    worker.m_description = description;
+    worker.m_isListed = true;
+    worker.m_isDescribed = true;
+    worker.m_describedBornMs = description.m_bornMs;
+    if (born != 0 && description.m_bornMs > born) {
+        worker.m_description.m_bornMs = born;
+        workerReborn(worker, description.m_bornMs, now);
+    }
+    if (description.m_isDraining && !wasDraining)
+        evacuate(worker, now);
+}
+
+void JobScheduler::workerDelisted(const WorkerId& id, TimePoint /*now*/)
+{
+    if (const auto found = m_workers.find(id); found != m_workers.end())
+        found->second.m_isListed = false;
+}
+
+void JobScheduler::workerLeft(const WorkerId& id, TimePoint now)
+{
+    workerDelisted(id, now);
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || !found->second.m_description.m_isDraining)
+        return;
+    Worker& worker = found->second;
+    std::vector<RunName> ended;
+    ended.reserve(worker.m_runs.size());
+    for (const auto& [name, run] : worker.m_runs)
+        ended.push_back(name);
+    for (const RunName& name : ended) {
+        ++m_counters.m_lostRuns;
+        removeRun(worker, name, now);
+    }
+}
+
+void JobScheduler::workerReborn(Worker& worker, std::int64_t bornMs, TimePoint now)
+{
+    worker.m_isDescribed = worker.m_isDescribed && worker.m_describedBornMs == bornMs;
+    worker.m_description.m_bornMs = bornMs;
+    worker.m_hasReported = false;
+    worker.m_seenEnd = 0;
+    worker.m_storedEnd = 0;
+    worker.m_failureScore = 0;
+    for (auto& [name, run] : worker.m_runs) {
+        // The new life may have obeyed a start before its birth was known here: its first report tells which runs it
+        // has.
+        if (run.m_confirmedAt != TimePoint::max())
+            continue;
+        // The start may still be on its way and would be obeyed by the new life.
+        requestStop(run, now);
+        run.m_stopConfirmedAt = TimePoint::max();
+    }
+    m_actions.emplace_back(LookOrder { worker.m_description.m_worker });
+    for (const auto& [name, orderedAt] : worker.m_unanswered) {
+        if (!worker.m_runs.contains(name))
+            m_actions.emplace_back(StopOrder { worker.m_description.m_worker, name });
+    }
+}
+
+void JobScheduler::leaseExtended(const WorkerId& id, TimePoint leaseEnd)
+{
+    if (const auto found = m_workers.find(id); found != m_workers.end())
+        found->second.m_leaseEnd = std::max(found->second.m_leaseEnd, leaseEnd);
+}
+
+void JobScheduler::superviseWorkers(TimePoint now)
+{
+    if (now < m_nextSupervision)
+        return;
+    m_nextSupervision = now + supervisionInterval;
+    for (auto it = m_workers.begin(); it != m_workers.end();) {
+        Worker& worker = it->second;
+        worker.m_isSilent = now - worker.m_lastReportAt > m_settings.m_silence;
+        superviseRuns(worker, now);
+        std::erase_if(worker.m_unanswered, [now](const auto& start) { return now - start.second > latestOrder; });
+        const bool isGone = !worker.m_isListed && worker.m_runs.empty() && worker.m_leaseEnd < now;
+        it = isGone ? m_workers.erase(it) : std::next(it);
+    }
+    std::erase_if(m_cancelledEarly, [&](const auto& entry) { return entry.second + m_settings.m_retention < now; });
+}
+
+void JobScheduler::superviseRuns(Worker& worker, TimePoint now)
+{
+    std::vector<RunName> lapsed;
+    for (auto& [name, run] : worker.m_runs) {
+        if (worker.m_isSilent && worker.m_leaseEnd < now) {
+            lapsed.push_back(name);
+            continue;
+        }
+        if (worker.m_isSilent && run.m_step->m_spec->m_allowsCopies)
+            setActive(run, false, now);
+        // An order whose connection was given up has no answer.
+        if (run.m_phase == RunPhase::Starting && now - run.m_orderedAt > m_settings.m_answerPatience) {
+            run.m_phase = RunPhase::Unknown;
+            run.m_unknownSince = now;
+            setActive(run, false, now);
+        }
+        if (run.m_phase == RunPhase::Stopping && run.m_nextStopAt <= now && !worker.m_isSilent)
+            requestStop(run, now);
+    }
+    for (const RunName& name : lapsed) {
+        ++m_counters.m_lostRuns;
+        removeRun(worker, name, now);
+    }
+}
+
+void JobScheduler::evacuate(Worker& worker, TimePoint now)
+{
+    for (auto& [name, run] : worker.m_runs) {
+        const StepSpec& spec = *run.m_step->m_spec;
+        if (run.m_phase == RunPhase::Stopping || spec.m_isGang)
+            continue;
+        const auto rest = scaled(spec.m_estimate, std::max(0.0, 1.0 - run.m_percent / 100.0));
+        if (spec.m_isLongRunning || (spec.m_savesCheckpoints && rest > m_settings.m_drainPatience))
+            requestStop(run, now);
+    }
+}
+
+void JobScheduler::paceFillers(Worker& worker, TimePoint now)
+{
+    if (worker.m_fillingRuns == 0)
+        return;
+    bool isStrained = false;
+    for (const auto& [name, run] : worker.m_runs)
+        isStrained = isStrained || run.m_overTargetSince != TimePoint::max();
+    for (auto& [name, run] : worker.m_runs) {
+        if (!run.m_step->m_spec->m_isFilling || run.m_phase != RunPhase::Running)
+            continue;
+        const std::uint32_t pace = isStrained ? run.m_pace / 2
+            : worker.m_servingRuns == 0       ? 100
+                                              : std::min(100U, run.m_pace + paceStep);
+        if (pace == run.m_pace)
+            continue;
+        run.m_pace = pace;
+        run.m_progressAt = now;
+        m_actions.emplace_back(PaceOrder { worker.m_description.m_worker, name, pace });
+    }
+}
+
+} // namespace sapphiredale::jobs
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -41,7 +41,7 @@
     static std::string open(HttpListener& listener)
     {
         for (int port = 23000; port < 24000; ++port) {
-            const std::string address = "127.0.0.1:" + std::to_string(port);
+            std::string address = "127.0.0.1:" + std::to_string(port);
             if (succeeded(listener.open(address)))
                 return address;
         }
