--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -260,7 +260,7 @@
         worker.m_ended.push_back({ ++worker.m_lastEnd, name, how, {} });
         worker.m_nextReportAt = m_now;
         if (how == RunEnd::Done)
-            m_doneRuns.insert(name);
+            m_doneTasks[name.m_task.m_job].insert(name.m_task);
     }
 
     void work(SimulatedWorker& worker)
@@ -346,12 +346,10 @@
         }
         for (const std::uint32_t dependency : spec.m_dependsOn) {
             const StepSpec& before = m_accepted.at(run.m_task.m_job).m_spec.m_steps[dependency];
-            std::set<std::uint32_t> done;
-            for (const RunName& name : m_doneRuns) {
-                if (name.m_task.m_job == run.m_task.m_job && name.m_task.m_index.m_step == dependency)
-                    done.insert(name.m_task.m_index.m_task);
-            }
-            if (done.size() < before.m_count)
+            const std::set<TaskName>& results = m_doneTasks[run.m_task.m_job];
+            const auto done = std::count_if(results.begin(), results.end(),
+                [dependency](const TaskName& task) { return task.m_index.m_step == dependency; });
+            if (done < before.m_count)
                 m_breaches.insert("order of " + run.m_task.m_job.value());
         }
     }
@@ -449,17 +447,13 @@
     void verify()
     {
         for (const auto& [id, record] : m_accepted) {
-            if (!m_scheduler->knows(id) || m_scheduler->state(id) != JobState::Done)
+            if (m_verified.contains(id) || !m_scheduler->knows(id) || m_scheduler->state(id) != JobState::Done)
                 continue;
-            std::set<TaskName> done;
-            for (const RunName& run : m_doneRuns) {
-                if (run.m_task.m_job == id)
-                    done.insert(run.m_task);
-            }
+            m_verified.insert(id);
             std::size_t tasks = 0;
             for (const StepSpec& step : record.m_spec.m_steps)
                 tasks += step.m_count;
-            if (done.size() < tasks && !record.m_spec.m_steps.front().m_isGang)
+            if (m_doneTasks[id].size() < tasks && !record.m_spec.m_steps.front().m_isGang)
                 m_breaches.insert("done without results: " + id.value());
         }
     }
@@ -469,7 +463,9 @@
     std::vector<DelayedAnswer> m_answers;
     std::vector<OpenQuestion> m_questions;
     std::unique_ptr<OpenBatch> m_storing;
-    std::set<RunName> m_doneRuns;
+    std::map<JobId, std::set<TaskName>> m_doneTasks;
+    /// Jobs that were shown as done and have been verified.
+    std::set<JobId> m_verified;
 };
 
 /// Fails with the first breach.
