Give the removal of lost runs one function; remove notStored

Cause: three places counted and removed lost runs alike, and nothing called notStored: the writer retries a batch until it is stored or fenced.

--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -104,8 +104,6 @@
     Batch takeChanges();
     bool hasChanges() const { return !m_dirty.empty() || m_hasNewEnds; }
     void stored(std::uint64_t batch);
-    /// The batch was not stored; its jobs are part of the next one.
-    void notStored(const Batch&);
     /// Ends of the worker up to this number are stored and may be acknowledged.
     std::uint64_t storedEnd(const WorkerId&) const;
     /// Closed jobs whose retention is over; they are forgotten.
@@ -155,6 +153,8 @@
     Run& addRun(Step&, Task&, Worker&, const RunName&, RunPhase, TimePoint now);
     /// Takes a run from its worker; the task waits again unless it is done.
     void removeRun(Worker&, const RunName&, TimePoint now);
+    /// The same for runs that ended without a result.
+    void loseRuns(Worker&, const std::vector<RunName>&, TimePoint now);
     void requestStop(Run&, TimePoint now);
     void startRecorded(TimePoint now);
     void stopRunsOf(const Job&, TimePoint now);
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -107,10 +107,7 @@
         else
             requestStop(run, now);
     }
-    for (const RunName& name : missing) {
-        ++m_counters.m_lostRuns;
-        removeRun(worker, name, now);
-    }
+    loseRuns(worker, missing, now);
 }
 
 void JobScheduler::endReported(Worker& worker, const EndReport& end, TimePoint now)
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -82,6 +82,14 @@
     refreshWaiting(step, task, now);
 }
 
+void JobScheduler::loseRuns(Worker& worker, const std::vector<RunName>& names, TimePoint now)
+{
+    for (const RunName& name : names) {
+        ++m_counters.m_lostRuns;
+        removeRun(worker, name, now);
+    }
+}
+
 void JobScheduler::requestStop(Run& run, TimePoint now)
 {
     if (run.m_phase != RunPhase::Stopping) {
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -80,17 +80,6 @@
     m_batchEnds.erase(batch);
 }
 
-void JobScheduler::notStored(const Batch& batch)
-{
-    for (const ProgressRecord& record : batch.m_records) {
-        if (const auto found = m_jobs.find(record.m_job); found != m_jobs.end())
-            changed(*found->second);
-    }
-    m_hasNewEnds = m_hasNewEnds || !m_batchEnds[batch.m_number].empty();
-    m_batchRecords.erase(batch.m_number);
-    m_batchEnds.erase(batch.m_number);
-}
-
 std::uint64_t JobScheduler::storedEnd(const WorkerId& id) const
 {
     const Worker* found = worker(id);
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -59,10 +59,7 @@
     ended.reserve(worker.m_runs.size());
     for (const auto& [name, run] : worker.m_runs)
         ended.push_back(name);
-    for (const RunName& name : ended) {
-        ++m_counters.m_lostRuns;
-        removeRun(worker, name, now);
-    }
+    loseRuns(worker, ended, now);
 }
 
 void JobScheduler::workerReborn(Worker& worker, std::int64_t bornMs, TimePoint now)
@@ -130,10 +127,7 @@
         if (run.m_phase == RunPhase::Stopping && run.m_nextStopAt <= now && !worker.m_isSilent)
             requestStop(run, now);
     }
-    for (const RunName& name : lapsed) {
-        ++m_counters.m_lostRuns;
-        removeRun(worker, name, now);
-    }
+    loseRuns(worker, lapsed, now);
 }
 
 void JobScheduler::evacuate(Worker& worker, TimePoint now)
