--- a/programs/sapphired.cpp
+++ b/programs/sapphired.cpp
@@ -36,6 +36,9 @@
     return (std::uint64_t { device() } << 32) | device();
 }
 
+/// Most lines of one event in ten seconds on a site, where each request has a line of its own.
+constexpr std::uint32_t siteLogLines = 1000;
+
 /// The event log of a daemon; null, with a message, when it cannot be opened.
 std::unique_ptr<observability::EventLog> openLog(
     const DaemonId& daemon, const daemon::LogSettings& settings, bool toOutput)
@@ -45,6 +48,8 @@
     logSettings.m_file = settings.m_file;
     logSettings.m_minimum = severityOf(settings.m_level);
     logSettings.m_toStandardOutput = toOutput;
+    if (toOutput)
+        logSettings.m_maxLinesPerInterval = siteLogLines;
     auto log = observability::EventLog::open(logSettings);
     if (!succeeded(log)) {
         std::cerr << "sapphired: " << errorOf(log).m_detail << '\n';
--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -198,15 +198,21 @@
         return;
     TermSettings settings;
     settings.m_term = election.term();
+    settings.m_progressPartition = election.progressPartition();
     settings.m_predecessorCeasedAt = election.predecessorCeasedAt();
     settings.m_lease = m_settings.m_longestLease - leaseReserve;
-    m_term = std::make_unique<SchedulerTerm>(
-        m_context, m_settings, settings, m_desk, *m_log, [this] { return m_election.election().holdsTerm(bootNow()); },
-        [this] {
-            // The follower reads of the later term soon; until then this daemon gives no orders.
-            m_election.depose();
-            m_term.reset();
-        });
+    TermAuthority authority;
+    authority.m_mayOrder = [this] { return m_election.election().holdsTerm(bootNow()); };
+    authority.m_deposed = [this] {
+        // The follower reads of the later term soon; until then this daemon gives no orders.
+        m_election.depose();
+        m_term.reset();
+    };
+    authority.m_announceProgress = [this](std::uint32_t partition) { m_election.announceProgress(partition); };
+    authority.m_isProgressAnnounced = [this](std::uint32_t partition) {
+        return m_election.election().isNewestTerm() && m_election.election().progressPartition() == partition;
+    };
+    m_term = std::make_unique<SchedulerTerm>(m_context, m_settings, settings, m_desk, *m_log, std::move(authority));
     m_term->start();
 }
 
--- a/src/controller/ElectionDriver.cpp
+++ b/src/controller/ElectionDriver.cpp
@@ -50,6 +50,12 @@
     advance();
 }
 
+void ElectionDriver::announceProgress(std::uint32_t partition)
+{
+    m_election.announceProgress(partition);
+    advance();
+}
+
 void ElectionDriver::recordRead(const userplatform::KeyedRecord& record)
 {
     if (record.m_key != termKey || !record.m_value)
--- a/src/controller/ElectionDriver.h
+++ b/src/controller/ElectionDriver.h
@@ -20,6 +20,8 @@
     void start() { m_follower.start(); }
     const jobs::Election& election() const { return m_election; }
     void depose() { m_election.depose(); }
+    /// Names the partition of the progress with a renewal that is due at once.
+    void announceProgress(std::uint32_t partition);
     /// Gives the term up, if this daemon holds it.
     void leave();
     /// When the newest answer of the store was asked for.
--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -53,7 +53,8 @@
     , m_scheduler(std::move(scheduler))
     , m_appender(context, settings.m_store,
           { jobTopic,
-              static_cast<std::uint32_t>(std::hash<std::string> {}(settings.m_daemon.value()) % jobPartitions) })
+              static_cast<std::uint32_t>(std::hash<std::string> {}(settings.m_daemon.value()) % jobPartitions) },
+          jobPartitions)
 {
 }
 
--- a/src/controller/JobAppender.cpp
+++ b/src/controller/JobAppender.cpp
@@ -17,12 +17,16 @@
     /// Patience with a probe: a slow store takes a quarter of a second.
     constexpr Duration probeTimeout = std::chrono::milliseconds(600);
     constexpr const char* probeName = "probe";
+    /// Partitions that refuse an append before the store counts as away; a partial outage takes two of five.
+    constexpr std::uint32_t triedPartitions = 4;
 
 } // namespace
 
-JobAppender::JobAppender(boost::asio::io_context& context, const std::string& store, userplatform::Partition partition)
+JobAppender::JobAppender(boost::asio::io_context& context, const std::string& store, userplatform::Partition first,
+    std::uint32_t partitions)
     : m_store(context, store)
-    , m_partition(std::move(partition))
+    , m_partition(std::move(first))
+    , m_partitions(partitions)
     , m_retryTimer(context)
     , m_expiryTimer(context)
 {
@@ -85,19 +89,25 @@
 {
     using Kind = userplatform::AppendAnswer::Kind;
     if (answer.m_kind == Kind::Appended) {
+        m_failures = 0;
         for (const EntryPointer& entry : sent)
             finish(entry, StoreOutcome::Stored);
         return send();
     }
+    useNextPartition();
+    const bool triesAnother = ++m_failures < triedPartitions;
     const TimePoint now = bootNow();
-    for (auto entry = sent.rbegin(); entry != sent.rend(); ++entry) {
-        (*entry)->m_mayBeStored = (*entry)->m_mayBeStored || answer.m_kind == Kind::Unknown;
-        if (!(*entry)->m_mayBeStored)
-            finish(*entry, StoreOutcome::NotStored);
-        else if ((*entry)->m_handler && now < (*entry)->m_deadline)
-            m_queue.push_front(*entry);
+    for (auto it = sent.rbegin(); it != sent.rend(); ++it) {
+        Entry& entry = **it;
+        entry.m_mayBeStored = entry.m_mayBeStored || answer.m_kind == Kind::Unknown;
+        if (entry.m_handler && now < entry.m_deadline && (triesAnother || entry.m_mayBeStored))
+            m_queue.push_front(*it);
         else
-            finish(*entry, StoreOutcome::Unknown);
+            finish(*it, entry.m_mayBeStored ? StoreOutcome::Unknown : StoreOutcome::NotStored);
+    }
+    if (triesAnother) {
+        armExpiry();
+        return send();
     }
     m_isAway = true;
     m_isWaiting = true;
@@ -124,8 +134,11 @@
 void JobAppender::probed(const userplatform::AppendAnswer& answer)
 {
     if (answer.m_kind == userplatform::AppendAnswer::Kind::NotDone
-        || answer.m_kind == userplatform::AppendAnswer::Kind::Unknown)
+        || answer.m_kind == userplatform::AppendAnswer::Kind::Unknown) {
+        useNextPartition();
         return probe();
+    }
+    m_failures = 0;
     m_isAway = false;
     m_isWaiting = false;
     send();
--- a/src/controller/JobAppender.h
+++ b/src/controller/JobAppender.h
@@ -1,4 +1,5 @@
-// Stores accepted jobs and cancellations: what arrives while an append is under way goes into the next one.
+// Stores accepted jobs and cancellations: what arrives while an append is under way goes into the next one. A store that
+// is partly down serves some partitions of a topic and not others, so a refused record is offered to the next partition.
 #pragma once
 
 #include "controller/Clock.h"
@@ -22,19 +23,22 @@
     Unknown,
 };
 
-/// Appends to one partition. A record is a key and a value, so storing it twice is harmless.
+/// Appends to one partition of a topic until that fails, then to the next. A record is a key and a value, so storing it
+/// twice is harmless, also in two partitions.
 class JobAppender {
 public:
-    JobAppender(boost::asio::io_context&, const std::string& store, userplatform::Partition);
+    /// `first` is the partition that is used at first, of `partitions`.
+    JobAppender(
+        boost::asio::io_context&, const std::string& store, userplatform::Partition first, std::uint32_t partitions);
     ~JobAppender();
     JobAppender(const JobAppender&) = delete;
     JobAppender& operator=(const JobAppender&) = delete;
 
-    /// Calls the handler once, at the deadline at the latest. A refusal of the store ends a record that was never under
-    /// way at once; one that was is sent again until its deadline.
+    /// Calls the handler once, at the deadline at the latest. Refusals of several partitions end a record that was never
+    /// under way at once; one that was is sent again until its deadline.
     void append(
         const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)>);
-    /// Whether the store has turned an append away or left it unanswered and has not answered since. Records are
+    /// Whether several partitions have turned an append away or left it unanswered and none has answered since. Records are
     /// refused at once meanwhile, so that it stays certain that they are not stored.
     bool isStoreAway() const { return m_isAway; }
 
@@ -57,8 +61,13 @@
     void armExpiry();
     static void finish(const EntryPointer&, StoreOutcome);
 
+    void useNextPartition() { m_partition.m_number = (m_partition.m_number + 1) % m_partitions; }
+
     userplatform::StoreConnection m_store;
-    const userplatform::Partition m_partition;
+    userplatform::Partition m_partition;
+    const std::uint32_t m_partitions;
+    /// Appends without success since the last one that was done.
+    std::uint32_t m_failures = 0;
     boost::asio::steady_timer m_retryTimer;
     boost::asio::steady_timer m_expiryTimer;
     std::deque<EntryPointer> m_queue;
--- a/src/controller/ProgressWriter.cpp
+++ b/src/controller/ProgressWriter.cpp
@@ -1,4 +1,4 @@
-// Retries of the progress writer.
+// Retries of the progress writer, and its moves to other partitions.
 
 #include "controller/ProgressWriter.h"
 
@@ -8,26 +8,38 @@
 
     constexpr Duration appendTimeout = std::chrono::milliseconds(900); // many times a usual answer
     constexpr Duration retryPause = std::chrono::milliseconds(100);
+    constexpr Duration announcementPoll = std::chrono::milliseconds(5);
     constexpr const char* writerName = "scheduler";
+    /// Appends in a row without success after which another partition is tried.
+    constexpr std::uint32_t failuresBeforeMove = 2;
+    /// Most bytes of one append; the store accepts 2 MB.
+    constexpr std::size_t maxBytes = 1 << 20;
+    /// Room for the openings of one term in the epoch.
+    constexpr std::uint64_t openingsPerTerm = 1 << 16;
 
 } // namespace
 
-ProgressWriter::ProgressWriter(boost::asio::io_context& context, const std::string& store, std::uint64_t term)
+ProgressWriter::ProgressWriter(boost::asio::io_context& context, const std::string& store, Term term)
     : m_store(context, store)
     , m_timer(context)
-    , m_term(term)
+    , m_term(std::move(term))
 {
 }
 
-void ProgressWriter::open(std::function<void(bool)> handler) { write({}, std::move(handler)); }
+void ProgressWriter::open(std::function<void(bool)> handler)
+{
+    m_stage = Stage::Opening;
+    m_handler = std::move(handler);
+    send();
+}
 
 void ProgressWriter::write(Records records, std::function<void(bool)> handler)
 {
-    m_isBusy = true;
+    m_stage = Stage::Writing;
     m_records = std::move(records);
+    m_position = 0;
     m_handler = std::move(handler);
-    if (!m_records.empty())
-        ++m_sequence;
+    ++m_sequence;
     send();
 }
 
@@ -42,9 +54,17 @@
 {
     userplatform::AppendCondition condition;
     condition.m_writer = writerName;
-    condition.m_epoch = m_term;
+    condition.m_epoch = m_term.m_number * openingsPerTerm + m_openings;
     condition.m_sequence = m_sequence;
-    m_store.append({ progressTopic }, m_records, condition, appendTimeout,
+    Records part;
+    m_sentEnd = m_position;
+    if (m_stage == Stage::Writing) {
+        for (std::size_t bytes = 0; m_sentEnd < m_records.size() && bytes < maxBytes; ++m_sentEnd) {
+            part.push_back(m_records[m_sentEnd]);
+            bytes += part.back().first.size() + part.back().second.value_or("").size();
+        }
+    }
+    m_store.append({ progressTopic, m_term.m_partition }, part, condition, appendTimeout,
         [self = shared_from_this()](const userplatform::AppendAnswer& answer) { self->answered(answer); });
 }
 
@@ -55,30 +75,82 @@
         return;
     switch (answer.m_kind) {
     case Appended:
-        return finish(true);
+        return advance();
     case Fenced:
         return finish(false);
     case OutOfSequence:
         // An append whose answer was lost is known to the store; only this writer uses the epoch.
         if (answer.m_expected == m_sequence + 1)
-            return finish(true);
+            return advance();
         m_sequence = answer.m_expected;
-        break;
+        return later(retryPause, &ProgressWriter::send);
     case EndDiffers:
     case NotDone:
     case Unknown:
-        break;
+        return failed();
     }
-    m_timer.expires_after(retryPause);
-    m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+}
+
+void ProgressWriter::advance()
+{
+    m_failures = 0;
+    if (m_stage == Stage::Opening) {
+        if (!m_isMoving)
+            return finish(true);
+        write(m_term.m_everything(), std::move(m_handler));
+        return;
+    }
+    m_position = m_sentEnd;
+    if (m_position < m_records.size()) {
+        ++m_sequence;
+        return send();
+    }
+    if (!m_isMoving)
+        return finish(true);
+    m_stage = Stage::Announcing;
+    m_term.m_announce(m_term.m_partition);
+    awaitAnnouncement();
+}
+
+void ProgressWriter::failed()
+{
+    // Before the first write nothing is known that another partition could hold.
+    const bool canMove = m_isMoving || m_stage == Stage::Writing;
+    if (++m_failures >= failuresBeforeMove && canMove)
+        move();
+    later(retryPause, &ProgressWriter::send);
+}
+
+void ProgressWriter::move()
+{
+    m_term.m_partition = (m_term.m_partition + 1) % progressPartitions;
+    m_isMoving = true;
+    m_stage = Stage::Opening;
+    m_position = 0;
+    m_failures = 0;
+    m_sequence = 0;
+    ++m_openings;
+}
+
+void ProgressWriter::awaitAnnouncement()
+{
+    if (!m_term.m_isAnnounced(m_term.m_partition))
+        return later(announcementPoll, &ProgressWriter::awaitAnnouncement);
+    m_isMoving = false;
+    finish(true);
+}
+
+void ProgressWriter::later(Duration pause, void (ProgressWriter::*function)())
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([self = shared_from_this(), function](boost::system::error_code error) {
         if (!error && !self->m_isStopped)
-            self->send();
+            (self.get()->*function)();
     });
 }
 
 void ProgressWriter::finish(bool isWritten)
 {
-    m_isBusy = false;
     const auto handler = std::move(m_handler);
     m_handler = nullptr;
     handler(isWritten);
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -151,15 +151,16 @@
 };
 
 SchedulerTerm::SchedulerTerm(boost::asio::io_context& context, const SiteSettings& site, const TermSettings& settings,
-    AdviceDesk& desk, observability::EventLog& log, std::function<bool()> mayOrder, std::function<void()> deposed)
+    AdviceDesk& desk, observability::EventLog& log, TermAuthority authority)
     : m_context(context)
     , m_site(site)
     , m_settings(settings)
     , m_desk(desk)
     , m_log(log)
-    , m_mayOrder(std::move(mayOrder))
-    , m_deposed(std::move(deposed))
-    , m_writer(std::make_shared<ProgressWriter>(context, site.m_store, settings.m_term))
+    , m_authority(std::move(authority))
+    , m_writer(std::make_shared<ProgressWriter>(context, site.m_store,
+          ProgressWriter::Term { settings.m_term, settings.m_progressPartition, [this] { return allProgress(); },
+              m_authority.m_announceProgress, m_authority.m_isProgressAnnounced }))
     , m_workerObserver(std::make_unique<WorkerObserver>(*this))
     , m_progressObserver(std::make_unique<ProgressObserver>(*this))
     , m_cleaner(context, site.m_store)
@@ -190,7 +191,7 @@
         if (!isOpen)
             return depose();
         m_progressFollower = std::make_unique<TopicFollower>(
-            m_context, m_site.m_store, FollowerSettings { { progressTopic } }, *m_progressObserver);
+            m_context, m_site.m_store, FollowerSettings { { progressTopic, m_settings.m_progressPartition } }, *m_progressObserver);
         m_progressFollower->start();
         for (std::uint32_t part = 0; part < jobPartitions; ++part) {
             m_jobObservers.push_back(std::make_unique<JobObserver>(*this, part));
@@ -242,10 +243,11 @@
                 continue;
             if (record.m_key.front() == cancellationMark) {
                 cancelled.emplace_back(record.m_key.substr(1));
+                m_jobPartitions[cancelled.back()].insert(observer->m_partition);
                 continue;
             }
             const JobId id(record.m_key);
-            m_jobPartitions[id] = observer->m_partition;
+            m_jobPartitions[id].insert(observer->m_partition);
             const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, *record.m_value);
             if (succeeded(job))
                 m_scheduler->restoreJob(valueOf(job), storedProgress(id), wallNowMs(), now);
@@ -306,7 +308,9 @@
         return;
     const TimePoint now = bootNow();
     if (record.m_key.front() == cancellationMark) {
-        m_scheduler->cancelJob(JobId(record.m_key.substr(1)), now);
+        const JobId id(record.m_key.substr(1));
+        m_jobPartitions[id].insert(partition);
+        m_scheduler->cancelJob(id, now);
         return scheduleStep();
     }
     const JobId id(record.m_key);
@@ -315,7 +319,7 @@
         m_log.write(LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
         return;
     }
-    m_jobPartitions[id] = partition;
+    m_jobPartitions[id].insert(partition);
     m_scheduler->acceptJob(valueOf(job), wallNowMs(), now);
     scheduleStep();
 }
@@ -348,7 +352,7 @@
     if (!m_scheduler || m_isDeposed)
         return;
     m_lastStepAt = bootNow();
-    if (!m_isHandingOver && m_mayOrder()) {
+    if (!m_isHandingOver && m_authority.m_mayOrder()) {
         for (const jobs::SchedulerAction& action : m_scheduler->step(wallNowMs(), m_lastStepAt, m_desk.capacity()))
             carryOut(action);
     }
@@ -444,16 +448,18 @@
         return;
     if (!m_scheduler->hasChanges() && m_removals.empty())
         return;
-    const auto batch = std::make_shared<jobs::JobScheduler::Batch>(m_scheduler->takeChanges());
+    const jobs::JobScheduler::Batch batch = m_scheduler->takeChanges();
+    m_openBatch = batch.m_number;
     ProgressWriter::Records records = std::exchange(m_removals, {});
-    for (const jobs::ProgressRecord& record : batch->m_records)
+    for (const jobs::ProgressRecord& record : batch.m_records)
         records.push_back(recordOf(record));
-    const auto stored = [this, alive = m_isAlive, batch](bool isWritten) {
+    const auto stored = [this, alive = m_isAlive](bool isWritten) {
         if (!*alive)
             return;
         if (!isWritten)
             return depose();
-        m_scheduler->stored(batch->m_number);
+        m_scheduler->stored(m_openBatch);
+        logEnded();
         for (auto& [id, state] : m_links) {
             if (std::exchange(state.m_awaitsStore, false) && !state.m_isHolding)
                 hold(id);
@@ -465,16 +471,48 @@
     m_writer->write(std::move(records), stored);
 }
 
+ProgressWriter::Records SchedulerTerm::allProgress()
+{
+    const jobs::JobScheduler::Batch batch = m_scheduler->takeEverything(m_openBatch);
+    m_openBatch = batch.m_number;
+    m_log.write(LogEvent::ProgressMoves,
+        { { "term", m_settings.m_term }, { "partition", std::uint64_t { m_writer->partition() } },
+            { "jobs", std::uint64_t { batch.m_records.size() } } });
+    ProgressWriter::Records records;
+    records.reserve(batch.m_records.size());
+    for (const jobs::ProgressRecord& record : batch.m_records)
+        records.push_back(recordOf(record));
+    return records;
+}
+
+void SchedulerTerm::logEnded()
+{
+    const TimePoint now = bootNow();
+    for (const jobs::EndedJob& job : m_scheduler->takeEnded()) {
+        const jobs::JobHistory& history = job.m_history;
+        m_log.write(LogEvent::JobEnded,
+            { { "job", job.m_job.value() }, { "state", jobs::nameOf(job.m_state) },
+                { "tookMs", millisecondsOf(now - job.m_acceptedAt) },
+                { "objectiveMs", millisecondsOf(job.m_objective - job.m_acceptedAt) }, { "starts", history.m_starts },
+                { "failed", history.m_failedRuns }, { "stalled", history.m_stalledRuns },
+                { "lost", history.m_lostRuns }, { "questions", history.m_questions },
+                { "waitMs", millisecondsOf(history.m_longestWait) },
+                { "recordMs", millisecondsOf(history.m_longestRecord) },
+                { "startMs", millisecondsOf(history.m_longestStart) } });
+    }
+}
+
 void SchedulerTerm::forget(const std::vector<JobId>& jobs)
 {
     for (const JobId& job : jobs) {
         m_removals.emplace_back(job.value(), std::nullopt);
-        const auto partition = m_jobPartitions.find(job);
-        if (partition == m_jobPartitions.end())
+        const auto partitions = m_jobPartitions.extract(job);
+        if (partitions.empty())
             continue;
-        m_jobRemovals[partition->second].emplace_back(job.value(), std::nullopt);
-        m_jobRemovals[partition->second].emplace_back(cancellationKey(job), std::nullopt);
-        m_jobPartitions.erase(partition);
+        for (const std::uint32_t partition : partitions.mapped()) {
+            m_jobRemovals[partition].emplace_back(job.value(), std::nullopt);
+            m_jobRemovals[partition].emplace_back(cancellationKey(job), std::nullopt);
+        }
     }
     removeStoredJobs();
 }
@@ -544,7 +582,7 @@
 
 void SchedulerTerm::hold(const WorkerId& id)
 {
-    if (m_isDeposed || m_isHandingOver || !m_mayOrder())
+    if (m_isDeposed || m_isHandingOver || !m_authority.m_mayOrder())
         return;
     LinkState& state = m_links.at(id);
     state.m_isHolding = true;
@@ -596,7 +634,7 @@
     m_log.write(LogEvent::SchedulerCeased, { { "term", m_settings.m_term } });
     boost::asio::post(m_context, [this, alive = m_isAlive] {
         if (*alive)
-            m_deposed();
+            m_authority.m_deposed();
     });
 }
 
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -25,18 +25,30 @@
 /// What a term needs to know.
 struct TermSettings {
     std::uint64_t m_term = 1;
+    /// Partition with the progress that earlier terms have stored.
+    std::uint32_t m_progressPartition = 0;
     /// By when orders of earlier terms have ceased.
     TimePoint m_predecessorCeasedAt {};
     /// Lease of the workers.
     Duration m_lease = std::chrono::seconds(8);
 };
 
+/// How a term depends on the election of its daemon.
+struct TermAuthority {
+    /// Whether orders may still be given.
+    std::function<bool()> m_mayOrder;
+    /// Called once when a later term is met.
+    std::function<void()> m_deposed;
+    /// Names another partition of the progress to successors, and whether the store has that.
+    std::function<void(std::uint32_t)> m_announceProgress;
+    std::function<bool(std::uint32_t)> m_isProgressAnnounced;
+};
+
 /// Lives while the daemon holds the term. All calls come from the event loop.
 class SchedulerTerm {
 public:
-    /// `mayOrder` tells whether orders may still be given; `deposed` is called once when a later term is met.
     SchedulerTerm(boost::asio::io_context&, const SiteSettings&, const TermSettings&, AdviceDesk&,
-        observability::EventLog&, std::function<bool()> mayOrder, std::function<void()> deposed);
+        observability::EventLog&, TermAuthority);
     ~SchedulerTerm();
     SchedulerTerm(const SchedulerTerm&) = delete;
     SchedulerTerm& operator=(const SchedulerTerm&) = delete;
@@ -74,6 +86,8 @@
     void order(const jobs::PaceOrder&);
     void order(const jobs::AdviceQuestion&);
     void writeProgress();
+    ProgressWriter::Records allProgress();
+    void logEnded();
     void workerEntry(const userplatform::KeyedRecord&);
     void jobRecord(std::uint32_t partition, const userplatform::KeyedRecord&);
     void superviseLinks();
@@ -90,9 +104,10 @@
     const TermSettings m_settings;
     AdviceDesk& m_desk;
     observability::EventLog& m_log;
-    std::function<bool()> m_mayOrder;
-    std::function<void()> m_deposed;
+    const TermAuthority m_authority;
     std::shared_ptr<ProgressWriter> m_writer;
+    /// Number of the batch that the writer stores.
+    std::uint64_t m_openBatch = 0;
     std::vector<std::unique_ptr<JobObserver>> m_jobObservers;
     std::unique_ptr<WorkerObserver> m_workerObserver;
     std::unique_ptr<ProgressObserver> m_progressObserver;
@@ -104,8 +119,8 @@
     std::map<WorkerId, LinkState> m_links;
     /// Stored progress of jobs that were forgotten.
     ProgressWriter::Records m_removals;
-    /// Partition in which each job was read.
-    std::map<JobId, std::uint32_t> m_jobPartitions;
+    /// Partitions in which each job was read; more than one if an append of the job had no answer.
+    std::map<JobId, std::set<std::uint32_t>> m_jobPartitions;
     /// Stored jobs and cancellations to remove, by partition.
     std::map<std::uint32_t, ProgressWriter::Records> m_jobRemovals;
     userplatform::StoreConnection m_cleaner;
--- a/src/controller/SiteSettings.cpp
+++ b/src/controller/SiteSettings.cpp
@@ -36,7 +36,7 @@
     void readMillis(
         SectionReader& reader, std::string_view name, Duration& value, std::uint32_t least, std::uint32_t most)
     {
-        auto millis = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+        auto millis = static_cast<std::uint32_t>(millisecondsOf(value));
         reader.bounded(name, millis, least, most);
         value = std::chrono::milliseconds(millis);
     }
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -37,7 +37,7 @@
     if (age > m_settings.m_extendableAge)
         return header;
     header.m_runUntilMs
-        = m_clockMs + std::chrono::duration_cast<std::chrono::milliseconds>(age + m_settings.m_lease).count();
+        = m_clockMs + millisecondsOf(age + m_settings.m_lease);
     m_leaseEnd = std::max(m_leaseEnd, now + lapseOf(m_settings.m_lease) + age / (clockSlowness - 1));
     return header;
 }
--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -24,7 +24,8 @@
 std::string encodeTermRecord(const TermRecord& record)
 {
     return json::serialize(json::object { { "kind", static_cast<int>(record.m_kind) }, { "term", record.m_term },
-        { "daemon", record.m_daemon.value() }, { "address", record.m_address } });
+        { "daemon", record.m_daemon.value() }, { "address", record.m_address },
+        { "progressPartition", record.m_progressPartition } });
 }
 
 Result<TermRecord> decodeTermRecord(std::string_view text)
@@ -39,12 +40,14 @@
     const json::value* term = object->if_contains("term");
     const json::value* daemon = object->if_contains("daemon");
     const json::value* address = object->if_contains("address");
+    const json::value* partition = object->if_contains("progressPartition");
     if (kind == nullptr || !kind->is_int64() || kind->get_int64() < 0 || kind->get_int64() > 2 || term == nullptr
         || !term->is_int64() || daemon == nullptr || !daemon->is_string() || address == nullptr
-        || !address->is_string())
+        || !address->is_string() || (partition != nullptr && (!partition->is_int64() || partition->get_int64() < 0)))
         return malformed;
     return TermRecord { static_cast<TermRecord::Kind>(kind->get_int64()), static_cast<std::uint64_t>(term->get_int64()),
-        DaemonId(std::string(daemon->get_string())), std::string(address->get_string()) };
+        DaemonId(std::string(daemon->get_string())), std::string(address->get_string()),
+        partition == nullptr ? 0 : static_cast<std::uint32_t>(partition->get_int64()) };
 }
 
 Election::Election(const ElectionSettings& settings)
@@ -58,6 +61,7 @@
     const std::uint64_t term = record.m_kind == TermRecord::Kind::Claim ? offset + 1 : record.m_term;
     if (term < m_term)
         return;
+    m_progressPartition = record.m_progressPartition;
     if (term > m_term) {
         m_holdsTerm = false;
         m_term = term;
@@ -96,8 +100,10 @@
 {
     if (m_appending || !m_hasRead || now < m_nextRenewal)
         return std::nullopt;
-    TermRecord record { TermRecord::Kind::Renewal, m_term, m_settings.m_daemon, m_settings.m_address };
+    TermRecord record { TermRecord::Kind::Renewal, m_term, m_settings.m_daemon, m_settings.m_address,
+        m_progressPartition };
     if (m_holdsTerm) {
+        record.m_progressPartition = m_announcedPartition.value_or(m_progressPartition);
         if (m_isLeaving)
             record.m_kind = TermRecord::Kind::Release;
     } else {
@@ -124,6 +130,13 @@
     m_authorityUntil = m_claim->m_sentAt + m_settings.m_authority;
     m_recordAt = m_claim->m_sentAt;
     m_claim.reset();
+    m_announcedPartition.reset();
+}
+
+void Election::announceProgress(std::uint32_t partition)
+{
+    m_announcedPartition = partition;
+    m_nextRenewal = {};
 }
 
 void Election::appendEnded(AppendOutcome outcome, std::uint64_t offset, TimePoint sentAt)
@@ -140,8 +153,10 @@
             takeTerm(offset + 1);
         return;
     case TermRecord::Kind::Renewal:
-        if (m_holdsTerm && m_appended.m_term == m_term)
-            m_authorityUntil = sentAt + m_settings.m_authority;
+        if (!m_holdsTerm || m_appended.m_term != m_term)
+            return;
+        m_authorityUntil = sentAt + m_settings.m_authority;
+        m_progressPartition = m_appended.m_progressPartition;
         return;
     case TermRecord::Kind::Release:
         m_holdsTerm = false;
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -39,6 +39,8 @@
     std::uint64_t m_term = 0;
     DaemonId m_daemon;
     std::string m_address;
+    /// Partition that holds the progress of all jobs.
+    std::uint32_t m_progressPartition = 0;
 
     friend bool operator==(const TermRecord&, const TermRecord&) = default;
 };
@@ -78,6 +80,11 @@
     void leave() { m_isLeaving = true; }
     bool isReleased() const { return m_isLeaving && !m_holdsTerm && !m_appending; }
 
+    /// Names another partition for the progress of jobs in the records of this daemon's term, beginning with the next.
+    void announceProgress(std::uint32_t partition);
+    /// The partition that the newest record that is known names.
+    std::uint32_t progressPartition() const { return m_progressPartition; }
+
     /// Whether this daemon may give orders.
     bool holdsTerm(TimePoint now) const { return m_holdsTerm && now < m_authorityUntil; }
     /// Whether this daemon's term has not been followed by another one, as far as it knows.
@@ -106,6 +113,9 @@
     bool m_isVacant = true;
     bool m_isLeaving = false;
     std::string m_holderAddress;
+    std::uint32_t m_progressPartition = 0;
+    /// What this daemon's own records name while it holds the term; none before its first announcement.
+    std::optional<std::uint32_t> m_announcedPartition;
     TimePoint m_recordAt {};
     /// Longest of the recent intervals between two records of the holder; it fades.
     Duration m_interval = std::chrono::milliseconds(300);
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -31,6 +31,12 @@
 
 } // namespace
 
+const char* nameOf(JobState state)
+{
+    static constexpr const char* names[] = { "queued", "running", "done", "failed", "cancelled" };
+    return names[static_cast<std::size_t>(state)];
+}
+
 std::string encodeProgress(const JobProgress& progress)
 {
     std::string text = "s " + std::to_string(static_cast<int>(progress.m_state));
--- a/src/jobs/JobProgress.h
+++ b/src/jobs/JobProgress.h
@@ -34,6 +34,9 @@
 /// Where a job stands for its caller.
 enum class JobState : std::uint8_t { Queued, Running, Done, Failed, Cancelled };
 
+/// "queued", "running", "done", "failed" or "cancelled".
+const char* nameOf(JobState);
+
 inline bool isFinal(JobState state) { return state != JobState::Queued && state != JobState::Running; }
 
 /// The durable part of a job's state. A record replaces the one before it.
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -284,6 +284,9 @@
                 stopGang(step, name.m_run, now);
             continue;
         }
+        JobHistory& history = step.m_job->m_history;
+        history.m_longestRecord = std::max(history.m_longestRecord, now - run->second.m_orderedAt);
+        ++history.m_starts;
         run->second.m_phase = RunPhase::Starting;
         run->second.m_orderedAt = now;
         StartOrder order { id, name, step.m_job->m_record.m_spec.m_payload, taskOf(step, name).m_checkpoint, {} };
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace sapphiredale::jobs {
@@ -102,10 +103,14 @@
         std::vector<ProgressRecord> m_records;
     };
     Batch takeChanges();
+    /// The progress of all jobs, instead of the batch with this number, which is not going to be stored.
+    Batch takeEverything(std::uint64_t insteadOf);
     bool hasChanges() const { return !m_dirty.empty() || m_hasNewEnds; }
     void stored(std::uint64_t batch);
     /// Ends of the worker up to this number are stored and may be acknowledged.
     std::uint64_t storedEnd(const WorkerId&) const;
+    /// Jobs whose end has been stored since the last call.
+    std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
     /// Closed jobs whose retention is over; they are forgotten.
     std::vector<JobId> takeExpired(TimePoint now);
     /// @}
@@ -145,6 +150,8 @@
     void setActive(Run&, bool, TimePoint now);
     /// A worker has begun a task of the job.
     static void hasStarted(Job&);
+    /// The run has begun, as far as is known for the first time now.
+    static void confirm(Run&, TimePoint now);
     void taskFinished(Step&, Task&, TimePoint now);
     void stepFinished(Step&, TimePoint now);
     void closeJob(Job&, JobState, TimePoint now);
@@ -198,6 +205,7 @@
     /// Runs that wait for the store to name their places.
     std::vector<std::pair<WorkerId, RunName>> m_recording;
     std::vector<SchedulerAction> m_actions;
+    std::vector<EndedJob> m_ended;
     /// Share of the asked workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
     SchedulerCounters m_counters;
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -359,6 +359,7 @@
     question.m_expected = advice.m_base + advice.m_perWorker * static_cast<std::int64_t>(question.m_workers.size());
     step.m_isAsking = true;
     ++m_scheduler.m_counters.m_questions;
+    ++step.m_job->m_history.m_questions;
     m_scheduler.m_actions.emplace_back(std::move(question));
     return true;
 }
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -54,8 +54,7 @@
         const bool isSuperfluous
             = !step->m_job->isOpen() || task.m_isDone || (task.m_liveRuns > 0 && !step->m_spec->m_allowsCopies);
         Run& run = addRun(*step, task, worker, report.m_run, RunPhase::Running, now);
-        hasStarted(*step->m_job);
-        run.m_confirmedAt = now;
+        confirm(run, now);
         run.m_percent = report.m_percent;
         if (!report.m_checkpoint.empty())
             task.m_checkpoint = report.m_checkpoint;
@@ -64,9 +63,7 @@
         return;
     }
     Run& run = found->second;
-    hasStarted(*run.m_step->m_job);
-    if (run.m_confirmedAt == TimePoint::max())
-        run.m_confirmedAt = now;
+    confirm(run, now);
     if (run.m_phase == RunPhase::Starting || run.m_phase == RunPhase::Unknown) {
         run.m_phase = RunPhase::Running;
         setActive(run, true, now);
@@ -137,6 +134,8 @@
         }
     } else if (end.m_end == RunEnd::Failed && isOpen) {
         failureReported(worker, *step, end.m_run, now);
+    } else if (end.m_end == RunEnd::Lapsed || end.m_end == RunEnd::Broken || end.m_end == RunEnd::Alone) {
+        ++step->m_job->m_history.m_lostRuns;
     }
     removeRun(worker, end.m_run, now);
     if (!task.m_isDone || task.m_liveRuns == 0)
@@ -163,6 +162,7 @@
 void JobScheduler::stallReported(Worker& worker, Run& run, TimePoint now)
 {
     ++m_counters.m_stalledRuns;
+    ++run.m_step->m_job->m_history.m_stalledRuns;
     taskOf(*run.m_step, run.m_name).m_avoid = worker.m_description.m_worker;
     worker.m_failureScore += 1;
     quarantineIfBad(worker, now);
@@ -186,6 +186,7 @@
     if (std::find(task.m_failedRuns.begin(), task.m_failedRuns.end(), name.m_run) != task.m_failedRuns.end())
         return;
     ++m_counters.m_failedRuns;
+    ++step.m_job->m_history.m_failedRuns;
     task.m_avoid = worker.m_description.m_worker;
     worker.m_failureScore += 1;
     quarantineIfBad(worker, now);
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -18,6 +18,10 @@
 
 Run& JobScheduler::addRun(Step& step, Task& task, Worker& worker, const RunName& name, RunPhase phase, TimePoint now)
 {
+    if (task.m_isWaiting) {
+        Duration& longest = step.m_job->m_history.m_longestWait;
+        longest = std::max(longest, now - task.m_waitingSince);
+    }
     Run& run = worker.m_runs[name];
     run.m_name = name;
     run.m_step = &step;
@@ -45,6 +49,16 @@
         job.m_state = JobState::Running;
 }
 
+void JobScheduler::confirm(Run& run, TimePoint now)
+{
+    Job& job = *run.m_step->m_job;
+    hasStarted(job);
+    if (run.m_confirmedAt != TimePoint::max())
+        return;
+    run.m_confirmedAt = now;
+    job.m_history.m_longestStart = std::max(job.m_history.m_longestStart, now - run.m_orderedAt);
+}
+
 std::uint32_t JobScheduler::nextRun(const SchedulerSettings& settings, const Task& task)
 {
     const auto first = static_cast<std::uint32_t>((settings.m_term - 1) * runsPerTerm + 1);
@@ -86,6 +100,8 @@
 {
     for (const RunName& name : names) {
         ++m_counters.m_lostRuns;
+        if (const auto found = worker.m_runs.find(name); found != worker.m_runs.end())
+            ++found->second.m_step->m_job->m_history.m_lostRuns;
         removeRun(worker, name, now);
     }
 }
@@ -127,9 +143,7 @@
     Run& run = worker.m_runs.at(name);
     switch (outcome) {
     case StartOutcome::Started:
-        hasStarted(*run.m_step->m_job);
-        if (run.m_confirmedAt == TimePoint::max())
-            run.m_confirmedAt = now;
+        confirm(run, now);
         if (run.m_phase == RunPhase::Starting)
             run.m_phase = RunPhase::Running;
         return;
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -127,6 +127,7 @@
     std::deque<Step> m_steps;
     std::uint32_t m_openedOccurrences = 0;
     std::uint32_t m_finishedSteps = 0;
+    JobHistory m_history;
 
     bool isOpen() const { return !isFinal(m_state); }
     std::uint32_t stepsPerOccurrence() const { return static_cast<std::uint32_t>(m_record.m_spec.m_steps.size()); }
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -57,6 +57,15 @@
     return batch;
 }
 
+JobScheduler::Batch JobScheduler::takeEverything(std::uint64_t insteadOf)
+{
+    m_batchRecords.erase(insteadOf);
+    m_batchEnds.erase(insteadOf);
+    for (const auto& [id, job] : m_jobs)
+        changed(*job);
+    return takeChanges();
+}
+
 void JobScheduler::stored(std::uint64_t batch)
 {
     for (const ProgressRecord& record : m_batchRecords[batch]) {
@@ -64,6 +73,9 @@
         if (found == m_jobs.end())
             continue;
         Job& job = *found->second;
+        if (!isFinal(job.m_storedState) && isFinal(record.m_progress.m_state))
+            m_ended.push_back(
+                { record.m_job, record.m_progress.m_state, job.m_acceptedAt, job.m_objective, job.m_history });
         job.m_storedState = record.m_progress.m_state;
         for (Step& step : job.m_steps) {
             const auto places = record.m_progress.m_places.find({ step.m_name.m_occurrence, step.m_name.m_step });
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -185,6 +185,34 @@
 
 using SchedulerAction = std::variant<StartOrder, StopOrder, LookOrder, PaceOrder, AdviceQuestion>;
 
+/// What held up a job in this term.
+struct JobHistory {
+    std::uint32_t m_starts = 0;
+    std::uint32_t m_failedRuns = 0;
+    std::uint32_t m_stalledRuns = 0;
+    /// Runs that vanished with their worker, lapsed or were broken off.
+    std::uint32_t m_lostRuns = 0;
+    std::uint32_t m_questions = 0;
+    /// Longest time for which a task waited for a place, a place for its record, and an order for its confirmation.
+    Duration m_longestWait {};
+    Duration m_longestRecord {};
+    Duration m_longestStart {};
+
+    friend bool operator==(const JobHistory&, const JobHistory&) = default;
+};
+
+/// A job whose end has been stored.
+struct EndedJob {
+    JobId m_job;
+    JobState m_state = JobState::Done;
+    TimePoint m_acceptedAt {};
+    /// When the caller expects the result.
+    TimePoint m_objective {};
+    JobHistory m_history;
+
+    friend bool operator==(const EndedJob&, const EndedJob&) = default;
+};
+
 /// Progress of a job that is to be stored.
 struct ProgressRecord {
     JobId m_job;
--- a/src/model/Time.h
+++ b/src/model/Time.h
@@ -22,4 +22,9 @@
 /// Instant shared between hosts: milliseconds since the Unix epoch, UTC.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+inline std::int64_t millisecondsOf(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace sapphiredale
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -32,6 +32,7 @@
     OrderNotObeyed,
     AdviceFailed,
     StepWaits,
+    ProgressMoves,
     TaskStarted,
     TaskStopped,
     JobAccepted,
