--- a/src/controller/JobAppender.cpp
+++ b/src/controller/JobAppender.cpp
@@ -22,8 +22,8 @@
 
 } // namespace
 
-JobAppender::JobAppender(boost::asio::io_context& context, const std::string& store, userplatform::Partition first,
-    std::uint32_t partitions)
+JobAppender::JobAppender(
+    boost::asio::io_context& context, const std::string& store, userplatform::Partition first, std::uint32_t partitions)
     : m_store(context, store)
     , m_partition(std::move(first))
     , m_partitions(partitions)
--- a/src/controller/JobAppender.h
+++ b/src/controller/JobAppender.h
@@ -1,5 +1,6 @@
-// Stores accepted jobs and cancellations: what arrives while an append is under way goes into the next one. A store that
-// is partly down serves some partitions of a topic and not others, so a refused record is offered to the next partition.
+// Stores accepted jobs and cancellations: what arrives while an append is under way goes into the next one. A store
+// that is partly down serves some partitions of a topic and not others, so a refused record is offered to the next
+// partition.
 #pragma once
 
 #include "controller/Clock.h"
@@ -34,12 +35,12 @@
     JobAppender(const JobAppender&) = delete;
     JobAppender& operator=(const JobAppender&) = delete;
 
-    /// Calls the handler once, at the deadline at the latest. Refusals of several partitions end a record that was never
-    /// under way at once; one that was is sent again until its deadline.
+    /// Calls the handler once, at the deadline at the latest. Refusals of several partitions end a record that was
+    /// never under way at once; one that was is sent again until its deadline.
     void append(
         const std::string& key, const std::string& value, TimePoint deadline, std::function<void(StoreOutcome)>);
-    /// Whether several partitions have turned an append away or left it unanswered and none has answered since. Records are
-    /// refused at once meanwhile, so that it stays certain that they are not stored.
+    /// Whether several partitions have turned an append away or left it unanswered and none has answered since. Records
+    /// are refused at once meanwhile, so that it stays certain that they are not stored.
     bool isStoreAway() const { return m_isAway; }
 
 private:
--- a/src/controller/ProgressWriter.h
+++ b/src/controller/ProgressWriter.h
@@ -1,5 +1,5 @@
-// Stores the progress of jobs: one append at a time, by a writer whose epoch rises with the term and with each partition
-// that it opens, so that what was sent before and arrives late is refused.
+// Stores the progress of jobs: one append at a time, by a writer whose epoch rises with the term and with each
+// partition that it opens, so that what was sent before and arrives late is refused.
 //
 // While the store is partly down, some partitions refuse every append. The writer then stores everything that the term
 // knows in another partition and has it announced with the next renewal of the term; a successor reads only the
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -35,9 +35,18 @@
     /// Jobs for which the follower's view may be this old: a younger answer "unknown" is certain.
     constexpr Duration certainView = std::chrono::milliseconds(2000);
 
-    ProgressWriter::Records::value_type recordOf(const jobs::ProgressRecord& record)
+    /// Key of the record of a running job in the topic of the progress.
+    constexpr char runningJobMark = '=';
+    /// Time for the partitions of the accepted jobs to be listed; a term begins without those that take longer.
+    constexpr Duration listingPatience = std::chrono::milliseconds(300);
+
+    void addRecords(ProgressWriter::Records& records, const jobs::ProgressRecord& record)
     {
-        return { record.m_job.value(), jobs::encodeProgress(record.m_progress) };
+        records.emplace_back(record.m_job.value(), jobs::encodeProgress(record.m_progress));
+        if (record.m_record)
+            records.emplace_back(runningJobMark + record.m_job.value(), jobs::encodeJobRecord(*record.m_record));
+        else if (record.m_removesRecord)
+            records.emplace_back(runningJobMark + record.m_job.value(), std::nullopt);
     }
 
 } // namespace
@@ -61,21 +70,26 @@
     }
     void recordRead(const userplatform::KeyedRecord& record) override
     {
-        // Other partitions may still be listed; what arrives meanwhile is part of the recovery.
-        if (m_term.isRecovered())
+        if (m_isRestored)
             return m_term.jobRecord(m_partition, record);
+        // What arrives while other partitions are listed is part of the recovery.
         m_records.push_back(record);
     }
     void listingEnded() override
     {
         if (std::exchange(m_isListed, true))
             return;
-        m_term.recover();
+        if (m_term.isRecovered())
+            m_term.restoreLate(*this);
+        else
+            m_term.recover();
     }
     void caughtUp(std::uint64_t /*end*/, TimePoint askedAt) override { m_caughtUpAt = askedAt; }
 
     const std::uint32_t m_partition;
     bool m_isListed = false;
+    /// Its records have been given to the scheduler.
+    bool m_isRestored = false;
     std::vector<userplatform::KeyedRecord> m_records;
     TimePoint m_caughtUpAt {};
 
@@ -133,7 +147,7 @@
     void listingBegan() override { m_records.clear(); }
     void recordRead(const userplatform::KeyedRecord& record) override
     {
-        if (!m_isListed && record.m_value)
+        if (!m_isListed && record.m_value && !record.m_key.empty())
             m_records[record.m_key] = *record.m_value;
     }
     void listingEnded() override
@@ -190,8 +204,8 @@
             return;
         if (!isOpen)
             return depose();
-        m_progressFollower = std::make_unique<TopicFollower>(
-            m_context, m_site.m_store, FollowerSettings { { progressTopic, m_settings.m_progressPartition } }, *m_progressObserver);
+        m_progressFollower = std::make_unique<TopicFollower>(m_context, m_site.m_store,
+            FollowerSettings { { progressTopic, m_settings.m_progressPartition } }, *m_progressObserver);
         m_progressFollower->start();
         for (std::uint32_t part = 0; part < jobPartitions; ++part) {
             m_jobObservers.push_back(std::make_unique<JobObserver>(*this, part));
@@ -204,7 +218,7 @@
 
 void SchedulerTerm::recover()
 {
-    if (m_scheduler || !hasListedAll())
+    if (m_scheduler || !mayBegin())
         return;
     const TimePoint now = bootNow();
     jobs::SchedulerSettings settings;
@@ -212,52 +226,87 @@
     m_scheduler = std::make_unique<jobs::JobScheduler>(settings);
     for (const auto& [id, worker] : m_workerObserver->m_entries)
         m_scheduler->workerListed(worker, now);
-    restoreJobs(now);
+    for (const auto& [key, value] : m_progressObserver->m_records) {
+        if (key.front() == runningJobMark)
+            addJob(JobId(key.substr(1)), value, now);
+    }
+    for (const auto& observer : m_jobObservers) {
+        if (observer->m_isListed)
+            restoreJobs(*observer);
+    }
     // Everything that an earlier term ordered has lapsed one lease after it ceased; worker clocks may be slow.
     const Duration lapse = m_settings.m_lease + m_settings.m_lease / 20 + std::chrono::milliseconds(200);
     m_scheduler->setInheritedLapse(m_settings.m_predecessorCeasedAt + lapse);
     m_log.write(LogEvent::RecoveryFinished,
         { { "term", m_settings.m_term }, { "jobs", std::uint64_t { m_scheduler->jobCount() } },
-            { "workers", std::uint64_t { m_workerObserver->m_entries.size() } } });
-    for (const auto& observer : m_jobObservers)
-        observer->m_records.clear();
-    m_progressObserver->m_records.clear();
+            { "workers", std::uint64_t { m_workerObserver->m_entries.size() } },
+            { "unlistedPartitions", std::uint64_t { unlistedPartitions() } } });
     m_progressFollower.reset();
+    finishRestoration();
     superviseLinks();
     scheduleStep();
 }
 
-bool SchedulerTerm::hasListedAll() const
+std::size_t SchedulerTerm::unlistedPartitions() const
 {
-    return m_workerObserver->m_isListed && m_progressObserver->m_isListed && m_jobObservers.size() == jobPartitions
-        && std::all_of(
-            m_jobObservers.begin(), m_jobObservers.end(), [](const auto& observer) { return observer->m_isListed; });
+    return static_cast<std::size_t>(std::count_if(
+        m_jobObservers.begin(), m_jobObservers.end(), [](const auto& observer) { return !observer->m_isListed; }));
 }
 
-void SchedulerTerm::restoreJobs(TimePoint now)
+bool SchedulerTerm::mayBegin()
 {
-    std::vector<JobId> cancelled;
-    for (const auto& observer : m_jobObservers) {
-        for (const userplatform::KeyedRecord& record : observer->m_records) {
-            if (record.m_key.empty() || !record.m_value)
-                continue;
-            if (record.m_key.front() == cancellationMark) {
-                cancelled.emplace_back(record.m_key.substr(1));
-                m_jobPartitions[cancelled.back()].insert(observer->m_partition);
-                continue;
-            }
-            const JobId id(record.m_key);
-            m_jobPartitions[id].insert(observer->m_partition);
-            const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, *record.m_value);
-            if (succeeded(job))
-                m_scheduler->restoreJob(valueOf(job), storedProgress(id), wallNowMs(), now);
-            else
-                m_log.write(
-                    LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
-        }
+    if (!m_workerObserver->m_isListed || !m_progressObserver->m_isListed || m_jobObservers.size() != jobPartitions)
+        return false;
+    const std::size_t unlisted = unlistedPartitions();
+    if (unlisted == 0)
+        return true;
+    const TimePoint now = bootNow();
+    if (m_beginAt == TimePoint()) {
+        m_beginAt = now + listingPatience;
+        m_stepTimer.expires_after(listingPatience);
+        m_stepTimer.async_wait([this, alive = m_isAlive](boost::system::error_code error) {
+            if (!error && *alive)
+                recover();
+        });
     }
-    for (const JobId& id : cancelled)
-        m_scheduler->cancelJob(id, now);
+    return now >= m_beginAt && unlisted < jobPartitions;
+}
+
+void SchedulerTerm::restoreLate(JobObserver& observer)
+{
+    restoreJobs(observer);
+    finishRestoration();
+    scheduleStep();
+}
+
+void SchedulerTerm::finishRestoration()
+{
+    if (unlistedPartitions() > 0)
+        return;
+    // Records of jobs that nothing else tells of were left by a move to another partition and back.
+    for (const auto& [key, value] : m_progressObserver->m_records) {
+        const bool isRunningJob = key.front() == runningJobMark;
+        if (!m_scheduler->knows(JobId(isRunningJob ? key.substr(1) : key)))
+            m_removals.emplace_back(key, std::nullopt);
+    }
+    m_progressObserver->m_records.clear();
+}
+
+void SchedulerTerm::restoreJobs(JobObserver& observer)
+{
+    observer.m_isRestored = true;
+    const std::vector<userplatform::KeyedRecord> records = std::exchange(observer.m_records, {});
+    for (const userplatform::KeyedRecord& record : records)
+        jobRecord(observer.m_partition, record);
+}
+
+void SchedulerTerm::addJob(const JobId& id, const std::string& text, TimePoint now)
+{
+    const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, text);
+    if (succeeded(job))
+        m_scheduler->addJob(valueOf(job), storedProgress(id), wallNowMs(), now);
+    else
+        m_log.write(LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
 }
 
 jobs::JobProgress SchedulerTerm::storedProgress(const JobId& id) const
@@ -314,13 +363,8 @@
         return scheduleStep();
     }
     const JobId id(record.m_key);
-    const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, *record.m_value);
-    if (!succeeded(job)) {
-        m_log.write(LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
-        return;
-    }
     m_jobPartitions[id].insert(partition);
-    m_scheduler->acceptJob(valueOf(job), wallNowMs(), now);
+    addJob(id, *record.m_value, now);
     scheduleStep();
 }
 
@@ -452,7 +496,7 @@
     m_openBatch = batch.m_number;
     ProgressWriter::Records records = std::exchange(m_removals, {});
     for (const jobs::ProgressRecord& record : batch.m_records)
-        records.push_back(recordOf(record));
+        addRecords(records, record);
     const auto stored = [this, alive = m_isAlive](bool isWritten) {
         if (!*alive)
             return;
@@ -481,7 +525,7 @@
     ProgressWriter::Records records;
     records.reserve(batch.m_records.size());
     for (const jobs::ProgressRecord& record : batch.m_records)
-        records.push_back(recordOf(record));
+        addRecords(records, record);
     return records;
 }
 
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -74,8 +74,14 @@
     struct LinkState;
 
     void recover();
-    bool hasListedAll() const;
-    void restoreJobs(TimePoint now);
+    /// Whether enough of the store has been read for orders to be given.
+    bool mayBegin();
+    std::size_t unlistedPartitions() const;
+    void restoreJobs(JobObserver&);
+    /// A partition of the accepted jobs has been listed after the recovery.
+    void restoreLate(JobObserver&);
+    void finishRestoration();
+    void addJob(const JobId&, const std::string& record, TimePoint now);
     jobs::JobProgress storedProgress(const JobId&) const;
     void scheduleStep();
     void step();
@@ -131,6 +137,8 @@
     std::map<WorkerId, TimePoint> m_entryAt;
     boost::asio::steady_timer m_stepTimer;
     boost::asio::steady_timer m_superviseTimer;
+    /// When the term begins without the partitions that are not listed; the epoch while that is not due.
+    TimePoint m_beginAt {};
     TimePoint m_lastStepAt {};
     TimePoint m_nextForgetAt {};
     TimePoint m_nextWaitLogAt {};
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -36,8 +36,7 @@
     // The lease of a worker that does not answer has to end some time.
     if (age > m_settings.m_extendableAge)
         return header;
-    header.m_runUntilMs
-        = m_clockMs + millisecondsOf(age + m_settings.m_lease);
+    header.m_runUntilMs = m_clockMs + millisecondsOf(age + m_settings.m_lease);
     m_leaseEnd = std::max(m_leaseEnd, now + lapseOf(m_settings.m_lease) + age / (clockSlowness - 1));
     return header;
 }
--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -42,8 +42,8 @@
     const json::value* address = object->if_contains("address");
     const json::value* partition = object->if_contains("progressPartition");
     if (kind == nullptr || !kind->is_int64() || kind->get_int64() < 0 || kind->get_int64() > 2 || term == nullptr
-        || !term->is_int64() || daemon == nullptr || !daemon->is_string() || address == nullptr
-        || !address->is_string() || (partition != nullptr && (!partition->is_int64() || partition->get_int64() < 0)))
+        || !term->is_int64() || daemon == nullptr || !daemon->is_string() || address == nullptr || !address->is_string()
+        || (partition != nullptr && (!partition->is_int64() || partition->get_int64() < 0)))
         return malformed;
     return TermRecord { static_cast<TermRecord::Kind>(kind->get_int64()), static_cast<std::uint64_t>(term->get_int64()),
         DaemonId(std::string(daemon->get_string())), std::string(address->get_string()),
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -42,7 +42,7 @@
 
 JobScheduler::~JobScheduler() = default;
 
-Job& JobScheduler::addJob(const JobRecord& record, std::int64_t wallNowMs, TimePoint now)
+Job& JobScheduler::createJob(const JobRecord& record, std::int64_t wallNowMs, TimePoint now)
 {
     auto owned = std::make_unique<Job>();
     Job& job = *owned;
@@ -57,32 +57,22 @@
     return job;
 }
 
-void JobScheduler::acceptJob(const JobRecord& record, std::int64_t wallNowMs, TimePoint now)
+void JobScheduler::addJob(const JobRecord& record, const JobProgress& stored, std::int64_t wallNowMs, TimePoint now)
 {
     if (m_jobs.contains(record.m_job))
         return;
-    Job& job = addJob(record, wallNowMs, now);
-    if (m_cancelledEarly.erase(record.m_job) > 0)
-        return closeJob(job, JobState::Cancelled, now);
-    openDueOccurrences(job, wallNowMs, now);
-    if (job.m_openedOccurrences < record.m_spec.occurrenceCount())
-        m_timed.push_back(&job);
-}
-
-void JobScheduler::restoreJob(
-    const JobRecord& record, const JobProgress& progress, std::int64_t wallNowMs, TimePoint now)
-{
-    if (m_jobs.contains(record.m_job))
-        return;
-    Job& job = addJob(record, wallNowMs, now);
-    job.m_storedState = progress.m_state;
-    if (isFinal(progress.m_state)) {
-        job.m_state = progress.m_state;
+    Job& job = createJob(record, wallNowMs, now);
+    job.m_storedState = stored.m_state;
+    if (isFinal(stored.m_state)) {
+        job.m_state = stored.m_state;
         job.m_closedAt = now;
         return;
     }
+    if (m_cancelledEarly.erase(record.m_job) > 0)
+        return closeJob(job, JobState::Cancelled, now);
+    job.m_isRecordKept = stored.m_state == JobState::Running || !stored.m_places.empty();
     openDueOccurrences(job, wallNowMs, now);
-    restoreTasks(job, progress, now);
+    restoreTasks(job, stored, now);
     if (job.isOpen() && job.m_openedOccurrences < record.m_spec.occurrenceCount())
         m_timed.push_back(&job);
 }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -58,8 +58,6 @@
 
     /// \name Recovery
     /// @{
-    /// A job that was accepted before this term, with its stored progress.
-    void restoreJob(const JobRecord&, const JobProgress&, std::int64_t wallNowMs, TimePoint now);
     /// The instant by which everything that an earlier term ordered has lapsed. Until then, the steps of restored jobs
     /// wait for the reports of the workers on which they may have tasks.
     void setInheritedLapse(TimePoint lapsedAt) { m_lapsedAt = lapsedAt; }
@@ -67,8 +65,9 @@
     bool mayRunElsewhere(const Step&, TimePoint now) const;
     /// @}
 
-    /// Adds a job; a repeated call with the same identifier has no effect.
-    void acceptJob(const JobRecord&, std::int64_t wallNowMs, TimePoint now);
+    /// Adds a job with what earlier terms stored of its progress, which is empty for a new one. A repeated call with
+    /// the same identifier has no effect.
+    void addJob(const JobRecord&, const JobProgress& stored, std::int64_t wallNowMs, TimePoint now);
     /// Ends a job that is open. A job that arrives later is cancelled at once.
     void cancelJob(const JobId&, TimePoint now);
 
@@ -138,7 +137,7 @@
 private:
     friend class Placement;
 
-    Job& addJob(const JobRecord&, std::int64_t wallNowMs, TimePoint now);
+    Job& createJob(const JobRecord&, std::int64_t wallNowMs, TimePoint now);
     void openOccurrence(Job&, TimePoint now);
     void openDueOccurrences(Job&, std::int64_t wallNowMs, TimePoint now);
     ProgressRecord progressOf(const Job&) const;
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -95,7 +95,7 @@
 {
     const WorkerDescription& description = worker.m_description;
     if (!worker.m_isListed || !worker.m_isDescribed || !worker.m_hasReported || !worker.isAnswering()
-        || description.m_isDraining || worker.m_quarantinedUntil > m_now)
+        || worker.m_hasUnknownRuns || description.m_isDraining || worker.m_quarantinedUntil > m_now)
         return false;
     if (description.m_service != step.m_job->m_record.m_policy.m_service)
         return false;
@@ -374,6 +374,7 @@
             : !worker.m_hasReported                                                          ? "notReported"
             : !worker.isAnswering()                                                          ? "silent"
             : !worker.m_isDescribed                                                          ? "notDescribed"
+            : worker.m_hasUnknownRuns                                                        ? "unknownRuns"
             : worker.m_description.m_isDraining                                              ? "draining"
             : worker.m_quarantinedUntil > m_now                                              ? "quarantined"
             : !isEligible(worker, step)                                                      ? "otherPoolOrLabel"
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -32,6 +32,7 @@
     worker.m_isSilent = false;
     for (const EndReport& end : report.m_ended)
         endReported(worker, end, now);
+    worker.m_hasUnknownRuns = false;
     for (const RunReport& run : report.m_running)
         runReported(worker, run, now);
     dropMissingRuns(worker, report, now);
@@ -47,6 +48,7 @@
     if (found == worker.m_runs.end()) {
         Step* step = stepOf(report.m_run.m_task, now);
         if (step == nullptr) {
+            worker.m_hasUnknownRuns = true;
             m_actions.emplace_back(StopOrder { worker.m_description.m_worker, report.m_run });
             return;
         }
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -116,6 +116,8 @@
     JobState m_storedState = JobState::Queued;
     bool m_hasStarted = false;
     bool m_isDirty = false;
+    /// The job's record is stored beside its progress, or on its way there.
+    bool m_isRecordKept = false;
     TimePoint m_acceptedAt {};
     /// Objective of the job and the instant after which its result is worth nothing to the caller.
     TimePoint m_objective {};
@@ -147,6 +149,8 @@
     /// A report has arrived in this term and life.
     bool m_hasReported = false;
     TimePoint m_lastReportAt {};
+    /// The last report listed runs of jobs that are not known here. They take room until they have been stopped.
+    bool m_hasUnknownRuns = false;
     /// When an order or a request for a report was last left unanswered; no new work until a later report.
     TimePoint m_unansweredAt {};
     /// Latest instant until which anything that was ordered may run there without further orders.
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -9,7 +9,7 @@
 
 ProgressRecord JobScheduler::progressOf(const Job& job) const
 {
-    ProgressRecord record { job.m_record.m_job, {} };
+    ProgressRecord record { job.m_record.m_job, {}, std::nullopt, false };
     record.m_progress.m_state = job.m_state;
     if (!job.isOpen())
         return record;
@@ -42,13 +42,21 @@
         job->m_isDirty = false;
         batch.m_records.push_back(progressOf(*job));
         const auto& places = batch.m_records.back().m_progress.m_places;
+        if (job->isOpen() && !job->m_isRecordKept && !places.empty()) {
+            batch.m_records.back().m_record = job->m_record;
+            job->m_isRecordKept = true;
+        } else if (!job->isOpen()) {
+            batch.m_records.back().m_removesRecord = std::exchange(job->m_isRecordKept, false);
+        }
         for (Step& step : job->m_steps) {
             const auto found = places.find({ step.m_name.m_occurrence, step.m_name.m_step });
             step.m_sentPlaces = found == places.end() ? std::set<WorkerId>() : found->second;
         }
     }
     m_dirty.clear();
-    m_batchRecords[batch.m_number] = batch.m_records;
+    auto& records = m_batchRecords[batch.m_number];
+    for (const ProgressRecord& record : batch.m_records)
+        records.push_back({ record.m_job, record.m_progress, std::nullopt, false });
     auto& ends = m_batchEnds[batch.m_number];
     for (const auto& [id, worker] : m_workers) {
         if (worker.m_seenEnd > worker.m_storedEnd)
@@ -61,8 +69,10 @@
 {
     m_batchRecords.erase(insteadOf);
     m_batchEnds.erase(insteadOf);
-    for (const auto& [id, job] : m_jobs)
+    for (const auto& [id, job] : m_jobs) {
+        job->m_isRecordKept = false;
         changed(*job);
+    }
     return takeChanges();
 }
 
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -217,6 +218,11 @@
 struct ProgressRecord {
     JobId m_job;
     JobProgress m_progress;
+    /// The job itself, stored beside its progress before its first task starts: a successor then knows everything that
+    /// may run although it cannot read all accepted jobs.
+    std::optional<JobRecord> m_record;
+    /// The job has ended, so that its record is needed no longer.
+    bool m_removesRecord = false;
 
     friend bool operator==(const ProgressRecord&, const ProgressRecord&) = default;
 };
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -93,7 +93,7 @@
         HttpListener store(context, "", [&](const ServerRequest&, const Responder& respond) {
             respond({ isAway ? 503U : 200U, R"({"offset":0,"end":1})" });
         });
-        JobAppender appender(context, open(store), { "keyed.jobs" });
+        JobAppender appender(context, open(store), { "keyed.jobs" }, 4);
         std::optional<StoreOutcome> first;
         appender.append("a", "1", bootNow() + std::chrono::seconds(5), [&](StoreOutcome outcome) { first = outcome; });
         runUntil(context, [&] { return first.has_value(); });
@@ -121,7 +121,7 @@
                 return held.push_back(respond);
             respond({ 200, R"({"offset":0,"end":1})" });
         });
-        JobAppender appender(context, open(store), { "keyed.jobs" });
+        JobAppender appender(context, open(store), { "keyed.jobs" }, 4);
         std::optional<StoreOutcome> outcome;
         appender.append("a", "1", bootNow() + std::chrono::seconds(6), [&](StoreOutcome known) { outcome = known; });
         runUntil(context, [&] { return outcome.has_value(); });
--- /dev/null
+++ b/tests/controller/StoreTest.cpp
@@ -0,0 +1,255 @@
+// Tests of what is kept in the store while it serves only some partitions: accepted jobs, progress, and the recovery of
+// a term.
+
+#include "controller/JobAppender.h"
+#include "controller/ProgressWriter.h"
+#include "controller/SchedulerTerm.h"
+#include "tests/controller/StoreStandIn.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <optional>
+
+namespace sapphiredale::controller {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Fault = StoreStandIn::Fault;
+
+class StoreTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(StoreTest);
+    CPPUNIT_TEST(refusedRecordGoesToTheNextPartition);
+    CPPUNIT_TEST(recordWithoutAnAnswerGoesToTheNextPartition);
+    CPPUNIT_TEST(progressMovesToAPartitionThatServes);
+    CPPUNIT_TEST(moveCountsOnceItIsAnnounced);
+    CPPUNIT_TEST(laterTermStopsTheWriter);
+    CPPUNIT_TEST(termBeginsWithoutAPartitionThatIsAway);
+    CPPUNIT_TEST(recordsThatArriveDuringTheRecoveryCount);
+    CPPUNIT_TEST(progressOfUnknownJobsIsRemoved);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Runs the loop until the condition holds, for some seconds at the most.
+    template <typename Condition> static void runUntil(boost::asio::io_context& context, Condition condition)
+    {
+        for (int i = 0; i < 4000 && !condition(); ++i)
+            context.run_one_for(milliseconds(2));
+        CPPUNIT_ASSERT(condition());
+    }
+
+    /// A term with the parts around it.
+    struct TermFixture {
+        explicit TermFixture(StoreStandIn& store, boost::asio::io_context& context)
+            : m_desk(context, nullptr)
+            , m_log(openLog())
+        {
+            m_site.m_store = store.address();
+            TermAuthority authority;
+            authority.m_mayOrder = [] { return true; };
+            authority.m_deposed = [] {};
+            authority.m_announceProgress = [](std::uint32_t) {};
+            authority.m_isProgressAnnounced = [](std::uint32_t) { return true; };
+            m_term = std::make_unique<SchedulerTerm>(
+                context, m_site, TermSettings { 2, 0, bootNow(), seconds(8) }, m_desk, *m_log, std::move(authority));
+        }
+
+        static std::unique_ptr<observability::EventLog> openLog()
+        {
+            observability::EventLogSettings settings;
+            settings.m_minimum = observability::Severity::Error;
+            return valueOf(observability::EventLog::open(settings));
+        }
+
+        SiteSettings m_site;
+        AdviceDesk m_desk;
+        std::unique_ptr<observability::EventLog> m_log;
+        std::unique_ptr<SchedulerTerm> m_term;
+    };
+
+    static std::string jobText(const std::string& name)
+    {
+        jobs::JobRecord record;
+        record.m_job = JobId(name);
+        record.m_policy.m_queue = "q";
+        record.m_spec.m_steps.resize(1);
+        record.m_spec.m_steps[0].m_count = 1;
+        return jobs::encodeJobRecord(record);
+    }
+
+    static std::string runningText()
+    {
+        jobs::JobProgress progress;
+        progress.m_state = jobs::JobState::Running;
+        progress.m_places[{ 0, 0 }] = { WorkerId("w") };
+        return jobs::encodeProgress(progress);
+    }
+
+public:
+    void refusedRecordGoesToTheNextPartition()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        store.part("keyed.jobs", 3).m_fault = Fault::Refuses;
+        store.part("keyed.jobs", 0).m_fault = Fault::Refuses;
+        JobAppender appender(context, store.address(), { "keyed.jobs", 3 }, 4);
+        std::optional<StoreOutcome> outcome;
+        appender.append("a", "1", bootNow() + seconds(3), [&](StoreOutcome known) { outcome = known; });
+        runUntil(context, [&] { return outcome.has_value(); });
+        CPPUNIT_ASSERT(outcome == StoreOutcome::Stored);
+        CPPUNIT_ASSERT(!appender.isStoreAway());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), store.newest("keyed.jobs", 1).count("a"));
+    }
+
+    void recordWithoutAnAnswerGoesToTheNextPartition()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        store.part("keyed.jobs", 0).m_fault = Fault::LosesAnswers;
+        JobAppender appender(context, store.address(), { "keyed.jobs", 0 }, 4);
+        std::optional<StoreOutcome> outcome;
+        appender.append("a", "1", bootNow() + seconds(3), [&](StoreOutcome known) { outcome = known; });
+        runUntil(context, [&] { return outcome.has_value(); });
+        CPPUNIT_ASSERT(outcome == StoreOutcome::Stored);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), store.newest("keyed.jobs", 0).count("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), store.newest("keyed.jobs", 1).count("a"));
+    }
+
+    void progressMovesToAPartitionThatServes()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        std::vector<std::uint32_t> announced;
+        ProgressWriter::Term term;
+        term.m_number = 5;
+        term.m_everything = [] { return ProgressWriter::Records { { "a", "newest" }, { "b", "old" } }; };
+        term.m_announce = [&](std::uint32_t partition) { announced.push_back(partition); };
+        term.m_isAnnounced = [](std::uint32_t) { return true; };
+        const auto writer = std::make_shared<ProgressWriter>(context, store.address(), term);
+        std::optional<bool> isOpen;
+        writer->open([&](bool result) { isOpen = result; });
+        runUntil(context, [&] { return isOpen.has_value(); });
+        store.part(progressTopic, 0).m_fault = Fault::Refuses;
+        store.part(progressTopic, 1).m_fault = Fault::Refuses;
+        std::optional<bool> isWritten;
+        writer->write({ { "a", "new" } }, [&](bool result) { isWritten = result; });
+        runUntil(context, [&] { return isWritten.has_value(); });
+        CPPUNIT_ASSERT(isWritten == true);
+        CPPUNIT_ASSERT(announced == std::vector<std::uint32_t> { 2 });
+        CPPUNIT_ASSERT((store.newest(progressTopic, 2)
+            == std::map<std::string, std::string> { { "a", "newest" }, { "b", "old" } }));
+        // What was sent to a partition before it is opened again is refused when it arrives late.
+        CPPUNIT_ASSERT(store.part(progressTopic, 2).m_writers.begin()->second.first
+            > store.part(progressTopic, 0).m_writers.begin()->second.first);
+        isWritten.reset();
+        writer->write({ { "a", "later" } }, [&](bool result) { isWritten = result; });
+        runUntil(context, [&] { return isWritten.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("later"), store.newest(progressTopic, 2).at("a"));
+        writer->stop();
+    }
+
+    // Guards against a successor that reads another partition than the one whose records count.
+    void moveCountsOnceItIsAnnounced()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        bool isAnnounced = false;
+        ProgressWriter::Term term;
+        term.m_everything = [] { return ProgressWriter::Records { { "a", "1" } }; };
+        term.m_announce = [](std::uint32_t) {};
+        term.m_isAnnounced = [&](std::uint32_t) { return isAnnounced; };
+        const auto writer = std::make_shared<ProgressWriter>(context, store.address(), term);
+        store.part(progressTopic, 0).m_fault = Fault::Refuses;
+        bool isWritten = false;
+        writer->write({ { "a", "1" } }, [&](bool) { isWritten = true; });
+        runUntil(context, [&] { return store.newest(progressTopic, 1).contains("a"); });
+        for (int i = 0; i < 20; ++i)
+            context.run_one_for(milliseconds(5));
+        CPPUNIT_ASSERT(!isWritten);
+        isAnnounced = true;
+        runUntil(context, [&] { return isWritten; });
+        writer->stop();
+    }
+
+    void laterTermStopsTheWriter()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        const auto open = [&](std::uint64_t number) {
+            ProgressWriter::Term term;
+            term.m_number = number;
+            auto writer = std::make_shared<ProgressWriter>(context, store.address(), term);
+            bool isOpen = false;
+            writer->open([&](bool result) { isOpen = result; });
+            runUntil(context, [&] { return isOpen; });
+            return writer;
+        };
+        const auto earlier = open(7);
+        const auto later = open(8);
+        std::optional<bool> isWritten;
+        earlier->write({ { "a", "1" } }, [&](bool result) { isWritten = result; });
+        runUntil(context, [&] { return isWritten.has_value(); });
+        CPPUNIT_ASSERT(isWritten == false);
+        CPPUNIT_ASSERT(store.newest(progressTopic).empty());
+        earlier->stop();
+        later->stop();
+    }
+
+    // A takeover while two of five partitions are away waited for them.
+    void termBeginsWithoutAPartitionThatIsAway()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context, 2);
+        store.put(jobTopic, 4, "running", jobText("running"));
+        store.put(jobTopic, 4, "queued", jobText("queued"));
+        store.put(jobTopic, 5, "other", jobText("other"));
+        store.put(progressTopic, 0, "running", runningText());
+        store.put(progressTopic, 0, "=running", jobText("running"));
+        store.part(jobTopic, 4).m_fault = Fault::Refuses;
+        TermFixture fixture(store, context);
+        SchedulerTerm& term = *fixture.m_term;
+        term.start();
+        runUntil(context, [&] { return term.isRecovered(); });
+        CPPUNIT_ASSERT(valueOf(term.state(JobId("running"))) == jobs::JobState::Running);
+        CPPUNIT_ASSERT(succeeded(term.state(JobId("other"))));
+        // Nobody may be told that a job does not exist while it may be in the partition that is away.
+        CPPUNIT_ASSERT(errorOf(term.state(JobId("queued"))).m_kind == ErrorKind::NotReady);
+        store.part(jobTopic, 4).m_fault = Fault::None;
+        runUntil(context, [&] { return succeeded(term.state(JobId("queued"))); });
+        CPPUNIT_ASSERT(valueOf(term.state(JobId("running"))) == jobs::JobState::Running);
+    }
+
+    // Guards against records that are read while other partitions are still listed and are then dropped.
+    void recordsThatArriveDuringTheRecoveryCount()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        store.put(jobTopic, 1, "first", jobText("first"));
+        store.part("keyed.servers").m_fault = Fault::Refuses;
+        TermFixture fixture(store, context);
+        SchedulerTerm& term = *fixture.m_term;
+        term.start();
+        runUntil(context, [&] { return store.part(jobTopic, 1).m_calls >= 2; });
+        store.put(jobTopic, 1, "second", jobText("second"));
+        runUntil(context, [&] { return store.part(jobTopic, 1).m_calls >= 3; });
+        CPPUNIT_ASSERT(!term.isRecovered());
+        store.part("keyed.servers").m_fault = Fault::None;
+        runUntil(context, [&] { return term.isRecovered(); });
+        CPPUNIT_ASSERT(succeeded(term.state(JobId("first"))));
+        CPPUNIT_ASSERT(succeeded(term.state(JobId("second"))));
+    }
+
+    void progressOfUnknownJobsIsRemoved()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        store.put(jobTopic, 1, "known", jobText("known"));
+        store.put(progressTopic, 0, "known", runningText());
+        store.put(progressTopic, 0, "left", jobs::encodeProgress({ jobs::JobState::Done, {}, {}, {} }));
+        TermFixture fixture(store, context);
+        fixture.m_term->start();
+        runUntil(context, [&] { return !store.newest(progressTopic).contains("left"); });
+        CPPUNIT_ASSERT(store.newest(progressTopic).contains("known"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreTest);
+
+} // namespace sapphiredale::controller
--- a/tests/jobs/ElectionTest.cpp
+++ b/tests/jobs/ElectionTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(restartedHolderClaimsAtOnce);
     CPPUNIT_TEST(releasedTermIsClaimedAtOnce);
     CPPUNIT_TEST(authorityEndsWithoutRenewals);
+    CPPUNIT_TEST(announcedPartitionOutlivesItsTerm);
     CPPUNIT_TEST(recordsAreReversible);
     CPPUNIT_TEST_SUITE_END();
 
@@ -152,6 +153,28 @@
         CPPUNIT_ASSERT(!a.m_election.holdsTerm(now + milliseconds(7100)));
     }
 
+    // Guards against a successor that reads the progress where the holder no longer writes it.
+    void announcedPartitionOutlivesItsTerm()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        Daemon b("b", topic);
+        TimePoint now(seconds(10));
+        for (; !a.m_election.holdsTerm(now); now += milliseconds(50))
+            a.step(now);
+        b.read(now);
+        a.m_election.announceProgress(3);
+        CPPUNIT_ASSERT_EQUAL(0U, a.m_election.progressPartition());
+        a.step(now);
+        CPPUNIT_ASSERT_EQUAL(3U, a.m_election.progressPartition());
+        for (; !b.m_election.holdsTerm(now); now += milliseconds(50))
+            b.step(now);
+        CPPUNIT_ASSERT_EQUAL(3U, b.m_election.progressPartition());
+        now += seconds(1);
+        b.step(now);
+        CPPUNIT_ASSERT_EQUAL(3U, topic.m_records.back().m_progressPartition);
+    }
+
     void recordsAreReversible()
     {
         const TermRecord record { TermRecord::Kind::Renewal, 12, DaemonId("a"), "10.0.0.1:7720" };
--- a/tests/jobs/JobSchedulerTest.cpp
+++ b/tests/jobs/JobSchedulerTest.cpp
@@ -11,6 +11,9 @@
     CPPUNIT_TEST(runPlacedWhileAnotherRecordIsStoredStarts);
     CPPUNIT_TEST(successorWaitsOnlyForStepsOnUnreachableWorkers);
     CPPUNIT_TEST(inheritedRunsKeepTheLeaseOfTheirTerm);
+    CPPUNIT_TEST(runningJobsAreKnownWithoutTheAcceptedOnes);
+    CPPUNIT_TEST(unknownRunsKeepTheirWorkerFromNewWork);
+    CPPUNIT_TEST(everythingIsStoredAnewAfterAMove);
     CPPUNIT_TEST(newLifeIsUsedOnceItIsDescribed);
     CPPUNIT_TEST(lateStartIsBarredBeforeAnother);
     CPPUNIT_TEST(startWithLostAnswerIsAdopted);
@@ -90,7 +93,7 @@
         const WorkerDescription worker = cell.m_workers.begin()->second.m_description;
         scheduler.workerListed(worker, now);
         scheduler.workerReported(worker.m_worker, { 1, now, {}, {} }, now);
-        scheduler.acceptJob(SimulatedCell::job("j", { SimulatedCell::step(2, 32000, milliseconds(500)) }), 0, now);
+        scheduler.addJob(SimulatedCell::job("j", { SimulatedCell::step(2, 32000, milliseconds(500)) }), {}, 0, now);
         const auto starts = [&] {
             std::vector<RunName> runs;
             for (const SchedulerAction& action : scheduler.step(0, now, {})) {
@@ -153,6 +156,84 @@
         assertNoBreach(cell);
     }
 
+    // A takeover while the store serves only part of its partitions: running jobs go on, the others are added later,
+    // and nothing runs twice.
+    void runningJobsAreKnownWithoutTheAcceptedOnes()
+    {
+        SimulatedCell cell = startedCell(2);
+        StepSpec second = SimulatedCell::step(1, 1000, milliseconds(500));
+        second.m_dependsOn = { 0 };
+        cell.accept(SimulatedCell::job("running", { SimulatedCell::step(2, 1000, milliseconds(800)), second }));
+        cell.accept(SimulatedCell::job("cancelled", { SimulatedCell::step(2, 1000, seconds(20)) }));
+        cell.run(milliseconds(200));
+        cell.cancel(JobId("cancelled"));
+        cell.run(milliseconds(700));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.m_keptRecords.size());
+        cell.m_isAcceptedTopicAway = true;
+        cell.takeOver();
+        cell.run(milliseconds(900));
+        CPPUNIT_ASSERT(cell.state("running") == JobState::Done);
+        CPPUNIT_ASSERT(!cell.m_scheduler->knows(JobId("cancelled")));
+        cell.readAccepted();
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT(cell.state("cancelled") == JobState::Cancelled);
+        CPPUNIT_ASSERT(cell.m_keptRecords.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), cell.m_starts);
+        assertNoBreach(cell);
+    }
+
+    // Guards against room that a run still takes whose job was forgotten.
+    void unknownRunsKeepTheirWorkerFromNewWork()
+    {
+        JobScheduler scheduler({});
+        const TimePoint now(seconds(100));
+        SimulatedCell cell(1);
+        const WorkerDescription worker = cell.m_workers.begin()->second.m_description;
+        scheduler.workerListed(worker, now);
+        const RunReport unknown { { { JobId("forgotten"), {} }, 1 }, {}, 50, 0 };
+        scheduler.workerReported(worker.m_worker, { 1, now, { unknown }, {} }, now);
+        scheduler.addJob(SimulatedCell::job("j", { SimulatedCell::step(1, 1000, milliseconds(500)) }), {}, 0, now);
+        const std::vector<SchedulerAction> actions = scheduler.step(0, now, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), actions.size());
+        CPPUNIT_ASSERT(std::holds_alternative<StopOrder>(actions.front()));
+        CPPUNIT_ASSERT(!scheduler.hasChanges());
+        scheduler.workerReported(worker.m_worker, { 1, now, {}, {} }, now);
+        scheduler.step(0, now, {});
+        CPPUNIT_ASSERT(scheduler.hasChanges());
+    }
+
+    // Guards against a partition that lacks what the one before it had.
+    void everythingIsStoredAnewAfterAMove()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.accept(SimulatedCell::job("done", { SimulatedCell::step(1, 1000, milliseconds(100)) }));
+        cell.run(milliseconds(500));
+        cell.accept(SimulatedCell::job("running", { SimulatedCell::step(1, 1000, seconds(5)) }));
+        cell.run(milliseconds(300));
+        JobScheduler& scheduler = *cell.m_scheduler;
+        cell.accept(SimulatedCell::job("placed", { SimulatedCell::step(1, 1000, seconds(5)) }));
+        scheduler.step(cell.wallMs(), cell.m_now, {});
+        const JobScheduler::Batch refused = scheduler.takeChanges();
+        const JobScheduler::Batch everything = scheduler.takeEverything(refused.m_number);
+        std::map<JobId, const ProgressRecord*> records;
+        for (const ProgressRecord& record : everything.m_records)
+            records[record.m_job] = &record;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), records.size());
+        CPPUNIT_ASSERT(records.at(JobId("done"))->m_progress.m_state == JobState::Done);
+        CPPUNIT_ASSERT(records.at(JobId("running"))->m_record.has_value());
+        CPPUNIT_ASSERT(records.at(JobId("placed"))->m_record.has_value());
+        const auto starts = [&] {
+            const std::vector<SchedulerAction> actions = scheduler.step(cell.wallMs(), cell.m_now, {});
+            return std::count_if(actions.begin(), actions.end(),
+                [](const auto& action) { return std::holds_alternative<StartOrder>(action); });
+        };
+        // The batch that was replaced counts for nothing.
+        scheduler.stored(refused.m_number);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), starts());
+        scheduler.stored(everything.m_number);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), starts());
+    }
+
     // Guards against work for a new life of a worker by the room of the one before.
     void newLifeIsUsedOnceItIsDescribed()
     {
@@ -461,10 +542,16 @@
                 cell.accept(job);
                 auto worker = cell.m_workers.begin();
                 std::advance(worker, random() % cell.m_workers.size());
-                switch (random() % 9) {
+                switch (random() % 10) {
                 case 0:
                     cell.takeOver();
                     break;
+                case 9:
+                    cell.m_isAcceptedTopicAway = true;
+                    cell.takeOver();
+                    cell.run(milliseconds(random() % 1500));
+                    cell.readAccepted();
+                    break;
                 case 1:
                     worker->second.m_isReachable = !worker->second.m_isReachable;
                     break;
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -115,14 +115,27 @@
             if (m_registry.contains(id))
                 m_scheduler->workerListed(m_registry.at(id), m_now);
         }
-        for (const auto& [id, record] : m_accepted) {
-            const auto progress = m_store.find(id);
-            m_scheduler->restoreJob(
-                record, progress == m_store.end() ? JobProgress {} : progress->second, wallMs(), m_now);
-        }
+        for (const auto& [id, record] : m_keptRecords)
+            m_scheduler->addJob(record, progressOf(id), wallMs(), m_now);
+        if (!m_isAcceptedTopicAway)
+            readAccepted();
+        m_scheduler->setInheritedLapse(m_now + lease + milliseconds(600));
+    }
+
+    JobProgress progressOf(const JobId& id) const
+    {
+        const auto progress = m_store.find(id);
+        return progress == m_store.end() ? JobProgress {} : progress->second;
+    }
+
+    /// The scheduler reads all accepted jobs and cancellations.
+    void readAccepted()
+    {
+        m_isAcceptedTopicAway = false;
+        for (const auto& [id, record] : m_accepted)
+            m_scheduler->addJob(record, progressOf(id), wallMs(), m_now);
         for (const JobId& id : m_cancelled)
             m_scheduler->cancelJob(id, m_now);
-        m_scheduler->setInheritedLapse(m_now + lease + milliseconds(600));
     }
 
     void listAll()
@@ -142,7 +155,7 @@
         stored.m_acceptedMs = wallMs();
         m_accepted[record.m_job] = stored;
         if (m_scheduler)
-            m_scheduler->acceptJob(stored, wallMs(), m_now);
+            m_scheduler->addJob(stored, {}, wallMs(), m_now);
     }
 
     void cancel(const JobId& id)
@@ -191,6 +204,10 @@
     std::map<JobId, JobRecord> m_accepted;
     std::set<JobId> m_cancelled;
     std::map<JobId, JobProgress> m_store;
+    /// Records of running jobs, stored beside their progress.
+    std::map<JobId, JobRecord> m_keptRecords;
+    /// The store does not serve the accepted jobs to a scheduler that takes over.
+    bool m_isAcceptedTopicAway = false;
     std::unique_ptr<JobScheduler> m_scheduler;
     bool m_isStoreUp = true;
     /// Real run time as a multiple of the estimate.
@@ -418,8 +435,13 @@
     void store()
     {
         if (m_storing && m_isStoreUp && m_storing->m_at <= m_now) {
-            for (const ProgressRecord& record : m_storing->m_batch.m_records)
+            for (const ProgressRecord& record : m_storing->m_batch.m_records) {
                 m_store[record.m_job] = record.m_progress;
+                if (record.m_record)
+                    m_keptRecords[record.m_job] = *record.m_record;
+                else if (record.m_removesRecord)
+                    m_keptRecords.erase(record.m_job);
+            }
             m_scheduler->stored(m_storing->m_batch.m_number);
             m_storing.reset();
         }
