Keep scheduling while the store serves only part of its partitions

The store was down for about a quarter of its partitions, and a term began only after all sixteen partitions of the accepted jobs had been listed. A daemon whose own partition refused sent every record through the scheduler's daemon or turned callers away, and a scheduler whose progress partition refused placed nothing until the outage was over.

Ruled out: the size of the listings (2,423 jobs, five pages) and the link of the new scheduler (200 Mbit/s): the first recovery of a term with all partitions took 20 to 150 ms.

A term begins 300 ms after the progress and the registry have been listed, with the partitions that answer; the others are added when they are listed. Until then no job is said not to exist.

Conclusion: takeovers no longer wait for a partial outage.

--- a/programs/sapphired.cpp
+++ b/programs/sapphired.cpp
@@ -58,6 +58,13 @@
     return valueOf(std::move(log));
 }
 
+/// Text of the file; empty when it cannot be read.
+std::string textOf(const std::string& path)
+{
+    std::ifstream file(path);
+    return { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+}
+
 int run(const daemon::Settings& settings)
 {
     auto log = openLog(settings.m_daemon, settings.m_log, false);
@@ -86,7 +93,8 @@
     auto log = openLog(settings.m_daemon, settings.m_log, true);
     if (!log)
         return 1;
-    controller::Controller controller(settings, randomSeed(), std::move(log));
+    controller::Controller controller(settings, randomSeed(), std::move(log),
+        [] { return controller::parseSiteSettings(textOf(FLAGS_site_settings)); });
     if (const Result<Unit> started = controller.start(); !succeeded(started)) {
         std::cerr << "sapphired: " << errorOf(started).m_detail << '\n';
         return 1;
@@ -117,12 +125,11 @@
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const std::string path = FLAGS_site_settings.empty() ? FLAGS_settings : FLAGS_site_settings;
-    std::ifstream file(path);
-    if (path.empty() || !file) {
+    if (path.empty() || !std::ifstream(path)) {
         std::cerr << "sapphired: cannot read the settings file '" << path << "'; use --settings FILE\n";
         return 2;
     }
-    const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    const std::string text = textOf(path);
     if (!FLAGS_site_settings.empty())
         return runChecked(path, controller::parseSiteSettings(text));
     return runChecked(path, daemon::parseSettings(text));
--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -101,8 +101,10 @@
     std::uint64_t m_version = 0;
 };
 
-Controller::Controller(SiteSettings settings, std::uint64_t seed, std::unique_ptr<observability::EventLog> log)
+Controller::Controller(SiteSettings settings, std::uint64_t seed, std::unique_ptr<observability::EventLog> log,
+    std::function<SiteSettingsResult()> readSettings)
     : m_settings(std::move(settings))
+    , m_readSettings(std::move(readSettings))
     , m_log(std::move(log))
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_tickTimer(m_context)
@@ -164,8 +166,7 @@
         if (error)
             return;
         if (signal == SIGHUP) {
-            // Addresses and bounds hold for the life of the process.
-            m_log->write(LogEvent::SettingsReloaded);
+            reload();
         } else {
             beginStop();
         }
@@ -173,6 +174,17 @@
     });
 }
 
+void Controller::reload()
+{
+    const SiteSettingsResult result = m_readSettings();
+    if (const auto* faults = std::get_if<std::vector<daemon::SettingsFault>>(&result)) {
+        m_log->write(LogEvent::ConfigurationRefused, { { "detail", daemon::describe(*faults) } });
+        return;
+    }
+    // Addresses and bounds hold for the life of the process.
+    m_log->write(LogEvent::SettingsReloaded, { { "needsRestart", std::get<SiteSettings>(result) != m_settings } });
+}
+
 SchedulerPlace Controller::scheduler() const
 {
     if (m_term)
--- a/src/controller/Controller.h
+++ b/src/controller/Controller.h
@@ -18,7 +18,9 @@
 /// See the head of the file.
 class Controller {
 public:
-    Controller(SiteSettings, std::uint64_t seed, std::unique_ptr<observability::EventLog>);
+    /// `readSettings` reads the settings file again when a reload is requested.
+    Controller(SiteSettings, std::uint64_t seed, std::unique_ptr<observability::EventLog>,
+        std::function<SiteSettingsResult()> readSettings);
     ~Controller();
     Controller(const Controller&) = delete;
     Controller& operator=(const Controller&) = delete;
@@ -32,6 +34,7 @@
     class ConfigurationObserver;
 
     void awaitSignal();
+    void reload();
     void electionChanged();
     void tick();
     void sayHello();
@@ -45,6 +48,7 @@
     void advanceStop();
 
     const SiteSettings m_settings;
+    const std::function<SiteSettingsResult()> m_readSettings;
     std::unique_ptr<observability::EventLog> m_log;
     observability::MetricsRegistry m_metrics;
     boost::asio::io_context m_context { 1 };
--- /dev/null
+++ b/src/controller/TermObservers.h
@@ -0,0 +1,120 @@
+// What a term reads from the store: accepted jobs, the registry of the workers, and the progress of earlier terms. Used
+// by the parts of SchedulerTerm only.
+#pragma once
+
+#include "controller/SchedulerTerm.h"
+
+#include <optional>
+#include <utility>
+
+namespace sapphiredale::controller {
+
+/// First character of the key of a cancellation in the topic of the accepted jobs.
+inline constexpr char cancellationMark = '-';
+/// First character of the key of a running job's record in the topic of the progress.
+inline constexpr char runningJobMark = '=';
+
+class SchedulerTerm::JobObserver final : public FollowerObserver {
+public:
+    JobObserver(SchedulerTerm& term, std::uint32_t partition)
+        : m_partition(partition)
+        , m_term(term)
+    {
+    }
+    void recordRead(const userplatform::KeyedRecord& record) override
+    {
+        if (m_isRestored)
+            return m_term.jobRecord(m_partition, record);
+        // What arrives while other partitions are listed is part of the recovery.
+        m_records.push_back(record);
+    }
+    void listingEnded() override
+    {
+        if (std::exchange(m_isListed, true))
+            return;
+        if (m_term.isRecovered())
+            m_term.restoreLate(*this);
+        else
+            m_term.recover();
+    }
+    void caughtUp(std::uint64_t /*end*/, TimePoint askedAt) override { m_caughtUpAt = askedAt; }
+
+    const std::uint32_t m_partition;
+    bool m_isListed = false;
+    /// Its records have been given to the scheduler.
+    bool m_isRestored = false;
+    std::vector<userplatform::KeyedRecord> m_records;
+    TimePoint m_caughtUpAt {};
+
+private:
+    SchedulerTerm& m_term;
+};
+
+class SchedulerTerm::WorkerObserver final : public FollowerObserver {
+public:
+    explicit WorkerObserver(SchedulerTerm& term)
+        : m_term(term)
+    {
+    }
+    void listingBegan() override
+    {
+        m_listed.clear();
+        m_isListing = true;
+    }
+    void recordRead(const userplatform::KeyedRecord& record) override
+    {
+        if (m_isListing)
+            m_listed.insert(record.m_key);
+        m_term.workerEntry(record);
+    }
+    void listingEnded() override
+    {
+        m_isListed = true;
+        m_isListing = false;
+        const std::set<WorkerId> known = m_known;
+        for (const WorkerId& id : known) {
+            if (!m_listed.contains(id.value()))
+                m_term.workerEntry({ 0, id.value(), std::nullopt });
+        }
+        m_term.recover();
+    }
+
+    bool m_isListed = false;
+    /// Workers with an entry.
+    std::set<WorkerId> m_known;
+    /// Newest entries until the recovery is complete.
+    std::map<WorkerId, jobs::WorkerDescription> m_entries;
+
+private:
+    SchedulerTerm& m_term;
+    std::set<std::string> m_listed;
+    bool m_isListing = false;
+};
+
+class SchedulerTerm::ProgressObserver final : public FollowerObserver {
+public:
+    explicit ProgressObserver(SchedulerTerm& term)
+        : m_term(term)
+    {
+    }
+    void listingBegan() override { m_records.clear(); }
+    void recordRead(const userplatform::KeyedRecord& record) override
+    {
+        if (!m_isListed && record.m_value && !record.m_key.empty())
+            m_records[record.m_key] = *record.m_value;
+    }
+    void listingEnded() override
+    {
+        if (std::exchange(m_isListed, true))
+            return;
+        m_term.recover();
+    }
+
+    bool m_isListed = false;
+    std::map<std::string, std::string> m_records;
+
+private:
+    SchedulerTerm& m_term;
+};
+
+} // namespace sapphiredale::controller
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -28,11 +28,6 @@
         return spec;
     }
 
-    Duration scaled(Duration duration, double factor)
-    {
-        return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-    }
-
 } // namespace
 
 JobScheduler::JobScheduler(const SchedulerSettings& settings)
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -171,6 +171,8 @@
     bool isStalled(const Run&, TimePoint now) const;
     void stallReported(Worker&, Run&, TimePoint now);
     void quarantineIfBad(Worker&, TimePoint now);
+    /// Nothing is known of the start; a report is to show whether the run exists.
+    void startUnanswered(Worker&, Run&, TimePoint now);
     void failureReported(Worker&, Step&, const RunName&, TimePoint now);
     void dropMissingRuns(Worker&, const WorkerReport&, TimePoint now);
     void workerReborn(Worker&, std::int64_t bornMs, TimePoint now);
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -148,15 +148,7 @@
             run.m_phase = RunPhase::Running;
         return;
     case StartOutcome::Unknown:
-        ++m_counters.m_unknownStarts;
-        worker.m_unanswered.emplace_back(name, now);
-        worker.m_unansweredAt = now;
-        if (run.m_phase == RunPhase::Starting) {
-            run.m_phase = RunPhase::Unknown;
-            run.m_unknownSince = now;
-            setActive(run, false, now);
-            m_actions.emplace_back(LookOrder { id });
-        }
+        startUnanswered(worker, run, now);
         return;
     case StartOutcome::RefusedForTicket:
         run.m_step->m_permissions[id].m_expiresAt = {};
@@ -178,6 +170,19 @@
         stopGang(step, name.m_run, now);
 }
 
+void JobScheduler::startUnanswered(Worker& worker, Run& run, TimePoint now)
+{
+    ++m_counters.m_unknownStarts;
+    worker.m_unanswered.emplace_back(run.m_name, now);
+    worker.m_unansweredAt = now;
+    if (run.m_phase != RunPhase::Starting)
+        return;
+    run.m_phase = RunPhase::Unknown;
+    run.m_unknownSince = now;
+    setActive(run, false, now);
+    m_actions.emplace_back(LookOrder { worker.m_description.m_worker });
+}
+
 void JobScheduler::stopGang(const Step& step, std::uint32_t number, TimePoint now)
 {
     for (auto& [id, worker] : m_workers) {
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -16,11 +16,6 @@
     /// Step by which the pace of a filling task rises, in percent.
     constexpr std::uint32_t paceStep = 10;
 
-    Duration scaled(Duration duration, double factor)
-    {
-        return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-    }
-
 } // namespace
 
 void JobScheduler::workerListed(const WorkerDescription& description, TimePoint now)
@@ -119,11 +114,8 @@
         if (worker.m_isSilent && run.m_step->m_spec->m_allowsCopies)
             setActive(run, false, now);
         // An order whose connection was given up has no answer.
-        if (run.m_phase == RunPhase::Starting && now - run.m_orderedAt > m_settings.m_answerPatience) {
-            run.m_phase = RunPhase::Unknown;
-            run.m_unknownSince = now;
-            setActive(run, false, now);
-        }
+        if (run.m_phase == RunPhase::Starting && now - run.m_orderedAt > m_settings.m_answerPatience)
+            startUnanswered(worker, run, now);
         if (run.m_phase == RunPhase::Stopping && run.m_nextStopAt <= now && !worker.m_isSilent)
             requestStop(run, now);
     }
--- a/src/model/Time.h
+++ b/src/model/Time.h
@@ -22,6 +22,11 @@
 /// Instant shared between hosts: milliseconds since the Unix epoch, UTC.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+inline Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 inline std::int64_t millisecondsOf(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -31,7 +31,7 @@
         { OrderNotObeyed, 3013, Info, "order-not-obeyed", "A worker did not confirm an order" },
         { AdviceFailed, 3014, Info, "advice-failed", "A question to the adviser was not answered" },
         { StepWaits, 3015, Info, "step-waits", "Tasks of a step have waited for long" },
-        { ProgressMoves, 3016, Warning, "progress-moves", "Another partition is to hold the progress of the jobs" },
+        { ProgressMoves, 3016, Warning, "progress-moves", "Another partition holds the progress of the jobs" },
         { TaskStarted, 4001, Debug, "task-started", "A task was started" },
         { TaskStopped, 4002, Debug, "task-stopped", "A task was stopped" },
         { JobAccepted, 4008, Info, "job-accepted", "A job was accepted" },
