Forget places of workers that have left; acknowledge no ends after an unanswered call; state model of takeovers

Three takeovers followed each other, and between them its worker was drained and went. The stored record of the job still named that worker: inherited places were kept for as long as their step was open, and the end of the last run on a worker did not rewrite the record of a step that never ends. The next term waited for the worker for fifteen seconds.

The new state model found another fault (shrunk list: store away, three jobs, store back, two restarts of workers): a worker that is born again counts its ends anew, and a request for a report that carried the acknowledgement of its earlier life made it forget an end that nobody had seen, so that the task ran again.

Ruled out: the grace for entries that vanish (2.5 s), and the removal of runs of workers that left (workerLeft).

Change: a place is dropped from the record when its last run is over; inherited places are forgotten once their worker has reported or everything inherited has lapsed.

--- a/fuzz/Fuzzing.h
+++ b/fuzz/Fuzzing.h
@@ -79,29 +79,25 @@
     }
 };
 
-/// Runs a property on random command lists. Every run is counted and may fail by RC_ASSERT, RC_FAIL or an exception.
-/// With mustFail the property breaks a rule on purpose, and the result is good only when the oracle has seen it.
-inline bool runProperty(const std::string& name, std::uint32_t kinds, bool mustFail,
-    const std::function<void(const std::vector<Command>&)>& property)
+/// Runs a property, which draws its values itself and may fail by RC_ASSERT, RC_FAIL or an exception. With mustFail it
+/// breaks a rule on purpose, and the result is good only when the oracle has seen it. `count` tells how many commands
+/// were run.
+inline bool runTestable(
+    const std::string& name, bool mustFail, const std::function<void()>& property, const std::uint64_t* count = nullptr)
 {
-    std::uint64_t total = 0;
     auto parameters = rc::detail::configuration().testParams;
     parameters.disableShrinking = parameters.disableShrinking || mustFail;
     rc::detail::TestMetadata metadata;
     // The default listener asks to reproduce every failure, also an expected one.
     rc::detail::TestListenerAdapter listener;
     metadata.id = name;
-    const rc::detail::TestResult result = rc::detail::checkTestable(
-        [&] {
-            const std::vector<Command> list = *commands(kinds);
-            total += list.size();
-            property(list);
-        },
-        metadata, parameters, listener);
+    const rc::detail::TestResult result = rc::detail::checkTestable(property, metadata, parameters, listener);
     rc::detail::SuccessResult success;
     const bool passed = result.match(success);
-    std::cout << name << ": seed " << parameters.seed << ", " << total << " commands, "
-              << (passed ? "no fault" : "fault found") << (mustFail ? " (a fault is expected)" : "") << std::endl;
+    std::cout << name << ": seed " << parameters.seed << ", ";
+    if (count != nullptr)
+        std::cout << *count << " commands, ";
+    std::cout << (passed ? "no fault" : "fault found") << (mustFail ? " (a fault is expected)" : "") << std::endl;
     if (!passed && !mustFail) {
         rc::detail::printResultMessage(result, std::cout);
         std::cout << std::endl;
@@ -109,6 +105,19 @@
     return passed != mustFail;
 }
 
+/// The same for a property of random command lists.
+inline bool runProperty(const std::string& name, std::uint32_t kinds, bool mustFail,
+    const std::function<void(const std::vector<Command>&)>& property)
+{
+    std::uint64_t total = 0;
+    const auto draw = [&] {
+        const std::vector<Command> list = *commands(kinds);
+        total += list.size();
+        property(list);
+    };
+    return runTestable(name, mustFail, draw, &total);
+}
+
 /// Runs a property on the list of a fault that was found before and corrected.
 inline bool runList(const std::string& name, const std::vector<Command>& list,
     const std::function<void(const std::vector<Command>&)>& property)
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -178,6 +178,8 @@
     void workerReborn(Worker&, std::int64_t bornMs, TimePoint now);
     void superviseWorkers(TimePoint now);
     void superviseRuns(Worker&, TimePoint now);
+    /// Places whose runs are known by now from a report, or have lapsed.
+    void forgetInheritedPlaces(TimePoint now);
     void evacuate(Worker&, TimePoint now);
     void paceFillers(Worker&, TimePoint now);
 
@@ -203,6 +205,8 @@
     std::map<std::uint64_t, std::vector<ProgressRecord>> m_batchRecords;
     TimePoint m_nextSupervision {};
     TimePoint m_lapsedAt {};
+    /// Steps may have inherited places.
+    bool m_hasInheritedPlaces = true;
     /// Runs that wait for the store to name their places.
     std::vector<std::pair<WorkerId, RunName>> m_recording;
     std::vector<SchedulerAction> m_actions;
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -88,8 +88,12 @@
     worker.m_servingRuns -= step.m_spec->isServing() ? 1 : 0;
     worker.m_fillingRuns -= step.m_spec->m_isFilling ? 1 : 0;
     const auto place = step.m_places.find(worker.m_description.m_worker);
-    if (--place->second == 0)
+    if (--place->second == 0) {
         step.m_places.erase(place);
+        // A successor waits for the places that the stored record names, also for those of workers that have left.
+        if (step.m_job->isOpen())
+            changed(*step.m_job);
+    }
     Task& task = taskOf(step, name);
     --task.m_liveRuns;
     worker.m_runs.erase(found);
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -105,7 +105,10 @@
 std::uint64_t JobScheduler::storedEnd(const WorkerId& id) const
 {
     const Worker* found = worker(id);
-    return found == nullptr ? 0 : found->m_storedEnd;
+    // A worker that left a call unanswered may have been born again, and counts its ends anew.
+    if (found == nullptr || found->m_unansweredAt >= found->m_lastReportAt)
+        return 0;
+    return found->m_storedEnd;
 }
 
 std::vector<JobId> JobScheduler::takeExpired(TimePoint now)
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -100,9 +100,27 @@
         const bool isGone = !worker.m_isListed && worker.m_runs.empty() && worker.m_leaseEnd < now;
         it = isGone ? m_workers.erase(it) : std::next(it);
     }
+    forgetInheritedPlaces(now);
     std::erase_if(m_cancelledEarly, [&](const auto& entry) { return entry.second + m_settings.m_retention < now; });
 }
 
+void JobScheduler::forgetInheritedPlaces(TimePoint now)
+{
+    if (!m_hasInheritedPlaces)
+        return;
+    m_hasInheritedPlaces = now < m_lapsedAt;
+    for (const auto& [id, job] : m_jobs) {
+        for (Step& step : job->m_steps) {
+            const auto forgotten = std::erase_if(step.m_inheritedPlaces, [&](const WorkerId& place) {
+                const Worker* found = worker(place);
+                return now >= m_lapsedAt || (found != nullptr && found->m_hasReported);
+            });
+            if (forgotten > 0 && job->isOpen())
+                changed(*job);
+        }
+    }
+}
+
 void JobScheduler::superviseRuns(Worker& worker, TimePoint now)
 {
     std::vector<RunName> lapsed;
--- a/tests/jobs/JobSchedulerTest.cpp
+++ b/tests/jobs/JobSchedulerTest.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/jobs/SimulatedCell.h"
 
+#include <cppunit/extensions/HelperMacros.h>
+
 namespace sapphiredale::jobs {
 
 class JobSchedulerTest : public CppUnit::TestFixture {
@@ -10,6 +12,7 @@
     CPPUNIT_TEST(tasksOfAVanishedWorkerRunAgainAfterItsLease);
     CPPUNIT_TEST(runPlacedWhileAnotherRecordIsStoredStarts);
     CPPUNIT_TEST(successorWaitsOnlyForStepsOnUnreachableWorkers);
+    CPPUNIT_TEST(placesOfWorkersThatLeftAreForgotten);
     CPPUNIT_TEST(inheritedRunsKeepTheLeaseOfTheirTerm);
     CPPUNIT_TEST(runningJobsAreKnownWithoutTheAcceptedOnes);
     CPPUNIT_TEST(unknownRunsKeepTheirWorkerFromNewWork);
@@ -34,6 +37,13 @@
     CPPUNIT_TEST(promisesHoldUnderRandomFaults);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Fails with the first breach.
+    static void assertNoBreach(const SimulatedCell& cell)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            cell.m_breaches.empty() ? "" : *cell.m_breaches.begin(), std::size_t(0), cell.m_breaches.size());
+    }
+
     static SimulatedCell startedCell(std::uint32_t workers, std::uint64_t seed = 1)
     {
         SimulatedCell cell(workers, seed);
@@ -139,6 +149,37 @@
         assertNoBreach(cell);
     }
 
+    // A task that was to last waited for fifteen seconds after a takeover, since an earlier term had placed it on a
+    // worker that was gone by then.
+    void placesOfWorkersThatLeftAreForgotten()
+    {
+        SimulatedCell cell = startedCell(3);
+        StepSpec lasting = SimulatedCell::step(3, 20000, milliseconds(100));
+        lasting.m_isLongRunning = true;
+        cell.accept(SimulatedCell::job("j", { lasting }));
+        cell.run(milliseconds(300));
+        const WorkerId leaving = firstWorkerOf(cell);
+        cell.takeOver();
+        cell.run(seconds(2));
+        cell.m_workers.at(leaving).m_description.m_isDraining = true;
+        cell.listAll();
+        cell.run(seconds(2));
+        cell.m_workers.at(leaving).m_isUp = false;
+        cell.m_registry.erase(leaving);
+        cell.m_scheduler->workerLeft(leaving, cell.m_now);
+        cell.run(milliseconds(300));
+        for (const auto& [step, places] : cell.m_store.at(JobId("j")).m_places)
+            CPPUNIT_ASSERT(!places.contains(leaving));
+        const WorkerId crowded = firstWorkerOf(cell);
+        cell.takeOver();
+        cell.run(seconds(1));
+        cell.reborn(crowded, { 32000, 131072, 0 });
+        cell.listAll();
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(2U, cell.running("j"));
+        assertNoBreach(cell);
+    }
+
     // Guards against runs of an earlier term that are given up before that term's lease has ended.
     void inheritedRunsKeepTheLeaseOfTheirTerm()
     {
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -5,7 +5,6 @@
 #include "jobs/JobScheduler.h"
 
 #include <algorithm>
-#include <cppunit/extensions/HelperMacros.h>
 #include <deque>
 #include <map>
 #include <memory>
@@ -175,6 +174,9 @@
         worker.m_lastEnd = 0;
         worker.m_term = 0;
         worker.m_isUp = true;
+        // The request for a report that waits there is broken off.
+        if (m_scheduler)
+            m_scheduler->reportFailed(id, m_now);
         ++worker.m_description.m_bornMs;
         worker.m_description.m_capacity = capacity;
     }
@@ -316,8 +318,11 @@
         worker.m_nextReportAt = m_now + milliseconds(500);
         worker.m_leaseEnd = std::max(worker.m_leaseEnd, m_now + lease);
         m_scheduler->leaseExtended(id, m_now + lease + milliseconds(300));
-        while (!worker.m_ended.empty() && worker.m_ended.front().m_number <= m_scheduler->storedEnd(id))
+        while (!worker.m_ended.empty() && worker.m_ended.front().m_number <= m_scheduler->storedEnd(id)) {
+            if (worker.m_ended.front().m_end == RunEnd::Done)
+                m_acknowledged.insert(worker.m_ended.front().m_run.m_task);
             worker.m_ended.pop_front();
+        }
         WorkerReport report;
         report.m_bornMs = worker.m_description.m_bornMs;
         report.m_askedAt = m_now - milliseconds(1);
@@ -355,6 +360,8 @@
     void verifyStart(const RunName& run)
     {
         const StepSpec& spec = specOf(run);
+        if (m_acknowledged.contains(run.m_task) && !spec.m_allowsCopies)
+            m_breaches.insert("again after its end: " + run.m_task.m_job.value());
         for (const auto& [id, worker] : m_workers) {
             for (const auto& [name, other] : worker.m_running) {
                 if (worker.m_isUp && name.m_task == run.m_task && !spec.m_allowsCopies)
@@ -486,15 +493,10 @@
     std::vector<OpenQuestion> m_questions;
     std::unique_ptr<OpenBatch> m_storing;
     std::map<JobId, std::set<TaskName>> m_doneTasks;
+    /// Tasks of which a successful end was acknowledged.
+    std::set<TaskName> m_acknowledged;
     /// Jobs that were shown as done and have been verified.
     std::set<JobId> m_verified;
 };
 
-/// Fails with the first breach.
-inline void assertNoBreach(const SimulatedCell& cell)
-{
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(
-        cell.m_breaches.empty() ? "" : *cell.m_breaches.begin(), std::size_t(0), cell.m_breaches.size());
-}
-
 } // namespace sapphiredale::jobs
