Take together what the platform work wrote twice

The adviser's answer had two equal types; calls to other daemons and their channels were built by hand in four and three places; the reasons against a worker stood in Placement::isEligible and again in explain, so that each new reason had to be added twice; three loops stopped runs; WorkerLink guarded three handlers in the same way; a state was encoded beside a count of the same form; the runs of an expired job were searched on all workers though its steps list them. A comment in EventLogSettings stood at the wrong member; ElectionDriver::freshAt was unused.

Ruled out: one text for JobState in logs and on the platform's wire (they change for different reasons), and one reader for the JSON of inner messages and of the platform (one refuses what is missing, the other has a fallback).

Change: jobs::Advice; peerCall and openPeerChannel; Placement::obstacleOf; JobScheduler::stopRuns; whileAlive; encodeState by way of encodeCount; Step::m_places tells of runs. Behaviour is meant to stay as it is.

All 21 test programs pass, the linter passes on the changed files.

--- a/src/controller/AdviceDesk.cpp
+++ b/src/controller/AdviceDesk.cpp
@@ -3,7 +3,7 @@
 #include "controller/AdviceDesk.h"
 
 #include "controller/Clock.h"
-#include "platform/Http.h"
+#include "controller/PeerCall.h"
 
 #include <algorithm>
 
@@ -41,8 +41,7 @@
     }
     Helper& helper = m_helpers[hello.m_address];
     if (!helper.m_channel)
-        helper.m_channel = std::make_unique<platform::HttpChannel>(m_context,
-            userplatform::channelSettings(hello.m_address), platform::ClientKind::HostList, ErrorKind::NotReady);
+        helper.m_channel = openPeerChannel(m_context, hello.m_address);
     helper.m_heardAt = bootNow();
 }
 
@@ -90,26 +89,22 @@
 {
     m_isOwnBusy = true;
     m_own->ask(question, adviceTimeout(question),
-        [this, alive = m_isAlive, handler = std::move(handler)](const Result<userplatform::AdviceAnswer>& result) {
+        [this, alive = m_isAlive, handler = std::move(handler)](const Result<jobs::Advice>& result) {
             if (!*alive)
                 return;
             m_isOwnBusy = false;
-            if (!succeeded(result)) {
+            if (!succeeded(result))
                 m_avoidOwnUntil = bootNow() + helperPause;
-                return handler(errorOf(result));
-            }
-            handler(inner::AdviceReply { valueOf(result).m_tickets, valueOf(result).m_validity });
+            handler(result);
         });
 }
 
 void AdviceDesk::askHelper(
     const std::string& address, Helper& helper, const jobs::AdviceQuestion& question, AnswerHandler handler)
 {
-    platform::HttpCall call;
-    call.m_method = "POST";
-    call.m_target = inner::advisePath;
-    call.m_body = inner::encode(question);
-    call.m_timeout = adviceTimeout(question);
+    platform::HttpCall call = peerCall(inner::advisePath, inner::encode(question), adviceTimeout(question));
+    // A second question would wait behind the first, if that arrived.
+    call.m_repeatable = false;
     helper.m_isBusy = true;
     helper.m_channel->send(std::move(call),
         [this, alive = m_isAlive, address, handler = std::move(handler)](const Result<platform::HttpAnswer>& result) {
@@ -118,8 +113,8 @@
             Helper& answered = m_helpers[address];
             answered.m_isBusy = false;
             const bool isAnswer = succeeded(result) && valueOf(result).m_status == 200;
-            Result<inner::AdviceReply> reply = isAnswer
-                ? inner::decodeReply(valueOf(result).m_body)
+            Result<jobs::Advice> reply = isAnswer
+                ? inner::decodeAdvice(valueOf(result).m_body)
                 : Error { ErrorKind::NotReady,
                       succeeded(result) ? "the daemon did not ask" : errorOf(result).m_detail };
             if (!succeeded(reply))
--- a/src/controller/AdviceDesk.h
+++ b/src/controller/AdviceDesk.h
@@ -15,7 +15,7 @@
 /// The daemons that ask on behalf of the scheduler, this one among them.
 class AdviceDesk {
 public:
-    using AnswerHandler = std::function<void(Result<inner::AdviceReply>)>;
+    using AnswerHandler = std::function<void(Result<jobs::Advice>)>;
 
     AdviceDesk(boost::asio::io_context&, userplatform::AdviceConnection* own);
 
@@ -26,7 +26,7 @@
 
 private:
     struct Helper {
-        std::unique_ptr<platform::HttpChannel> m_channel;
+        std::shared_ptr<platform::HttpChannel> m_channel;
         bool m_isBusy = false;
         TimePoint m_heardAt {};
         TimePoint m_avoidUntil {};
--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -3,7 +3,7 @@
 #include "controller/Controller.h"
 
 #include "controller/Clock.h"
-#include "platform/Http.h"
+#include "controller/PeerCall.h"
 
 #include <algorithm>
 #include <csignal>
@@ -254,16 +254,11 @@
     m_nextHelloAt = now + helloInterval;
     if (place.m_address != m_helloAddress) {
         m_helloAddress = place.m_address;
-        m_helloChannel = std::make_shared<platform::HttpChannel>(m_context,
-            userplatform::channelSettings(m_helloAddress), platform::ClientKind::HostList, ErrorKind::NotScheduler);
+        m_helloChannel = openPeerChannel(m_context, m_helloAddress);
     }
-    platform::HttpCall call;
-    call.m_method = "POST";
-    call.m_target = inner::helloPath;
-    call.m_body = inner::encode(inner::Hello { m_settings.m_daemon, m_settings.m_inner, m_isStopping });
-    call.m_timeout = helloTimeout;
-    call.m_repeatable = true;
-    m_helloChannel->send(std::move(call), [channel = m_helloChannel](const Result<platform::HttpAnswer>&) {});
+    const inner::Hello hello { m_settings.m_daemon, m_settings.m_inner, m_isStopping };
+    m_helloChannel->send(peerCall(inner::helloPath, inner::encode(hello), helloTimeout),
+        [channel = m_helloChannel](const Result<platform::HttpAnswer>&) {});
 }
 
 bool Controller::isReady() const
@@ -317,11 +312,10 @@
         return respond(errorResponse(ErrorKind::NotReady));
     ++m_adviceCalls;
     m_adviser->ask(valueOf(question), adviceTimeout(valueOf(question)),
-        [respond = std::move(respond)](const Result<userplatform::AdviceAnswer>& result) {
+        [respond = std::move(respond)](const Result<jobs::Advice>& result) {
             if (!succeeded(result))
                 return respond(errorResponse(ErrorKind::NotReady));
-            respond(
-                { 200, inner::encode(inner::AdviceReply { valueOf(result).m_tickets, valueOf(result).m_validity }) });
+            respond({ 200, inner::encode(valueOf(result)) });
         });
 }
 
--- a/src/controller/ElectionDriver.h
+++ b/src/controller/ElectionDriver.h
@@ -24,8 +24,6 @@
     void announceProgress(std::uint32_t partition);
     /// Gives the term up, if this daemon holds it.
     void leave();
-    /// When the newest answer of the store was asked for.
-    TimePoint freshAt() const { return m_follower.freshAt(); }
 
 private:
     void recordRead(const userplatform::KeyedRecord&) override;
--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -3,7 +3,7 @@
 #include "controller/Gateway.h"
 
 #include "controller/Clock.h"
-#include "platform/Http.h"
+#include "controller/PeerCall.h"
 
 #include <algorithm>
 #include <charconv>
@@ -229,14 +229,8 @@
     if (place.m_own != nullptr || place.m_address.empty() || bootNow() >= deadline)
         return handler(own);
     useChannel(place.m_address);
-    platform::HttpCall call;
-    call.m_method = "POST";
-    call.m_target = inner::storePath;
-    call.m_body = inner::encode(request);
-    call.m_timeout = deadline - bootNow();
-    call.m_repeatable = true;
-    m_storeChannel->send(
-        std::move(call), [own, handler, channel = m_storeChannel](const Result<platform::HttpAnswer>& result) {
+    m_storeChannel->send(peerCall(inner::storePath, inner::encode(request), deadline - bootNow()),
+        [own, handler, channel = m_storeChannel](const Result<platform::HttpAnswer>& result) {
             if (succeeded(result) && valueOf(result).m_status == 200)
                 return handler(StoreOutcome::Stored);
             const bool isRefused = succeeded(result) ? valueOf(result).m_status == 503
@@ -257,12 +251,8 @@
     if (address == m_channelAddress)
         return;
     m_channelAddress = address;
-    const auto open = [&] {
-        return std::make_shared<platform::HttpChannel>(
-            m_context, userplatform::channelSettings(address), platform::ClientKind::HostList, ErrorKind::NotScheduler);
-    };
-    m_channel = open();
-    m_storeChannel = open();
+    m_channel = openPeerChannel(m_context, address);
+    m_storeChannel = openPeerChannel(m_context, address);
 }
 
 void Gateway::showPending(const CallPointer& call)
@@ -293,13 +283,8 @@
     if (address.empty())
         return handler(Error { ErrorKind::NotScheduler, "no daemon schedules at the moment" });
     useChannel(address);
-    platform::HttpCall call;
-    call.m_method = "POST";
-    call.m_target = path;
-    call.m_body = body;
-    call.m_timeout = std::clamp<Duration>(deadline - bootNow(), std::chrono::milliseconds(1), queryTimeout);
-    call.m_repeatable = true;
-    m_channel->send(std::move(call),
+    const Duration timeout = std::clamp<Duration>(deadline - bootNow(), std::chrono::milliseconds(1), queryTimeout);
+    m_channel->send(peerCall(path, body, timeout),
         [decode, handler = std::move(handler), channel = m_channel](const Result<platform::HttpAnswer>& result) {
             if (!succeeded(result))
                 return handler(Error { ErrorKind::NotScheduler, errorOf(result).m_detail });
--- a/src/controller/InnerProtocol.cpp
+++ b/src/controller/InnerProtocol.cpp
@@ -55,7 +55,7 @@
         { "workers", std::move(workers) }, { "expectedMicros", question.m_expected.count() } });
 }
 
-std::string encode(const AdviceReply& reply)
+std::string encode(const jobs::Advice& reply)
 {
     json::array tickets;
     for (const jobs::Ticket& ticket : reply.m_tickets)
@@ -71,13 +71,10 @@
 
 std::string encodeName(const std::string& name) { return json::serialize(json::object { { "name", name } }); }
 
-std::string encodeState(jobs::JobState state)
-{
-    return json::serialize(json::object { { "value", static_cast<int>(state) } });
-}
-
 std::string encodeCount(std::uint32_t count) { return json::serialize(json::object { { "value", count } }); }
 
+std::string encodeState(jobs::JobState state) { return encodeCount(static_cast<std::uint32_t>(state)); }
+
 Result<Hello> decodeHello(std::string_view text)
 {
     const json::object object = parse(text);
@@ -121,14 +118,14 @@
     return StoreRequest { std::string(*key), std::string(*value) };
 }
 
-Result<AdviceReply> decodeReply(std::string_view text)
+Result<jobs::Advice> decodeAdvice(std::string_view text)
 {
     const json::object object = parse(text);
     const json::array* tickets = listOf(object, "tickets");
     const std::int64_t* validity = numberOf(object, "validityMicros");
     if (tickets == nullptr || validity == nullptr)
         return malformed;
-    AdviceReply reply;
+    jobs::Advice reply;
     reply.m_validity = Duration(*validity);
     for (const json::value& row : *tickets) {
         const json::array* ticket = row.if_array();
@@ -149,22 +146,21 @@
     return std::string(*name);
 }
 
-Result<jobs::JobState> decodeState(std::string_view text)
+Result<std::uint32_t> decodeCount(std::string_view text)
 {
     const json::object object = parse(text);
     const std::int64_t* value = numberOf(object, "value");
-    if (value == nullptr || *value < 0 || *value > static_cast<int>(jobs::JobState::Cancelled))
+    if (value == nullptr || *value < 0)
         return malformed;
-    return static_cast<jobs::JobState>(*value);
+    return static_cast<std::uint32_t>(*value);
 }
 
-Result<std::uint32_t> decodeCount(std::string_view text)
+Result<jobs::JobState> decodeState(std::string_view text)
 {
-    const json::object object = parse(text);
-    const std::int64_t* value = numberOf(object, "value");
-    if (value == nullptr || *value < 0)
+    const Result<std::uint32_t> value = decodeCount(text);
+    if (!succeeded(value) || valueOf(value) > static_cast<std::uint32_t>(jobs::JobState::Cancelled))
         return malformed;
-    return static_cast<std::uint32_t>(*value);
+    return static_cast<jobs::JobState>(valueOf(value));
 }
 
 } // namespace sapphiredale::controller::inner
--- a/src/controller/InnerProtocol.h
+++ b/src/controller/InnerProtocol.h
@@ -35,17 +35,9 @@
     friend bool operator==(const StoreRequest&, const StoreRequest&) = default;
 };
 
-/// Answer of a daemon that put a question to the adviser.
-struct AdviceReply {
-    std::vector<jobs::Ticket> m_tickets;
-    Duration m_validity {};
-
-    friend bool operator==(const AdviceReply&, const AdviceReply&) = default;
-};
-
 std::string encode(const Hello&);
 std::string encode(const jobs::AdviceQuestion&);
-std::string encode(const AdviceReply&);
+std::string encode(const jobs::Advice&);
 std::string encode(const StoreRequest&);
 /// A body with one text, for queries by job or queue.
 std::string encodeName(const std::string&);
@@ -56,7 +48,7 @@
 Result<Hello> decodeHello(std::string_view);
 Result<jobs::AdviceQuestion> decodeQuestion(std::string_view);
 Result<StoreRequest> decodeStoreRequest(std::string_view);
-Result<AdviceReply> decodeReply(std::string_view);
+Result<jobs::Advice> decodeAdvice(std::string_view);
 Result<std::string> decodeName(std::string_view);
 Result<jobs::JobState> decodeState(std::string_view);
 Result<std::uint32_t> decodeCount(std::string_view);
--- /dev/null
+++ b/src/controller/PeerCall.h
@@ -0,0 +1,32 @@
+// Calls to the inner listeners of other daemons.
+#pragma once
+
+#include "platform/Http.h"
+#include "platform/HttpChannel.h"
+
+#include <memory>
+#include <string>
+
+namespace sapphiredale::controller {
+
+/// A channel to the inner listener at "address:port".
+inline std::shared_ptr<platform::HttpChannel> openPeerChannel(
+    boost::asio::io_context& context, const std::string& address)
+{
+    return std::make_shared<platform::HttpChannel>(
+        context, userplatform::channelSettings(address), platform::ClientKind::HostList, ErrorKind::NotScheduler);
+}
+
+/// A call that may be sent again when a kept connection turns out to be closed.
+inline platform::HttpCall peerCall(const char* path, std::string body, Duration timeout)
+{
+    platform::HttpCall call;
+    call.m_method = "POST";
+    call.m_target = path;
+    call.m_body = std::move(body);
+    call.m_timeout = timeout;
+    call.m_repeatable = true;
+    return call;
+}
+
+} // namespace sapphiredale::controller
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -204,12 +204,12 @@
 
 void SchedulerTerm::order(const jobs::AdviceQuestion& question)
 {
-    m_desk.ask(question, [this, alive = m_isAlive, question](const Result<inner::AdviceReply>& result) {
+    m_desk.ask(question, [this, alive = m_isAlive, question](const Result<jobs::Advice>& result) {
         if (!*alive)
             return;
         const TimePoint now = bootNow();
         if (succeeded(result)) {
-            const inner::AdviceReply& reply = valueOf(result);
+            const jobs::Advice& reply = valueOf(result);
             m_scheduler->adviceAnswered(question, reply.m_tickets, now, reply.m_validity, now);
         } else {
             m_log.write(LogEvent::AdviceFailed,
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -13,6 +13,16 @@
     /// Time between an instant read here and its use on the worker.
     constexpr Duration leaseSlack = std::chrono::milliseconds(100);
 
+    /// The handler while the link is alive, nothing afterwards.
+    template <typename Answer>
+    std::function<void(Answer)> whileAlive(std::shared_ptr<bool> isAlive, std::function<void(Answer)> handler)
+    {
+        return [isAlive = std::move(isAlive), handler = std::move(handler)](Answer answer) {
+            if (*isAlive)
+                handler(std::move(answer));
+        };
+    }
+
     /// Time here in which a lease has ended on a worker.
     Duration lapseOf(Duration lease) { return lease + lease / (clockSlowness - 1) + leaseSlack; }
 
@@ -76,29 +86,19 @@
 
 void WorkerLink::start(const jobs::StartOrder& order, std::function<void(userplatform::StartAnswer)> handler)
 {
-    m_connection.start(header(), order, m_settings.m_orderTimeout,
-        [alive = m_isAlive, handler = std::move(handler)](const userplatform::StartAnswer& answer) {
-            if (*alive)
-                handler(answer);
-        });
+    m_connection.start(header(), order, m_settings.m_orderTimeout, whileAlive(m_isAlive, std::move(handler)));
 }
 
 void WorkerLink::stop(const jobs::StopOrder& order, std::function<void(bool)> handler)
 {
     m_connection.stop({ m_settings.m_term, std::nullopt }, order, m_settings.m_orderTimeout,
-        [alive = m_isAlive, handler = std::move(handler)](bool confirmed) {
-            if (*alive)
-                handler(confirmed);
-        });
+        whileAlive(m_isAlive, std::move(handler)));
 }
 
 void WorkerLink::pace(const jobs::PaceOrder& order, std::function<void(bool)> handler)
 {
     m_connection.pace({ m_settings.m_term, std::nullopt }, order, m_settings.m_orderTimeout,
-        [alive = m_isAlive, handler = std::move(handler)](bool confirmed) {
-            if (*alive)
-                handler(confirmed);
-        });
+        whileAlive(m_isAlive, std::move(handler)));
 }
 
 } // namespace sapphiredale::controller
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -151,7 +151,7 @@
     for (Step& step : job.m_steps)
         refreshAllWaiting(step, now);
     if (state != JobState::Done)
-        stopRunsOf(job, now);
+        stopRuns([&job](const Run& run) { return run.m_step->m_job == &job; }, now);
 }
 
 void JobScheduler::changed(Job& job)
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -163,7 +163,8 @@
     void loseRuns(Worker&, const std::vector<RunName>&, TimePoint now);
     void requestStop(Run&, TimePoint now);
     void startRecorded(TimePoint now);
-    void stopRunsOf(const Job&, TimePoint now);
+    /// Stops the runs that are meant and are not being stopped yet.
+    void stopRuns(const std::function<bool(const Run&)>& isMeant, TimePoint now);
     void stopGang(const Step&, std::uint32_t run, TimePoint now);
     static std::uint32_t nextRun(const SchedulerSettings&, const Task&);
     void endReported(Worker&, const EndReport&, TimePoint now);
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -91,17 +91,27 @@
     return rank;
 }
 
-bool Placement::isEligible(const Worker& worker, const Step& step) const
+const char* Placement::obstacleOf(const Worker& worker, const Step& step) const
 {
     const WorkerDescription& description = worker.m_description;
-    if (!worker.m_isListed || !worker.m_isDescribed || !worker.m_hasReported || !worker.isAnswering()
-        || worker.m_hasUnknownRuns || description.m_isDraining || worker.m_quarantinedUntil > m_now)
-        return false;
-    if (description.m_service != step.m_job->m_record.m_policy.m_service)
-        return false;
+    if (!worker.m_isListed)
+        return "unlisted";
+    if (!worker.m_hasReported)
+        return "notReported";
+    if (!worker.isAnswering())
+        return "silent";
+    if (!worker.m_isDescribed)
+        return "notDescribed";
+    if (worker.m_hasUnknownRuns)
+        return "unknownRuns";
+    if (description.m_isDraining)
+        return "draining";
+    if (worker.m_quarantinedUntil > m_now)
+        return "quarantined";
     const std::string& label = step.m_spec->m_requiredLabel;
     const std::vector<std::string>& labels = description.m_labels;
-    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+    const bool hasLabel = label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+    return hasLabel && description.m_service == step.m_job->m_record.m_policy.m_service ? nullptr : "otherPoolOrLabel";
 }
 
 bool Placement::hasTicket(const Worker& worker, const Step& step) const
@@ -370,18 +380,12 @@
     for (const auto& [id, worker] : m_scheduler.m_workers) {
         const auto known = step.m_permissions.find(id);
         const bool needsTicket = step.m_job->m_record.m_policy.m_advice.has_value();
-        const char* reason = !worker.m_isListed                                              ? "unlisted"
-            : !worker.m_hasReported                                                          ? "notReported"
-            : !worker.isAnswering()                                                          ? "silent"
-            : !worker.m_isDescribed                                                          ? "notDescribed"
-            : worker.m_hasUnknownRuns                                                        ? "unknownRuns"
-            : worker.m_description.m_isDraining                                              ? "draining"
-            : worker.m_quarantinedUntil > m_now                                              ? "quarantined"
-            : !isEligible(worker, step)                                                      ? "otherPoolOrLabel"
-            : needsTicket && known != step.m_permissions.end() && !known->second.m_isAllowed ? "notAllowed"
-            : !fits(worker, step, worker.free())                                             ? "noRoom"
-            : needsTicket && !hasTicket(worker, step)                                        ? "noTicket"
-                                                                                             : "free";
+        const char* reason = obstacleOf(worker, step);
+        if (reason == nullptr)
+            reason = needsTicket && known != step.m_permissions.end() && !known->second.m_isAllowed ? "notAllowed"
+                : !fits(worker, step, worker.free())                                                ? "noRoom"
+                : needsTicket && !hasTicket(worker, step)                                           ? "noTicket"
+                                                                                                    : "free";
         ++reasons[reason];
     }
     std::string text = "waiting " + std::to_string(step.m_waitingTasks) + " of " + std::to_string(step.m_tasks.size());
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -55,8 +55,9 @@
 
     std::vector<Rank> order() const;
     Rank rankOf(Step&) const;
-    /// Whether the worker takes new work of the step's service at all.
-    bool isEligible(const Worker&, const Step&) const;
+    /// What keeps the worker from new work of the step, whatever its room and permissions; null when nothing does.
+    const char* obstacleOf(const Worker&, const Step&) const;
+    bool isEligible(const Worker& worker, const Step& step) const { return obstacleOf(worker, step) == nullptr; }
     bool hasTicket(const Worker&, const Step&) const;
     bool fits(const Worker&, const Step&, const Resources& free) const;
     std::uint32_t runsOn(const Worker&, const Step&) const;
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -140,15 +140,9 @@
         ++step->m_job->m_history.m_lostRuns;
     }
     removeRun(worker, end.m_run, now);
-    if (!task.m_isDone || task.m_liveRuns == 0)
-        return;
     // Copies of a task that has its result are superfluous.
-    for (auto& [id, other] : m_workers) {
-        for (auto& [name, run] : other.m_runs) {
-            if (name.m_task == end.m_run.m_task && run.m_phase != RunPhase::Stopping && !step->m_spec->m_isGang)
-                requestStop(run, now);
-        }
-    }
+    if (task.m_isDone && task.m_liveRuns > 0 && !step->m_spec->m_isGang)
+        stopRuns([&end](const Run& run) { return run.m_name.m_task == end.m_run.m_task; }, now);
 }
 
 bool JobScheduler::isStalled(const Run& run, TimePoint now) const
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -122,11 +122,11 @@
     m_actions.emplace_back(StopOrder { run.m_worker->m_description.m_worker, run.m_name });
 }
 
-void JobScheduler::stopRunsOf(const Job& job, TimePoint now)
+void JobScheduler::stopRuns(const std::function<bool(const Run&)>& isMeant, TimePoint now)
 {
     for (auto& [id, worker] : m_workers) {
         for (auto& [name, run] : worker.m_runs) {
-            if (run.m_step->m_job == &job && run.m_phase != RunPhase::Stopping)
+            if (run.m_phase != RunPhase::Stopping && isMeant(run))
                 requestStop(run, now);
         }
     }
@@ -189,12 +189,7 @@
 
 void JobScheduler::stopGang(const Step& step, std::uint32_t number, TimePoint now)
 {
-    for (auto& [id, worker] : m_workers) {
-        for (auto& [name, run] : worker.m_runs) {
-            if (run.m_step == &step && name.m_run == number && run.m_phase != RunPhase::Stopping)
-                requestStop(run, now);
-        }
-    }
+    stopRuns([&](const Run& run) { return run.m_step == &step && run.m_name.m_run == number; }, now);
 }
 
 void JobScheduler::stopAnswered(const WorkerId& id, const RunName& name, bool confirmed, TimePoint now)
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -119,12 +119,8 @@
             expired.push_back(id);
     }
     const auto hasRuns = [this](const JobId& id) {
-        const Job* job = m_jobs.at(id).get();
-        return std::any_of(m_workers.begin(), m_workers.end(), [job](const auto& entry) {
-            const auto& runs = entry.second.m_runs;
-            return std::any_of(
-                runs.begin(), runs.end(), [job](const auto& run) { return run.second.m_step->m_job == job; });
-        });
+        const auto& steps = m_jobs.at(id)->m_steps;
+        return std::any_of(steps.begin(), steps.end(), [](const Step& step) { return !step.m_places.empty(); });
     };
     std::erase_if(expired, hasRuns);
     for (const JobId& id : expired) {
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -176,6 +176,15 @@
     friend bool operator==(const AdviceQuestion&, const AdviceQuestion&) = default;
 };
 
+/// Answer of the adviser to a question.
+struct Advice {
+    std::vector<Ticket> m_tickets;
+    /// Life of the tickets from the answer on.
+    Duration m_validity {};
+
+    friend bool operator==(const Advice&, const Advice&) = default;
+};
+
 /// Daemons that put questions to the adviser, one at a time each.
 struct AdviceCapacity {
     std::uint32_t m_idle = 0;
--- a/src/model/Time.h
+++ b/src/model/Time.h
@@ -22,11 +22,13 @@
 /// Instant shared between hosts: milliseconds since the Unix epoch, UTC.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+/// The duration times a factor, cut to whole microseconds.
 inline Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
+/// Whole milliseconds of the duration.
 inline std::int64_t millisecondsOf(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
--- a/src/observability/EventLog.h
+++ b/src/observability/EventLog.h
@@ -70,9 +70,9 @@
     DaemonId m_daemon;
     /// File to append to; empty writes to standard error.
     std::string m_file;
-    /// A file of this size is renamed to ".1" (older ones up to m_keptFiles) and started anew.
     /// Writes to standard output instead of standard error when there is no file.
     bool m_toStandardOutput = false;
+    /// A file of this size is renamed to ".1" (older ones up to m_keptFiles) and started anew.
     std::uint64_t m_maxFileBytes = std::uint64_t { 16 } << 20;
     std::uint32_t m_keptFiles = 3;
     /// Events below it are not written.
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -77,12 +77,12 @@
         const jobs::AdviceQuestion question { { JobId("j"), 1, 2 }, { WorkerId("a"), WorkerId("b") },
             milliseconds(40) };
         CPPUNIT_ASSERT(valueOf(inner::decodeQuestion(inner::encode(question))) == question);
-        const inner::AdviceReply reply { { { WorkerId("a"), "t" } }, milliseconds(2000) };
-        CPPUNIT_ASSERT(valueOf(inner::decodeReply(inner::encode(reply))) == reply);
+        const jobs::Advice reply { { { WorkerId("a"), "t" } }, milliseconds(2000) };
+        CPPUNIT_ASSERT(valueOf(inner::decodeAdvice(inner::encode(reply))) == reply);
         const inner::StoreRequest record { "k", "v" };
         CPPUNIT_ASSERT(valueOf(inner::decodeStoreRequest(inner::encode(record))) == record);
         CPPUNIT_ASSERT(!succeeded(inner::decodeHello("{}")));
-        CPPUNIT_ASSERT(!succeeded(inner::decodeReply(R"({"tickets":[1],"validityMicros":1})")));
+        CPPUNIT_ASSERT(!succeeded(inner::decodeAdvice(R"({"tickets":[1],"validityMicros":1})")));
         CPPUNIT_ASSERT(!succeeded(inner::decodeState(R"({"value":9})")));
     }
 
