--- a/fuzz/JobsFuzz.cpp
+++ b/fuzz/JobsFuzz.cpp
@@ -181,10 +181,7 @@
     /// All faults end; everything that was accepted has to end, too.
     void finish(Cell& cell)
     {
-        cell.m_cell.m_isStoreUp = true;
-        for (auto& [id, worker] : cell.m_cell.m_workers)
-            worker.m_isReachable = !(worker.m_delaysStarts = worker.m_losesAnswers = false);
-        cell.m_cell.listAll();
+        cell.m_cell.endFaults();
         runFor(cell, seconds(60));
         for (const auto& [id, record] : cell.m_cell.m_accepted)
             RC_ASSERT(jobs::isFinal(cell.m_cell.m_scheduler->state(id)));
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -5,6 +5,7 @@
 #include "controller/JobAppender.h"
 #include "controller/SiteSettings.h"
 #include "controller/WorkerLink.h"
+#include "tests/controller/EventLoop.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
@@ -30,25 +31,6 @@
         "store": "127.0.0.1:5", "host": {"cores": 0.25, "linkMbps": 10},
     })";
 
-    /// Runs the loop until the condition holds, for some seconds at the most.
-    template <typename Condition> static void runUntil(boost::asio::io_context& context, Condition condition)
-    {
-        for (int i = 0; i < 4000 && !condition(); ++i)
-            context.run_one_for(milliseconds(2));
-    }
-
-    /// Opens a listener on a free port of the loopback address.
-    static std::string open(HttpListener& listener)
-    {
-        for (int port = 23000; port < 24000; ++port) {
-            std::string address = "127.0.0.1:" + std::to_string(port);
-            if (succeeded(listener.open(address)))
-                return address;
-        }
-        CPPUNIT_FAIL("no free port");
-        return {};
-    }
-
 public:
     void settingsAreRead()
     {
@@ -93,7 +75,7 @@
         HttpListener store(context, "", [&](const ServerRequest&, const Responder& respond) {
             respond({ isAway ? 503U : 200U, R"({"offset":0,"end":1})" });
         });
-        JobAppender appender(context, open(store), { "keyed.jobs" }, 4);
+        JobAppender appender(context, openOnFreePort(store), { "keyed.jobs" }, 4);
         std::optional<StoreOutcome> first;
         appender.append("a", "1", bootNow() + std::chrono::seconds(5), [&](StoreOutcome outcome) { first = outcome; });
         runUntil(context, [&] { return first.has_value(); });
@@ -121,7 +103,7 @@
                 return held.push_back(respond);
             respond({ 200, R"({"offset":0,"end":1})" });
         });
-        JobAppender appender(context, open(store), { "keyed.jobs" }, 4);
+        JobAppender appender(context, openOnFreePort(store), { "keyed.jobs" }, 4);
         std::optional<StoreOutcome> outcome;
         appender.append("a", "1", bootNow() + std::chrono::seconds(6), [&](StoreOutcome known) { outcome = known; });
         runUntil(context, [&] { return outcome.has_value(); });
@@ -142,7 +124,7 @@
         });
         LinkSettings link;
         link.m_extendableAge = milliseconds(0);
-        WorkerLink workerLink(context, link, WorkerId("i-1"), open(worker));
+        WorkerLink workerLink(context, link, WorkerId("i-1"), openOnFreePort(worker));
         bool hasReported = false;
         workerLink.hold(0, [&](const Result<jobs::WorkerReport>& report) { hasReported = succeeded(report); });
         runUntil(context, [&] { return hasReported; });
--- a/tests/controller/StoreStandIn.h
+++ b/tests/controller/StoreStandIn.h
@@ -2,8 +2,8 @@
 // listings by pages, on a loopback port. Partitions can refuse, be silent, or lose answers.
 #pragma once
 
-#include "controller/HttpListener.h"
 #include "platform/Store.h"
+#include "tests/controller/EventLoop.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/detail/base64.hpp>
@@ -40,12 +40,8 @@
         , m_pageSize(pageSize)
         , m_listener(
               context, "", [this](const ServerRequest& request, const Responder& respond) { handle(request, respond); })
+        , m_address(openOnFreePort(m_listener))
     {
-        for (int port = 24000; port < 25000 && m_address.empty(); ++port) {
-            const std::string address = "127.0.0.1:" + std::to_string(port);
-            if (succeeded(m_listener.open(address)))
-                m_address = address;
-        }
     }
 
     const std::string& address() const { return m_address; }
@@ -233,12 +229,12 @@
 
     boost::asio::io_context& m_context;
     const std::size_t m_pageSize;
-    std::string m_address;
     std::map<Place, Part> m_parts;
     std::list<Waiting> m_waiting;
     /// Calls that are never answered; kept so that their connections stay open.
     std::vector<Responder> m_silenced;
     HttpListener m_listener;
+    const std::string m_address;
 };
 
 } // namespace sapphiredale::controller
--- a/tests/controller/StoreTest.cpp
+++ b/tests/controller/StoreTest.cpp
@@ -29,14 +29,6 @@
     CPPUNIT_TEST(viewIsCompleteSoonAfterAnOutage);
     CPPUNIT_TEST_SUITE_END();
 
-    /// Runs the loop until the condition holds, for some seconds at the most.
-    template <typename Condition> static void runUntil(boost::asio::io_context& context, Condition condition)
-    {
-        for (int i = 0; i < 4000 && !condition(); ++i)
-            context.run_one_for(milliseconds(2));
-        CPPUNIT_ASSERT(condition());
-    }
-
     /// A term with the parts around it.
     struct TermFixture {
         explicit TermFixture(StoreStandIn& store, boost::asio::io_context& context)
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -181,6 +181,18 @@
         worker.m_description.m_capacity = capacity;
     }
 
+    /// The store, the network and the workers work as they should from now on.
+    void endFaults()
+    {
+        m_isStoreUp = true;
+        for (auto& [id, worker] : m_workers) {
+            worker.m_isReachable = true;
+            worker.m_delaysStarts = false;
+            worker.m_losesAnswers = false;
+        }
+        listAll();
+    }
+
     void run(Duration time)
     {
         for (const TimePoint end = m_now + time; m_now < end;)
--- /dev/null
+++ b/tests/jobs/TakeoverTest.cpp
@@ -0,0 +1,268 @@
+// Tests of takeovers: what a successor knows, what it waits for, and what it may not start again.
+
+#include "tests/jobs/CellTesting.h"
+
+namespace sapphiredale::jobs {
+
+class TakeoverTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TakeoverTest);
+    CPPUNIT_TEST(successorWaitsOnlyForStepsOnUnreachableWorkers);
+    CPPUNIT_TEST(placesOfWorkersThatLeftAreForgotten);
+    CPPUNIT_TEST(inheritedRunsKeepTheLeaseOfTheirTerm);
+    CPPUNIT_TEST(runningJobsAreKnownWithoutTheAcceptedOnes);
+    CPPUNIT_TEST(unknownRunsKeepTheirWorkerFromNewWork);
+    CPPUNIT_TEST(everythingIsStoredAnewAfterAMove);
+    CPPUNIT_TEST(failedRunsCountOnceOverATakeover);
+    CPPUNIT_TEST(runsOfEndedJobsKeepTheirRoomOverATakeover);
+    CPPUNIT_TEST(promisesHoldUnderRandomFaults);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a second run beside one on a worker that the successor cannot reach, and against a successor that
+    // lets everything wait for that worker.
+    void successorWaitsOnlyForStepsOnUnreachableWorkers()
+    {
+        SimulatedCell cell = startedCell(3);
+        cell.accept(SimulatedCell::job("running", { SimulatedCell::step(1, 20000, seconds(5)) }));
+        cell.run(milliseconds(200));
+        const WorkerId cut = firstWorkerOf(cell);
+        cell.m_workers.at(cut).m_isReachable = false;
+        cell.accept(SimulatedCell::job("waiting", { SimulatedCell::step(1, 20000, seconds(1)) }));
+        cell.takeOver();
+        cell.run(milliseconds(1500));
+        CPPUNIT_ASSERT(cell.state("waiting") == JobState::Done);
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("running"));
+        cell.run(seconds(20));
+        CPPUNIT_ASSERT(cell.state("running") == JobState::Done);
+        assertNoBreach(cell);
+    }
+
+    // A task that was to last waited for fifteen seconds after a takeover, since an earlier term had placed it on a
+    // worker that was gone by then.
+    void placesOfWorkersThatLeftAreForgotten()
+    {
+        SimulatedCell cell = startedCell(3);
+        StepSpec lasting = SimulatedCell::step(3, 20000, milliseconds(100));
+        lasting.m_isLongRunning = true;
+        cell.accept(SimulatedCell::job("j", { lasting }));
+        cell.run(milliseconds(300));
+        const WorkerId leaving = firstWorkerOf(cell);
+        cell.takeOver();
+        cell.run(seconds(2));
+        cell.m_workers.at(leaving).m_description.m_isDraining = true;
+        cell.listAll();
+        cell.run(seconds(2));
+        cell.m_workers.at(leaving).m_isUp = false;
+        cell.m_registry.erase(leaving);
+        cell.m_scheduler->workerLeft(leaving, cell.m_now);
+        cell.run(milliseconds(300));
+        for (const auto& [step, places] : cell.m_store.at(JobId("j")).m_places)
+            CPPUNIT_ASSERT(!places.contains(leaving));
+        const WorkerId crowded = firstWorkerOf(cell);
+        cell.takeOver();
+        cell.run(seconds(1));
+        cell.reborn(crowded, { 32000, 131072, 0 });
+        cell.listAll();
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(2U, cell.running("j"));
+        assertNoBreach(cell);
+    }
+
+    // Guards against runs of an earlier term that are given up before that term's lease has ended.
+    void inheritedRunsKeepTheLeaseOfTheirTerm()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(1, 1000, seconds(30)) }));
+        cell.run(milliseconds(200));
+        const WorkerId cut = firstWorkerOf(cell);
+        cell.takeOver();
+        // One report without an extension of the lease, then silence.
+        cell.m_scheduler->workerReported(
+            cut, { 1, cell.m_now, { { cell.m_workers.at(cut).m_running.begin()->first, {}, 5, 0 } }, {} }, cell.m_now);
+        cell.m_workers.at(cut).m_isReachable = false;
+        cell.run(seconds(6));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+        assertNoBreach(cell);
+    }
+
+    // A takeover while the store serves only part of its partitions: running jobs go on, the others are added later,
+    // and nothing runs twice.
+    void runningJobsAreKnownWithoutTheAcceptedOnes()
+    {
+        SimulatedCell cell = startedCell(2);
+        StepSpec second = SimulatedCell::step(1, 1000, milliseconds(500));
+        second.m_dependsOn = { 0 };
+        cell.accept(SimulatedCell::job("running", { SimulatedCell::step(2, 1000, milliseconds(800)), second }));
+        cell.accept(SimulatedCell::job("cancelled", { SimulatedCell::step(2, 1000, seconds(20)) }));
+        cell.run(milliseconds(200));
+        cell.cancel(JobId("cancelled"));
+        cell.run(milliseconds(700));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.m_keptRecords.size());
+        cell.m_isAcceptedTopicAway = true;
+        cell.takeOver();
+        cell.run(milliseconds(900));
+        CPPUNIT_ASSERT(cell.state("running") == JobState::Done);
+        CPPUNIT_ASSERT(!cell.m_scheduler->knows(JobId("cancelled")));
+        cell.readAccepted();
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT(cell.state("cancelled") == JobState::Cancelled);
+        CPPUNIT_ASSERT(cell.m_keptRecords.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), cell.m_starts);
+        assertNoBreach(cell);
+    }
+
+    // Guards against room that a run still takes whose job was forgotten.
+    void unknownRunsKeepTheirWorkerFromNewWork()
+    {
+        JobScheduler scheduler({});
+        const TimePoint now(seconds(100));
+        SimulatedCell cell(1);
+        const WorkerDescription worker = cell.m_workers.begin()->second.m_description;
+        scheduler.workerListed(worker, now);
+        const RunReport unknown { { { JobId("forgotten"), {} }, 1 }, {}, 50, 0 };
+        scheduler.workerReported(worker.m_worker, { 1, now, { unknown }, {} }, now);
+        scheduler.addJob(SimulatedCell::job("j", { SimulatedCell::step(1, 1000, milliseconds(500)) }), {}, 0, now);
+        const std::vector<SchedulerAction> actions = scheduler.step(0, now, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), actions.size());
+        CPPUNIT_ASSERT(std::holds_alternative<StopOrder>(actions.front()));
+        CPPUNIT_ASSERT(!scheduler.hasChanges());
+        scheduler.workerReported(worker.m_worker, { 1, now, {}, {} }, now);
+        scheduler.step(0, now, {});
+        CPPUNIT_ASSERT(scheduler.hasChanges());
+    }
+
+    // Guards against a partition that lacks what the one before it had.
+    void everythingIsStoredAnewAfterAMove()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.accept(SimulatedCell::job("done", { SimulatedCell::step(1, 1000, milliseconds(100)) }));
+        cell.run(milliseconds(500));
+        cell.accept(SimulatedCell::job("running", { SimulatedCell::step(1, 1000, seconds(5)) }));
+        cell.run(milliseconds(300));
+        JobScheduler& scheduler = *cell.m_scheduler;
+        cell.accept(SimulatedCell::job("placed", { SimulatedCell::step(1, 1000, seconds(5)) }));
+        scheduler.step(cell.wallMs(), cell.m_now, {});
+        const JobScheduler::Batch refused = scheduler.takeChanges();
+        const JobScheduler::Batch everything = scheduler.takeEverything(refused.m_number);
+        std::map<JobId, const ProgressRecord*> records;
+        for (const ProgressRecord& record : everything.m_records)
+            records[record.m_job] = &record;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), records.size());
+        CPPUNIT_ASSERT(records.at(JobId("done"))->m_progress.m_state == JobState::Done);
+        CPPUNIT_ASSERT(records.at(JobId("running"))->m_record.has_value());
+        CPPUNIT_ASSERT(records.at(JobId("placed"))->m_record.has_value());
+        const auto starts = [&] {
+            const std::vector<SchedulerAction> actions = scheduler.step(cell.wallMs(), cell.m_now, {});
+            return std::count_if(actions.begin(), actions.end(),
+                [](const auto& action) { return std::holds_alternative<StartOrder>(action); });
+        };
+        // The batch that was replaced counts for nothing.
+        scheduler.stored(refused.m_number);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), starts());
+        scheduler.stored(everything.m_number);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), starts());
+    }
+
+    // Guards against a job that fails early because a successor counts a failure again.
+    void failedRunsCountOnceOverATakeover()
+    {
+        SimulatedCell cell = startedCell(1);
+        cell.m_workers.begin()->second.m_failsTasks = true;
+        JobRecord job = SimulatedCell::job("j", { SimulatedCell::step(1, 1000, seconds(2)) });
+        job.m_policy.m_maxAttempts = 2;
+        cell.accept(job);
+        cell.run(milliseconds(170));
+        // The end is stored and not acknowledged yet when the successor reads the worker's list again.
+        const auto ended = cell.m_workers.begin()->second.m_ended;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), ended.size());
+        cell.m_workers.begin()->second.m_failsTasks = false;
+        cell.run(milliseconds(30));
+        cell.m_workers.begin()->second.m_ended = ended;
+        cell.takeOver();
+        cell.run(seconds(4));
+        CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
+    }
+
+    // Guards against work on room that tasks of a job that has ended still take.
+    void runsOfEndedJobsKeepTheirRoomOverATakeover()
+    {
+        SimulatedCell cell = startedCell(1);
+        cell.accept(SimulatedCell::job("ended", { SimulatedCell::step(4, 7000, seconds(5)) }));
+        cell.run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(4U, cell.running("ended"));
+        cell.m_store[JobId("ended")] = { JobState::Cancelled, {}, {}, {} };
+        cell.takeOver();
+        cell.accept(SimulatedCell::job("next", { SimulatedCell::step(4, 7000, seconds(1)) }));
+        cell.run(seconds(3));
+        CPPUNIT_ASSERT(cell.state("next") == JobState::Done);
+        assertNoBreach(cell);
+    }
+
+    // Takeovers, cuts, lost and late orders, deaths and outages of the store, in any combination.
+    void promisesHoldUnderRandomFaults()
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            std::mt19937_64 random(seed);
+            SimulatedCell cell = startedCell(6, seed);
+            cell.m_allowedShare = 0.7;
+            for (int round = 0; round < 60; ++round) {
+                JobRecord job = SimulatedCell::job("j" + std::to_string(round),
+                    { SimulatedCell::step(1 + random() % 6, 1000 + static_cast<std::int64_t>(random() % 9000),
+                          milliseconds(200 + random() % 3000)),
+                        SimulatedCell::step(1 + random() % 4, 4000, milliseconds(500)) });
+                job.m_spec.m_steps[1].m_dependsOn = { 0 };
+                if (random() % 2 == 0)
+                    job.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(2), seconds(2) };
+                cell.accept(job);
+                auto worker = cell.m_workers.begin();
+                std::advance(worker, random() % cell.m_workers.size());
+                switch (random() % 10) {
+                case 0:
+                    cell.takeOver();
+                    break;
+                case 9:
+                    cell.m_isAcceptedTopicAway = true;
+                    cell.takeOver();
+                    cell.run(milliseconds(random() % 1500));
+                    cell.readAccepted();
+                    break;
+                case 1:
+                    worker->second.m_isReachable = !worker->second.m_isReachable;
+                    break;
+                case 2:
+                    worker->second.m_delaysStarts = !worker->second.m_delaysStarts;
+                    break;
+                case 3:
+                    worker->second.m_losesAnswers = !worker->second.m_losesAnswers;
+                    break;
+                case 4:
+                    cell.reborn(worker->first, worker->second.m_description.m_capacity);
+                    break;
+                case 5:
+                    cell.m_isStoreUp = !cell.m_isStoreUp;
+                    break;
+                case 6:
+                    cell.cancel(JobId("j" + std::to_string(random() % (round + 1))));
+                    break;
+                default:
+                    cell.listAll();
+                    break;
+                }
+                cell.run(milliseconds(100 + random() % 900));
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                "seed " + std::to_string(seed) + ": " + (cell.m_breaches.empty() ? "" : *cell.m_breaches.begin()),
+                std::size_t(0), cell.m_breaches.size());
+            // All faults end; everything that was accepted has to end, too.
+            cell.endFaults();
+            cell.run(seconds(60));
+            for (const auto& [id, record] : cell.m_accepted)
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": " + id.value() + " has not ended",
+                    isFinal(cell.m_scheduler->state(id)));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
+
+} // namespace sapphiredale::jobs
