--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -278,11 +278,13 @@
         if (found == m_workers.end() || run == found->second.m_runs.end() || run->second.m_phase != RunPhase::Recording)
             continue;
         Step& step = *run->second.m_step;
-        if (!step.m_storedPlaces.contains(id) || !step.m_sentPlaces.contains(id)) {
+        const bool isRecorded = step.isRecordedPlace(id);
+        if (!isRecorded && !m_isStoreAway) {
             m_recording.emplace_back(id, name);
             continue;
         }
-        if (!Placement(*this, now).mayStart(found->second, step)) {
+        // A place that cannot be recorded for now is given up: another one may be recorded, and its ticket expires.
+        if (!isRecorded || !Placement(*this, now).mayStart(found->second, step)) {
             removeRun(found->second, name, now);
             if (step.m_spec->m_isGang)
                 stopGang(step, name.m_run, now);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -91,6 +91,8 @@
     /// The question was not answered.
     void adviceFailed(const AdviceQuestion&, TimePoint now);
 
+    /// Whether the store does the appends of changes. While it does not, tasks are placed where their step is recorded.
+    void setStoreAway(bool isAway) { m_isStoreAway = isAway; }
     /// Decides as much as is possible now.
     std::vector<SchedulerAction> step(std::int64_t wallNowMs, TimePoint now, const AdviceCapacity&);
 
@@ -201,6 +203,7 @@
     std::vector<Job*> m_dirty;
     std::set<JobId> m_unstoredEnds;
     bool m_hasNewEnds = false;
+    bool m_isStoreAway = false;
     std::uint64_t m_lastBatch = 0;
     /// Ends that a worker had reported in this life when a batch was taken.
     struct SeenEnd {
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -30,6 +30,9 @@
         return need <= 0 ? std::numeric_limits<std::int32_t>::max() : std::max<std::int64_t>(0, free) / need;
     }
 
+    /// Places of earlier steps that are recorded for a later one; more make records long.
+    constexpr std::size_t maxPlannedPlaces = 24;
+
     /// Share of allowed workers from which on a question pledges a slot on each worker that it names.
     constexpr double pledgedShare = 0.3;
 
@@ -108,6 +111,8 @@
         return "draining";
     if (worker.m_quarantinedUntil > m_now)
         return "quarantined";
+    if (m_scheduler.m_isStoreAway && !step.isRecordedPlace(description.m_worker))
+        return "notRecorded";
     const std::string& label = step.m_spec->m_requiredLabel;
     const std::vector<std::string>& labels = description.m_labels;
     const bool hasLabel = label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -309,6 +314,11 @@
     const RunName name { { step.m_name.m_job, { step.m_name.m_occurrence, step.m_name.m_step, index } }, number };
     m_scheduler.addRun(step, task, worker, name, RunPhase::Recording, m_now);
     m_scheduler.m_recording.emplace_back(worker.m_description.m_worker, name);
+    for (std::uint32_t i = step.m_name.m_step + 1; i < step.m_job->stepsPerOccurrence(); ++i) {
+        Step& later = *step.m_job->step(step.m_name.m_occurrence, i);
+        if (later.m_plannedPlaces.size() < maxPlannedPlaces)
+            later.m_plannedPlaces.insert(worker.m_description.m_worker);
+    }
     if (!step.m_sentPlaces.contains(worker.m_description.m_worker))
         m_scheduler.changed(*step.m_job);
 }
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -98,6 +98,8 @@
     /// Places that the stored record names, and those that the newest record on its way to the store names.
     std::set<WorkerId> m_storedPlaces;
     std::set<WorkerId> m_sentPlaces;
+    /// Places of earlier steps of the job, recorded for this step too, so that it can start while the store is away.
+    std::set<WorkerId> m_plannedPlaces;
     /// Places at which an earlier term may have started tasks.
     std::set<WorkerId> m_inheritedPlaces;
     bool m_isAsking = false;
@@ -106,6 +108,11 @@
     TimePoint m_nextAskAt {};
     std::uint32_t m_askFailures = 0;
 
+    /// Whether tasks may be started there without another record.
+    bool isRecordedPlace(const WorkerId& worker) const
+    {
+        return m_storedPlaces.contains(worker) && m_sentPlaces.contains(worker);
+    }
     bool isFinished() const { return m_doneTasks == m_tasks.size(); }
 };
 
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -25,6 +25,7 @@
         if (step.isFinished())
             continue;
         std::set<WorkerId> places = step.m_inheritedPlaces;
+        places.insert(step.m_plannedPlaces.begin(), step.m_plannedPlaces.end());
         for (const auto& [worker, runs] : step.m_places)
             places.insert(worker);
         if (!places.empty())
--- a/tests/jobs/EndDisclosureTest.cpp
+++ b/tests/jobs/EndDisclosureTest.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(endIsShownWhileTheStoreIsAway);
     CPPUNIT_TEST(shownEndSurvivesItsSchedulerAndItsWorker);
     CPPUNIT_TEST(endsOfOtherStatesAreNotOffered);
+    CPPUNIT_TEST(laterStepsStartWhileTheStoreIsAway);
+    CPPUNIT_TEST(placesThatCannotBeRecordedAreGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
     static JobRecord shortJob() { return SimulatedCell::job("j", { SimulatedCell::step(2, 1000, milliseconds(500)) }); }
@@ -91,6 +93,41 @@
         }
     }
 
+    // The second steps of jobs whose first ones ran waited for the end of the outage.
+    void laterStepsStartWhileTheStoreIsAway()
+    {
+        SimulatedCell cell = startedCell(3);
+        StepSpec second = SimulatedCell::step(2, 1000, milliseconds(500));
+        second.m_dependsOn = { 0 };
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(2, 1000, milliseconds(500)), second }));
+        cell.run(milliseconds(200));
+        cell.m_isStoreUp = false;
+        cell.run(milliseconds(1200));
+        CPPUNIT_ASSERT(cell.m_scheduler->unstoredEnds().contains(JobId("j")));
+        // A successor knows where the second step may run.
+        CPPUNIT_ASSERT(cell.m_store.at(JobId("j")).m_places.contains({ 0, 1 }));
+        cell.endFaults();
+        cell.takeOver();
+        cell.run(seconds(1));
+        CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
+        assertNoBreach(cell);
+    }
+
+    // Guards against room that tasks hold for the whole outage though they cannot start.
+    void placesThatCannotBeRecordedAreGivenUp()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.m_isStoreUp = false;
+        cell.accept(shortJob());
+        cell.run(milliseconds(100));
+        for (const auto& [id, worker] : cell.m_scheduler->workers())
+            CPPUNIT_ASSERT(worker.m_runs.empty());
+        cell.endFaults();
+        cell.run(seconds(1));
+        CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
+        assertNoBreach(cell);
+    }
+
     void endsOfOtherStatesAreNotOffered()
     {
         SimulatedCell cell = startedCell(3);
