--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -291,6 +291,9 @@
         m_desk.heard(valueOf(hello));
         if (!valueOf(hello).m_notedEnds.empty()) {
             m_notes.add(0, valueOf(hello).m_notedEnds, bootNow());
+            m_log->write(LogEvent::EndsNoted,
+                { { "from", valueOf(hello).m_daemon.value() },
+                    { "jobs", std::uint64_t { valueOf(hello).m_notedEnds.size() } } });
             if (m_term)
                 m_term->applyNotes();
         }
@@ -342,6 +345,8 @@
         return respond(errorResponse(ErrorKind::NotReady));
     m_notes.add(valueOf(note).m_term, valueOf(note).m_jobs, bootNow());
     m_notesToldTo.clear();
+    m_log->write(LogEvent::EndsNoted,
+        { { "term", valueOf(note).m_term }, { "jobs", std::uint64_t { valueOf(note).m_jobs.size() } } });
     respond({ 200, "{}" });
 }
 
--- a/src/controller/EndNotes.h
+++ b/src/controller/EndNotes.h
@@ -5,13 +5,16 @@
 #include "model/Time.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <vector>
 
 namespace sapphiredale::controller {
 
+/// See the head of the file. Notes are hints: a scheduler that hears of none relies on what the workers report.
 class EndNotes {
 public:
+    /// `term` is that of the scheduler that asks; zero for notes that another daemon passes on.
     void add(std::uint64_t term, const std::vector<JobId>& jobs, TimePoint now)
     {
         std::erase_if(m_expiry, [now](const auto& entry) { return entry.second < now; });
@@ -21,7 +24,6 @@
                 m_expiry[job] = now + lifetime;
         }
     }
-    bool isEmpty() const { return m_expiry.empty(); }
     /// Newest term whose scheduler had something noted.
     std::uint64_t term() const { return m_term; }
     std::vector<JobId> jobs() const
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -33,6 +33,7 @@
         { StepWaits, 3015, Info, "step-waits", "Tasks of a step have waited for long" },
         { ProgressMoves, 3016, Warning, "progress-moves", "Another partition holds the progress of the jobs" },
         { EndShown, 3017, Info, "end-shown", "The end of a job is shown before it is stored" },
+        { EndsNoted, 3018, Info, "ends-noted", "Ends of jobs were noted for the next scheduler" },
         { TaskStarted, 4001, Debug, "task-started", "A task was started" },
         { TaskStopped, 4002, Debug, "task-stopped", "A task was stopped" },
         { JobAccepted, 4008, Info, "job-accepted", "A job was accepted" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -34,6 +34,7 @@
     StepWaits,
     ProgressMoves,
     EndShown,
+    EndsNoted,
     TaskStarted,
     TaskStopped,
     JobAccepted,
--- a/tests/jobs/EndDisclosureTest.cpp
+++ b/tests/jobs/EndDisclosureTest.cpp
@@ -1,4 +1,5 @@
-// Tests of ends that are shown before the store has them. The load pattern: jobs go on to end while the store is away.
+// Tests of what goes on while the store is away. The load pattern: jobs that have started end, or come to their next
+// step, in an outage of some seconds.
 
 #include "jobs/EndDisclosure.h"
 #include "tests/jobs/CellTesting.h"
