Answer a submission at once when neither the store nor the scheduler can take it

Cause: a record that the own store refused went to the scheduler's daemon with all of the caller's time. When that daemon had lost power in an outage of the store, callers waited 2.85 s of their 3 s for a 503 and could not come back.

Ruled out: the own appender (it refuses at once while it is away), the balancer (daemons had left the rotation).

Change: a scheduler that did not answer the last hello is not asked to store; one that could not store is left alone for 1 s; a record that is certainly not stored waits for it for at most 1 s.

--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -189,9 +189,9 @@
 SchedulerPlace Controller::scheduler() const
 {
     if (m_term)
-        return { m_term.get(), m_settings.m_inner };
+        return { m_term.get(), m_settings.m_inner, true };
     const std::string& address = m_election.election().holderAddress();
-    return { nullptr, address == m_settings.m_inner ? std::string() : address };
+    return { nullptr, address == m_settings.m_inner ? std::string() : address, m_isHelloAnswered };
 }
 
 void Controller::electionChanged()
@@ -256,6 +256,7 @@
     if (place.m_address != m_helloAddress) {
         m_helloAddress = place.m_address;
         m_helloChannel = openPeerChannel(m_context, m_helloAddress);
+        m_isHelloAnswered = true;
     }
     inner::Hello hello { m_settings.m_daemon, m_settings.m_inner, m_isStopping, {} };
     // The scheduler that had the ends noted knows them.
@@ -264,7 +265,10 @@
     const bool tellsNotes = !hello.m_notedEnds.empty();
     m_helloChannel->send(peerCall(inner::helloPath, inner::encode(hello), helloTimeout),
         [this, tellsNotes, address = m_helloAddress](const Result<platform::HttpAnswer>& result) {
-            if (tellsNotes && succeeded(result) && valueOf(result).m_status == 200)
+            if (address != m_helloAddress)
+                return;
+            m_isHelloAnswered = succeeded(result) && valueOf(result).m_status == 200;
+            if (tellsNotes && m_isHelloAnswered)
                 m_notesToldTo = address;
         });
 }
--- a/src/controller/Controller.h
+++ b/src/controller/Controller.h
@@ -75,6 +75,8 @@
     std::string m_helloAddress;
     std::shared_ptr<platform::HttpChannel> m_helloChannel;
     TimePoint m_nextHelloAt {};
+    /// Whether the scheduler has answered the last hello.
+    bool m_isHelloAnswered = true;
     bool m_isReadyNow = false;
     bool m_isStopping = false;
     TimePoint m_stopStartedAt {};
--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -25,6 +25,11 @@
     /// Patience with the store before a record goes through the scheduler's daemon, and the time for which all do then.
     constexpr Duration ownStorePatience = std::chrono::milliseconds(1000);
     constexpr Duration ownStorePause = std::chrono::milliseconds(1500);
+    /// Patience with the scheduler's daemon for a record that this one could not store: its own answer takes 0.9 s
+    /// while the store is silent.
+    constexpr Duration elsewherePatience = std::chrono::milliseconds(1000);
+    /// Pause after a record that the scheduler's daemon did not store: as long as one of its attempts.
+    constexpr Duration elsewherePause = std::chrono::milliseconds(1000);
     /// Patience with the store on behalf of another daemon.
     constexpr Duration storeForPatience = std::chrono::milliseconds(1500);
 
@@ -209,8 +214,7 @@
     const std::function<void(StoreOutcome)>& handler)
 {
     const inner::StoreRequest request { key, value };
-    const SchedulerPlace place = m_scheduler();
-    const bool canGoElsewhere = place.m_own == nullptr && !place.m_address.empty();
+    const bool canGoElsewhere = canStoreElsewhere();
     if (canGoElsewhere && bootNow() < m_avoidOwnStoreUntil)
         return storeElsewhere(request, deadline, StoreOutcome::NotStored, handler);
     const TimePoint ownDeadline = canGoElsewhere ? std::min(deadline, bootNow() + ownStorePatience) : deadline;
@@ -222,17 +226,28 @@
     });
 }
 
+bool Gateway::canStoreElsewhere() const
+{
+    const SchedulerPlace place = m_scheduler();
+    return place.m_own == nullptr && !place.m_address.empty() && place.m_isAnswering
+        && m_avoidElsewhereUntil <= bootNow();
+}
+
 void Gateway::storeElsewhere(const inner::StoreRequest& request, TimePoint deadline, StoreOutcome own,
     const std::function<void(StoreOutcome)>& handler)
 {
-    const SchedulerPlace place = m_scheduler();
-    if (place.m_own != nullptr || place.m_address.empty() || bootNow() >= deadline)
+    if (!canStoreElsewhere() || bootNow() >= deadline)
         return handler(own);
-    useChannel(place.m_address);
-    m_storeChannel->send(peerCall(inner::storePath, inner::encode(request), deadline - bootNow()),
-        [own, handler, channel = m_storeChannel](const Result<platform::HttpAnswer>& result) {
+    useChannel(m_scheduler().m_address);
+    // A caller whose record is certainly not stored comes back sooner than a daemon that has died is noticed.
+    const Duration patience = own == StoreOutcome::NotStored
+        ? std::min<Duration>(deadline - bootNow(), elsewherePatience)
+        : deadline - bootNow();
+    m_storeChannel->send(peerCall(inner::storePath, inner::encode(request), patience),
+        [this, own, handler, channel = m_storeChannel](const Result<platform::HttpAnswer>& result) {
             if (succeeded(result) && valueOf(result).m_status == 200)
                 return handler(StoreOutcome::Stored);
+            m_avoidElsewhereUntil = bootNow() + elsewherePause;
             const bool isRefused = succeeded(result) ? valueOf(result).m_status == 503
                                                      : answerFor(errorOf(result).m_kind).m_runState == RunState::NotRun;
             handler(isRefused ? own : StoreOutcome::Unknown);
--- a/src/controller/Gateway.h
+++ b/src/controller/Gateway.h
@@ -19,6 +19,8 @@
     const SchedulerTerm* m_own = nullptr;
     /// Inner address of the scheduler; empty when there is none.
     std::string m_address;
+    /// Whether it answered the last hello of this daemon.
+    bool m_isAnswering = true;
 };
 
 /// Counts of answers since the start.
@@ -64,6 +66,8 @@
         const std::string& key, const std::string& value, TimePoint deadline, const std::function<void(StoreOutcome)>&);
     void storeElsewhere(
         const inner::StoreRequest&, TimePoint deadline, StoreOutcome own, const std::function<void(StoreOutcome)>&);
+    /// Whether the scheduler's daemon can store for this one.
+    bool canStoreElsewhere() const;
     void useChannel(const std::string& address);
     void queryState(const JobId&, TimePoint deadline, std::function<void(Result<jobs::JobState>)>);
     template <typename Decode, typename T>
@@ -78,6 +82,8 @@
     JobAppender m_appender;
     /// Until then records go through the scheduler's daemon first.
     TimePoint m_avoidOwnStoreUntil {};
+    /// Until then the scheduler's daemon is not asked to store, since it could not lately.
+    TimePoint m_avoidElsewhereUntil {};
     std::string m_channelAddress;
     std::shared_ptr<platform::HttpChannel> m_channel;
     /// Apart from the queries, which are short.
