Forget planned places of workers that have left

Cause: places of earlier steps are recorded for later ones, and stayed recorded when their worker left; after a takeover a later step would wait for a worker that no longer exists, up to the end of its lease. Change: planned places go with their worker. Test: TakeoverTest::laterStepsForgetPlacesOfWorkersThatLeft, which failed before.

--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -189,6 +189,8 @@
     void superviseRuns(Worker&, TimePoint now);
     /// Places whose runs are known by now from a report, or have lapsed.
     void forgetInheritedPlaces(TimePoint now);
+    /// The worker is gone: no later step of a job can start there.
+    void forgetPlannedPlaces(const WorkerId&);
     void evacuate(Worker&, TimePoint now);
     void paceFillers(Worker&, TimePoint now);
 
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -55,6 +55,7 @@
     for (const auto& [name, run] : worker.m_runs)
         ended.push_back(name);
     loseRuns(worker, ended, now);
+    forgetPlannedPlaces(id);
 }
 
 void JobScheduler::workerReborn(Worker& worker, std::int64_t bornMs, TimePoint now)
@@ -98,6 +99,8 @@
         superviseRuns(worker, now);
         std::erase_if(worker.m_unanswered, [now](const auto& start) { return now - start.second > latestOrder; });
         const bool isGone = !worker.m_isListed && worker.m_runs.empty() && worker.m_leaseEnd < now;
+        if (isGone)
+            forgetPlannedPlaces(it->first);
         it = isGone ? m_workers.erase(it) : std::next(it);
     }
     forgetInheritedPlaces(now);
@@ -121,6 +124,16 @@
     }
 }
 
+void JobScheduler::forgetPlannedPlaces(const WorkerId& id)
+{
+    for (const auto& [name, job] : m_jobs) {
+        for (Step& step : job->m_steps) {
+            if (step.m_plannedPlaces.erase(id) > 0 && job->isOpen())
+                changed(*job);
+        }
+    }
+}
+
 void JobScheduler::superviseRuns(Worker& worker, TimePoint now)
 {
     std::vector<RunName> lapsed;
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -8,6 +8,7 @@
     CPPUNIT_TEST_SUITE(TakeoverTest);
     CPPUNIT_TEST(successorWaitsOnlyForStepsOnUnreachableWorkers);
     CPPUNIT_TEST(placesOfWorkersThatLeftAreForgotten);
+    CPPUNIT_TEST(laterStepsForgetPlacesOfWorkersThatLeft);
     CPPUNIT_TEST(inheritedRunsKeepTheLeaseOfTheirTerm);
     CPPUNIT_TEST(runningJobsAreKnownWithoutTheAcceptedOnes);
     CPPUNIT_TEST(unknownRunsKeepTheirWorkerFromNewWork);
@@ -68,6 +69,27 @@
         assertNoBreach(cell);
     }
 
+    // Guards against a later step that waits after a takeover for a worker that left while an earlier step ran there.
+    void laterStepsForgetPlacesOfWorkersThatLeft()
+    {
+        SimulatedCell cell = startedCell(3);
+        StepSpec second = SimulatedCell::step(1, 1000, milliseconds(500));
+        second.m_dependsOn = { 0 };
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(3, 20000, seconds(10)), second }));
+        cell.run(milliseconds(300));
+        const WorkerId leaving = firstWorkerOf(cell);
+        CPPUNIT_ASSERT(cell.m_store.at(JobId("j")).m_places.at({ 0, 1 }).contains(leaving));
+        cell.m_workers.at(leaving).m_description.m_isDraining = true;
+        cell.listAll();
+        cell.run(seconds(1));
+        cell.m_workers.at(leaving).m_isUp = false;
+        cell.m_registry.erase(leaving);
+        cell.m_scheduler->workerLeft(leaving, cell.m_now);
+        cell.run(milliseconds(300));
+        CPPUNIT_ASSERT(!cell.m_store.at(JobId("j")).m_places.at({ 0, 1 }).contains(leaving));
+        assertNoBreach(cell);
+    }
+
     // Guards against runs of an earlier term that are given up before that term's lease has ended.
     void inheritedRunsKeepTheLeaseOfTheirTerm()
     {
