Log runs that are given up and runs that are listed unexpectedly

The log named starts that were not obeyed, but not the runs that a scheduler counts as over without a listed end, nor a run that a worker lists after that. Whether the first run was given up by an ended lease, an ended worker, a missing row or a confirmed stop, and how long a new term waits for runs of earlier ones, could not be told apart.

Change: events 3019 run-lost (with the reason) and 3020 run-unexpected (with the runs of the task that were known, and why the listed one was given up); recovery-finished has earlierLeasesMs. Runs of steps that allow copies do not count as second ones. The lost runs of the last 30 s are kept for the comparison.

Conclusion: a second run now shows with its cause as soon as the worker of the first one reports again.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -153,6 +153,7 @@
         for (const WorkerId& gone : m_scheduler->takeGoneWorkers())
             closeLink(gone);
     }
+    logRuns();
     writeProgress();
 }
 
@@ -345,6 +346,26 @@
     }
 }
 
+void SchedulerTerm::logRuns()
+{
+    for (const jobs::LostRun& lost : m_scheduler->takeLostRuns())
+        m_log.write(LogEvent::RunLost,
+            { { "worker", lost.m_worker.value() }, { "job", lost.m_run.m_task.m_job.value() },
+                { "step", std::uint64_t { lost.m_run.m_task.m_index.m_step } },
+                { "task", std::uint64_t { lost.m_run.m_task.m_index.m_task } },
+                { "run", std::uint64_t { lost.m_run.m_run } }, { "reason", jobs::nameOf(lost.m_reason) } });
+    for (const jobs::UnexpectedRun& listed : m_scheduler->takeUnexpectedRuns()) {
+        const Duration sinceLoss = listed.m_loss ? m_lastStepAt - listed.m_loss->m_at : Duration::zero();
+        m_log.write(LogEvent::RunUnexpected,
+            { { "worker", listed.m_worker.value() }, { "job", listed.m_run.m_task.m_job.value() },
+                { "step", std::uint64_t { listed.m_run.m_task.m_index.m_step } },
+                { "task", std::uint64_t { listed.m_run.m_task.m_index.m_task } },
+                { "run", std::uint64_t { listed.m_run.m_run } }, { "otherRuns", std::uint64_t { listed.m_otherRuns } },
+                { "lost", listed.m_loss ? jobs::nameOf(listed.m_loss->m_reason) : "not ordered in this term" },
+                { "lostMs", millisecondsOf(sinceLoss) } });
+    }
+}
+
 void SchedulerTerm::removeExpiredJobs(const std::vector<JobId>& jobs)
 {
     for (const JobId& job : jobs) {
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -112,6 +112,8 @@
     void writeProgress();
     ProgressWriter::Records progressSnapshot();
     void logEnded();
+    /// Logs runs that were given up and runs that were listed unexpectedly.
+    void logRuns();
     void handleWorkerEntry(const userplatform::KeyedRecord&);
     void handleJobRecord(std::uint32_t partition, const userplatform::KeyedRecord&);
     /// Adds or cancels the job that the record names.
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -45,6 +45,7 @@
     m_log.write(LogEvent::RecoveryFinished,
         { { "term", m_settings.m_term }, { "jobs", std::uint64_t { m_scheduler->jobCount() } },
             { "workers", std::uint64_t { m_workerObserver->m_entries.size() } },
+            { "earlierLeasesMs", millisecondsOf(m_settings.m_predecessorCeasedAt + lapse - now) },
             { "unlistedPartitions", std::uint64_t { unlistedPartitionCount() } } });
     m_progressFollower.reset();
     applyNotedEnds();
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -126,6 +126,9 @@
     /// Closes a job that an earlier term reported as done, perhaps without storing it, so that none of its tasks starts
     /// again.
     void restorePublishedCompletion(const JobId&, TimePoint now);
+    /// Runs that were given up, and runs that were listed unexpectedly, since the last call.
+    std::vector<LostRun> takeLostRuns() { return std::exchange(m_newLostRuns, {}); }
+    std::vector<UnexpectedRun> takeUnexpectedRuns() { return std::exchange(m_unexpectedRuns, {}); }
     /// Jobs whose end has been stored since the last call.
     std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
     /// Removes and returns the closed jobs whose retention time is over.
@@ -182,8 +185,11 @@
     Run& addRun(Step&, Task&, Worker&, const RunName&, RunPhase, TimePoint now);
     /// Removes a run from its worker; the task waits again unless it is done.
     void removeRun(Worker&, const RunName&, TimePoint now);
-    /// Removes runs that ended without a result.
-    void loseRuns(Worker&, const std::vector<RunName>&, TimePoint now);
+    /// Removes runs that count as over without a listed end.
+    void loseRuns(Worker&, const std::vector<RunName>&, RunLossReason, TimePoint now);
+    void noteLoss(const Worker&, const RunName&, RunLossReason, TimePoint now);
+    /// Notes a listed run that this term did not order on the worker, or had given up.
+    void noteUnexpectedRun(const Worker&, const RunName&, std::uint32_t otherRuns);
     void requestStop(Run&, TimePoint now);
     static void setPhase(Run&, RunPhase);
     void startRecordedRuns(TimePoint now);
@@ -208,6 +214,7 @@
     /// Handles a start whose outcome is unknown: requests a report that shows whether the run exists.
     void handleUnansweredStart(Worker&, Run&, TimePoint now);
     void handleRunFailure(Worker&, Step&, const RunName&, TimePoint now);
+    /// Gives up runs that a report should list and does not.
     void dropMissingRuns(Worker&, const WorkerReport&, TimePoint now);
     void handleWorkerRestart(Worker&, std::int64_t bornMs, TimePoint now);
     void superviseWorkers(TimePoint now);
@@ -281,6 +288,10 @@
     std::vector<std::pair<WorkerNumber, RunName>> m_recordingRuns;
     std::vector<SchedulerAction> m_actions;
     std::vector<EndedJob> m_ended;
+    /// Runs that were given up recently, oldest first.
+    std::deque<LostRun> m_lostRuns;
+    std::vector<LostRun> m_newLostRuns;
+    std::vector<UnexpectedRun> m_unexpectedRuns;
     /// Running mean of the share of workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
     SchedulerCounters m_counters;
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -36,6 +36,7 @@
     for (const RunReport& run : report.m_running)
         handleRunReport(worker, run, now);
     dropMissingRuns(worker, report, now);
+    worker.m_hasReportedInTerm = true;
     // Runs ordered by an earlier term may continue until then, whatever this term orders.
     if (!std::exchange(worker.m_hasReported, true)) {
         worker.m_leaseEnd = std::max(worker.m_leaseEnd, m_inheritedLeaseEnd);
@@ -56,8 +57,11 @@
             return;
         }
         Task& task = taskOf(*step, report.m_run);
-        const bool isSuperfluous
-            = !step->m_job->isOpen() || task.m_isDone || (task.m_liveRuns > 0 && !step->m_spec->m_allowsCopies);
+        // A worker's first report of a term lists the runs of earlier terms.
+        const bool isSecond = task.m_liveRuns > 0 && !step->m_spec->m_allowsCopies;
+        if (worker.m_hasReportedInTerm || isSecond)
+            noteUnexpectedRun(worker, report.m_run, isSecond ? task.m_liveRuns : 0);
+        const bool isSuperfluous = !step->m_job->isOpen() || task.m_isDone || isSecond;
         Run& run = addRun(*step, task, worker, report.m_run, RunPhase::Running, now);
         run.m_isListed = true;
         confirm(run, now);
@@ -96,18 +100,22 @@
 void JobScheduler::dropMissingRuns(Worker& worker, const WorkerReport& report, TimePoint now)
 {
     std::vector<RunName> missing;
+    std::vector<RunName> barred;
     for (auto& [name, run] : worker.m_runs) {
         const bool mustBeListed = run.m_confirmedAt < report.m_askedAt;
         const bool isBarred = run.m_phase == RunPhase::Stopping && run.m_stopConfirmedAt < report.m_askedAt;
         const bool isUnseen = run.m_phase == RunPhase::Unknown && run.m_unknownSince < report.m_askedAt;
         if (std::exchange(run.m_isListed, false) || (!mustBeListed && !isBarred && !isUnseen))
             continue;
-        if (mustBeListed || isBarred)
+        if (mustBeListed)
             missing.push_back(name);
+        else if (isBarred)
+            barred.push_back(name);
         else
             requestStop(run, now);
     }
-    loseRuns(worker, missing, now);
+    loseRuns(worker, missing, RunLossReason::NotListed, now);
+    loseRuns(worker, barred, RunLossReason::Barred, now);
 }
 
 void JobScheduler::handleRunEnd(Worker& worker, const EndReport& end, TimePoint now)
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -113,10 +113,33 @@
     refreshWaiting(step, task, now);
 }
 
-void JobScheduler::loseRuns(Worker& worker, const std::vector<RunName>& names, TimePoint now)
+const char* nameOf(RunLossReason reason)
+{
+    static constexpr const char* names[] = { "lease-ended", "worker-left", "not-listed", "barred", "refused" };
+    return names[static_cast<std::size_t>(reason)];
+}
+
+void JobScheduler::noteLoss(const Worker& worker, const RunName& name, RunLossReason reason, TimePoint now)
+{
+    m_lostRuns.push_back({ worker.m_description.m_worker, name, reason, now });
+    m_newLostRuns.push_back(m_lostRuns.back());
+}
+
+void JobScheduler::noteUnexpectedRun(const Worker& worker, const RunName& name, std::uint32_t otherRuns)
+{
+    UnexpectedRun unexpected { worker.m_description.m_worker, name, otherRuns, std::nullopt };
+    for (const LostRun& loss : m_lostRuns) {
+        if (loss.m_run == name && loss.m_worker == unexpected.m_worker)
+            unexpected.m_loss = loss;
+    }
+    m_unexpectedRuns.push_back(std::move(unexpected));
+}
+
+void JobScheduler::loseRuns(Worker& worker, const std::vector<RunName>& names, RunLossReason reason, TimePoint now)
 {
     for (const RunName& name : names) {
         ++m_counters.m_lostRuns;
+        noteLoss(worker, name, reason, now);
         if (const auto found = worker.m_runs.find(name); found != worker.m_runs.end())
             ++found->second.m_step->m_job->m_history.m_lostRuns;
         removeRun(worker, name, now);
@@ -205,8 +228,11 @@
     ++m_counters.m_refusedStarts;
     Step& step = *run.m_step;
     // A run listed by a report did start, whatever the reply to a repeated order says.
-    if (run.m_confirmedAt == TimePoint::max())
+    if (run.m_confirmedAt == TimePoint::max()) {
+        if (outcome != StartOutcome::NotSent)
+            noteLoss(worker, name, RunLossReason::Refused, now);
         removeRun(worker, name, now);
+    }
     if (step.m_spec->m_isGang)
         stopGang(step, name.m_run, now);
 }
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -186,6 +186,8 @@
     std::int64_t m_describedBornMs = 0;
     /// A report of the current process has arrived in this term.
     bool m_hasReported = false;
+    /// A report of any process of the worker has arrived in this term.
+    bool m_hasReportedInTerm = false;
     TimePoint m_lastReportAt {};
     /// The last report listed runs of unknown jobs. They occupy capacity until they have been stopped.
     bool m_hasUnknownRuns = false;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -225,6 +225,45 @@
     friend bool operator==(const EndedJob&, const EndedJob&) = default;
 };
 
+/// Why the scheduler counts a run as over although no report has listed its end.
+enum class RunLossReason : std::uint8_t {
+    /// The worker was silent until its lease had certainly ended.
+    LeaseEnded,
+    /// A draining worker has left.
+    WorkerLeft,
+    /// A report that would have to list the run does not.
+    NotListed,
+    /// The worker has confirmed a stop and does not list the run.
+    Barred,
+    /// The worker refused the start.
+    Refused,
+};
+
+/// Name in lower case with hyphens.
+const char* nameOf(RunLossReason);
+
+/// A run that was given up, so that its task may start again.
+struct LostRun {
+    WorkerId m_worker;
+    RunName m_run;
+    RunLossReason m_reason = RunLossReason::LeaseEnded;
+    TimePoint m_at {};
+
+    friend bool operator==(const LostRun&, const LostRun&) = default;
+};
+
+/// A run that a worker lists although this term did not order it there, or had given it up.
+struct UnexpectedRun {
+    WorkerId m_worker;
+    RunName m_run;
+    /// Unresolved runs of the task that were known before.
+    std::uint32_t m_otherRuns = 0;
+    /// When and why the run was given up; none if this term did not order it.
+    std::optional<LostRun> m_loss;
+
+    friend bool operator==(const UnexpectedRun&, const UnexpectedRun&) = default;
+};
+
 /// Progress record of a job that is to be stored.
 struct ProgressRecord {
     JobId m_job;
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -15,6 +15,8 @@
     constexpr Duration maxOrderDelay = std::chrono::seconds(13);
     /// Step in percent by which the rate of a filling task rises.
     constexpr std::uint32_t rateStepPercent = 10;
+    /// Time for which a lost run is remembered, so that the log tells why a run that appears again was given up.
+    constexpr Duration lostRunRetention = std::chrono::seconds(30);
 
 } // namespace
 
@@ -101,7 +103,7 @@
     ended.reserve(worker.m_runs.size());
     for (const auto& [name, run] : worker.m_runs)
         ended.push_back(name);
-    loseRuns(worker, ended, now);
+    loseRuns(worker, ended, RunLossReason::WorkerLeft, now);
     forgetPlannedPlaces(worker.m_number);
 }
 
@@ -163,6 +165,8 @@
         it = isGone ? m_workers.erase(it) : std::next(it);
     }
     forgetInheritedPlaces(now);
+    while (!m_lostRuns.empty() && m_lostRuns.front().m_at + lostRunRetention < now)
+        m_lostRuns.pop_front();
     std::erase_if(m_cancelledEarly, [&](const auto& entry) { return entry.second + m_settings.m_retention < now; });
 }
 
@@ -212,7 +216,7 @@
         if (run.m_phase == RunPhase::Stopping && run.m_nextStopAt <= now && !worker.m_isSilent)
             requestStop(run, now);
     }
-    loseRuns(worker, lapsed, now);
+    loseRuns(worker, lapsed, RunLossReason::LeaseEnded, now);
 }
 
 void JobScheduler::evacuate(Worker& worker, TimePoint now)
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -34,6 +34,8 @@
         { ProgressMoves, 3016, Warning, "progress-moves", "Another partition holds the progress of the jobs" },
         { EndShown, 3017, Info, "end-shown", "The end of a job is shown before it is stored" },
         { EndsNoted, 3018, Info, "ends-noted", "Ends of jobs were noted for the next scheduler" },
+        { RunLost, 3019, Info, "run-lost", "A run counts as over although its end was not listed" },
+        { RunUnexpected, 3020, Warning, "run-unexpected", "A worker lists a run that was not expected there" },
         { TaskStarted, 4001, Debug, "task-started", "A task was started" },
         { TaskStopped, 4002, Debug, "task-stopped", "A task was stopped" },
         { JobAccepted, 4008, Info, "job-accepted", "A job was accepted" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -35,6 +35,8 @@
     ProgressMoves,
     EndShown,
     EndsNoted,
+    RunLost,
+    RunUnexpected,
     TaskStarted,
     TaskStopped,
     JobAccepted,
--- a/tests/jobs/JobSchedulerTest.cpp
+++ b/tests/jobs/JobSchedulerTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(longRunningTasksRunAgainHoweverTheyEnd);
     CPPUNIT_TEST(occurrencesRunWhenTheyAreDue);
     CPPUNIT_TEST(everyLongWaitIsExplained);
+    CPPUNIT_TEST(runsThatAreGivenUpAndListedAgainAreReported);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -371,6 +372,30 @@
         cell.run(seconds(4));
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), cell.m_scheduler->takeLongWaits(seconds(4), 3, cell.m_now).size());
     }
+
+    // Guards against a task that runs twice without a line in the log that says why its first run was given up.
+    void runsThatAreGivenUpAndListedAgainAreReported()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(1, 1000, seconds(30)) }));
+        cell.run(milliseconds(200));
+        const WorkerId silent = firstWorkerOf(cell);
+        const RunName first = cell.m_workers.at(silent).m_running.begin()->first;
+        cell.m_workers.at(silent).m_isReachable = false;
+        cell.run(SimulatedCell::lease + seconds(1));
+        const std::vector<LostRun> lost = cell.m_scheduler->takeLostRuns();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), lost.size());
+        CPPUNIT_ASSERT(lost[0].m_worker == silent && lost[0].m_run == first);
+        CPPUNIT_ASSERT(lost[0].m_reason == RunLossReason::LeaseEnded);
+        CPPUNIT_ASSERT(cell.m_scheduler->takeUnexpectedRuns().empty());
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+        // A worker whose lease has lasted longer than was assumed.
+        cell.m_scheduler->workerReported(silent, { 1, cell.m_now, { { first, {}, 50, 0 } }, {} }, cell.m_now);
+        const std::vector<UnexpectedRun> unexpected = cell.m_scheduler->takeUnexpectedRuns();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), unexpected.size());
+        CPPUNIT_ASSERT_EQUAL(1U, unexpected[0].m_otherRuns);
+        CPPUNIT_ASSERT(unexpected[0].m_loss == lost[0]);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobSchedulerTest);
