Wait for every earlier holder of the term, not for the last one only

Cause: a holder that is cut off from the store gives orders, and extends the leases of the workers that it reaches, until 7 s after its last confirmed renewal. The claim of the next term recorded only the end of the term just before it. When that term had been released, or its daemon had been restarted, the claim counted it as over at once and forgot the holder before it. The third term then started tasks of workers that it could not reach 8.6 s later, while the first holder had kept them running.

Change: a term record carries the time for which earlier terms may still give orders, rounded up, and a claim waits for the later of that and the end of the last term. It is a time to go and not a deadline, because hosts share no clock; a reader counts it from when it reads, which is late enough. Records without it count as a whole lease. A claim that is read back counts as this daemon's own whatever time it names, as a repeated claim names a shorter one. Bounds on the numbers of a record keep a damaged one from moving the end beyond a lease.

Ruled out: counting a whole lease at each vacant term. It needs nothing in the record, but each restart of a holder would keep steps with a silent worker waiting for up to 15.6 s in place of 8.6 s.

Conclusion: the bound now covers all earlier terms, however many there were and however they ended.

--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <limits>
 
 namespace sapphiredale::jobs {
 
@@ -21,14 +22,22 @@
     /// Delay after an append that was not done or whose outcome is unknown.
     constexpr Duration retryInterval = std::chrono::milliseconds(100);
 
+    /// Time until the end in whole milliseconds, rounded up.
+    Duration remainingMilliseconds(TimePoint end, TimePoint now)
+    {
+        return std::chrono::ceil<std::chrono::milliseconds>(std::max(end - now, Duration::zero()));
+    }
+
 } // namespace
 
 std::string encodeTermRecord(const TermRecord& record)
 {
-    return json::serialize(json::object { { "kind", static_cast<int>(record.m_kind) }, { "term", record.m_term },
+    json::object object { { "kind", static_cast<int>(record.m_kind) }, { "term", record.m_term },
         { "daemon", record.m_daemon.value() }, { "address", record.m_address },
-        { "progressPartition", record.m_progressPartition },
-        { "weaknessMs", millisecondsOf(record.m_weakHostDelay) } });
+        { "progressPartition", record.m_progressPartition }, { "weaknessMs", millisecondsOf(record.m_weakHostDelay) } };
+    if (record.m_earlierTermsTime)
+        object["earlierTermsMs"] = millisecondsOf(*record.m_earlierTermsTime);
+    return json::serialize(object);
 }
 
 Result<TermRecord> decodeTermRecord(std::string_view text)
@@ -45,16 +54,22 @@
     const json::value* address = object->if_contains("address");
     const json::value* partition = object->if_contains("progressPartition");
     const json::value* weakness = object->if_contains("weaknessMs");
-    const auto isAbsentOrCount
-        = [](const json::value* value) { return value == nullptr || (value->is_int64() && value->get_int64() >= 0); };
+    const json::value* earlierTerms = object->if_contains("earlierTermsMs");
+    constexpr std::int64_t greatest = std::numeric_limits<std::int32_t>::max();
+    const auto isAbsentOrCount = [](const json::value* value) {
+        return value == nullptr || (value->is_int64() && value->get_int64() >= 0 && value->get_int64() <= greatest);
+    };
     if (kind == nullptr || !kind->is_int64() || kind->get_int64() < 0 || kind->get_int64() > 2 || term == nullptr
         || !term->is_int64() || daemon == nullptr || !daemon->is_string() || address == nullptr || !address->is_string()
-        || !isAbsentOrCount(partition) || !isAbsentOrCount(weakness))
+        || !isAbsentOrCount(partition) || !isAbsentOrCount(weakness) || !isAbsentOrCount(earlierTerms))
         return malformed;
-    return TermRecord { static_cast<TermRecord::Kind>(kind->get_int64()), static_cast<std::uint64_t>(term->get_int64()),
+    TermRecord record { static_cast<TermRecord::Kind>(kind->get_int64()), static_cast<std::uint64_t>(term->get_int64()),
         DaemonId(std::string(daemon->get_string())), std::string(address->get_string()),
         partition == nullptr ? 0 : static_cast<std::uint32_t>(partition->get_int64()),
-        std::chrono::milliseconds(weakness == nullptr ? 0 : weakness->get_int64()) };
+        std::chrono::milliseconds(weakness == nullptr ? 0 : weakness->get_int64()), std::nullopt };
+    if (earlierTerms != nullptr)
+        record.m_earlierTermsTime = std::chrono::milliseconds(earlierTerms->get_int64());
+    return record;
 }
 
 Election::Election(const ElectionSettings& settings)
@@ -74,8 +89,11 @@
         m_holdsTerm = false;
         m_term = term;
         m_holderAddress = record.m_address;
-        // The reply to a claim may be lost; reading the record proves that it was appended.
-        if (record.m_kind == TermRecord::Kind::Claim && m_claim && record == m_appended) {
+        // The reply to a claim may be lost; reading the record proves that it was appended. A claim that was repeated
+        // names another time of the earlier terms.
+        TermRecord sent = m_appended;
+        sent.m_earlierTermsTime = record.m_earlierTermsTime;
+        if (record.m_kind == TermRecord::Kind::Claim && m_claim && record == sent) {
             takeTerm(term);
             return;
         }
@@ -85,6 +103,8 @@
         m_recordInterval = std::clamp(
             std::max(now - m_recordAt, m_recordInterval - m_recordInterval / 4), shortestInterval, longestInterval);
     m_recordAt = now;
+    m_earlierTermsEnd
+        = now + std::min(record.m_earlierTermsTime.value_or(m_settings.m_termLease), m_settings.m_termLease);
     // A record with this daemon's address that it did not write comes from an earlier process, which no longer runs.
     const bool isOfEarlierProcess = !m_holdsTerm && !m_claim && record.m_address == m_settings.m_address;
     m_isVacant = record.m_kind == TermRecord::Kind::Release || isOfEarlierProcess;
@@ -111,8 +131,9 @@
     if (m_appending || !m_hasRead || now < m_nextRenewal)
         return std::nullopt;
     TermRecord record { TermRecord::Kind::Renewal, m_term, m_settings.m_daemon, m_settings.m_address,
-        m_progressPartition, m_settings.m_weakHostDelay };
+        m_progressPartition, m_settings.m_weakHostDelay, std::nullopt };
     if (m_holdsTerm) {
+        record.m_earlierTermsTime = remainingMilliseconds(m_predecessorLeaseEnd, now);
         record.m_progressPartition = m_announcedPartition.value_or(m_progressPartition);
         if (m_isLeaving)
             record.m_kind = TermRecord::Kind::Release;
@@ -121,12 +142,12 @@
             return std::nullopt;
         record.m_kind = TermRecord::Kind::Claim;
         record.m_term = m_end + 1;
+        const TimePoint lastTermEnd = m_isVacant ? m_recordAt : m_recordAt + m_settings.m_termLease;
+        m_claim = { now, std::max(lastTermEnd, m_earlierTermsEnd) };
+        record.m_earlierTermsTime = remainingMilliseconds(m_claim->m_predecessorLeaseEnd, now);
     }
     m_appending = true;
     m_appended = record;
-    m_claim.reset();
-    if (record.m_kind == TermRecord::Kind::Claim)
-        m_claim = { now, m_isVacant ? m_recordAt : m_recordAt + m_settings.m_termLease };
     return Append { record, m_end };
 }
 
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -47,6 +47,10 @@
     std::uint32_t m_progressPartition = 0;
     /// ElectionSettings::m_weakHostDelay of the daemon; stored as "weaknessMs".
     Duration m_weakHostDelay {};
+    /// Time from the sending of the record for which earlier terms may still give orders, in whole milliseconds; stored
+    /// as "earlierTermsMs". Hosts do not share a clock, so the record cannot name the end itself. None in records of
+    /// versions that did not write it.
+    std::optional<Duration> m_earlierTermsTime;
 
     friend bool operator==(const TermRecord&, const TermRecord&) = default;
 };
@@ -129,6 +133,9 @@
     /// Partition that this daemon's records name while it holds the term; none before its first announcement.
     std::optional<std::uint32_t> m_announcedPartition;
     TimePoint m_recordAt {};
+    /// End of the leases of all terms before m_term. A holder that is cut off from the store outlasts later terms that
+    /// were released or whose daemon was restarted.
+    TimePoint m_earlierTermsEnd {};
     /// Longest recent interval between two records of the holder; decays by a quarter with each record.
     Duration m_recordInterval = std::chrono::milliseconds(300);
     TimePoint claimAt() const;
--- a/tests/jobs/ElectionTest.cpp
+++ b/tests/jobs/ElectionTest.cpp
@@ -16,8 +16,11 @@
     CPPUNIT_TEST(firstDaemonHoldsTheTermAndRenewsIt);
     CPPUNIT_TEST(silentHolderIsReplacedAndLosesTheTerm);
     CPPUNIT_TEST(claimWithALostAnswerCountsOnceItIsRead);
+    CPPUNIT_TEST(repeatedClaimCountsOnceItIsRead);
     CPPUNIT_TEST(restartedHolderClaimsAtOnce);
     CPPUNIT_TEST(releasedTermIsClaimedAtOnce);
+    CPPUNIT_TEST(holderThatIsCutOffOutlastsTwoTakeovers);
+    CPPUNIT_TEST(recordsWithoutTheTimeOfEarlierTermsCountAsALease);
     CPPUNIT_TEST(authorityEndsWithoutRenewals);
     CPPUNIT_TEST(announcedPartitionOutlivesItsTerm);
     CPPUNIT_TEST(weakHostsWaitForStrongerOnesOnly);
@@ -125,6 +128,29 @@
         CPPUNIT_ASSERT(a.m_election.holdsTerm(now + milliseconds(20)));
     }
 
+    // Guards against a daemon that waits for a term which it holds, because the repeated claim differs from the one
+    // that the store has.
+    void repeatedClaimCountsOnceItIsRead()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        Daemon b("b", topic);
+        TimePoint now(seconds(100));
+        a.step(now);
+        b.read(now);
+        now += seconds(2);
+        b.read(now);
+        const auto claim = b.m_election.takeDueAppend(now);
+        CPPUNIT_ASSERT(claim.has_value());
+        topic.append(*claim);
+        b.m_election.appendEnded(AppendOutcome::Unknown, 0, now);
+        now += milliseconds(700);
+        CPPUNIT_ASSERT(b.m_election.takeDueAppend(now).has_value());
+        b.m_election.appendEnded(AppendOutcome::EndDiffers, 0, now);
+        b.read(now);
+        CPPUNIT_ASSERT(b.m_election.holdsTerm(now));
+    }
+
     void restartedHolderClaimsAtOnce()
     {
         Topic topic;
@@ -154,6 +180,52 @@
         CPPUNIT_ASSERT(b.m_election.predecessorCeasedAt() == now);
     }
 
+    // The first holder is cut off from the store. The next one takes over and gives its term up soon after, or its
+    // daemon is restarted. Guards against a third term that starts tasks a second time while the first holder still
+    // extends the leases of its workers.
+    void holderThatIsCutOffOutlastsTwoTakeovers()
+    {
+        const auto secondTakeover = [](bool isRestart, Duration pause) {
+            Topic topic;
+            Daemon cutOff("a", topic);
+            Daemon second("b", topic);
+            TimePoint now(seconds(100));
+            cutOff.step(now);
+            const TimePoint leaseEnd = now + ElectionSettings().m_termLease;
+            for (; !second.m_election.isNewestTerm(); now += milliseconds(50))
+                second.step(now);
+            for (const TimePoint end = now + pause; now < end; now += milliseconds(50))
+                second.step(now);
+            if (!isRestart) {
+                second.m_election.leave();
+                second.step(now + seconds(1));
+                now += seconds(1);
+                CPPUNIT_ASSERT(second.m_election.isReleased());
+            }
+            Daemon third(isRestart ? "b" : "c", topic);
+            third.step(now);
+            CPPUNIT_ASSERT(third.m_election.holdsTerm(now));
+            const TimePoint ceasedAt = third.m_election.predecessorCeasedAt();
+            CPPUNIT_ASSERT(ceasedAt >= std::max(leaseEnd, now));
+            return ceasedAt - now;
+        };
+        for (const bool isRestart : { true, false }) {
+            CPPUNIT_ASSERT(secondTakeover(isRestart, milliseconds(500)) < ElectionSettings().m_termLease);
+            CPPUNIT_ASSERT_EQUAL(Duration::zero().count(), secondTakeover(isRestart, seconds(8)).count());
+        }
+    }
+
+    void recordsWithoutTheTimeOfEarlierTermsCountAsALease()
+    {
+        Topic topic;
+        topic.m_records.push_back({ TermRecord::Kind::Release, 1, DaemonId("a"), "a:1", 0, {}, std::nullopt });
+        Daemon b("b", topic);
+        const TimePoint now(seconds(100));
+        b.step(now);
+        CPPUNIT_ASSERT(b.m_election.holdsTerm(now));
+        CPPUNIT_ASSERT(b.m_election.predecessorCeasedAt() == now + ElectionSettings().m_termLease);
+    }
+
     void authorityEndsWithoutRenewals()
     {
         Topic topic;
@@ -282,8 +354,13 @@
 
     void recordsAreReversible()
     {
-        const TermRecord record { TermRecord::Kind::Renewal, 12, DaemonId("a"), "10.0.0.1:7720" };
+        TermRecord record { TermRecord::Kind::Renewal, 12, DaemonId("a"), "10.0.0.1:7720", 3, milliseconds(800),
+            std::nullopt };
+        CPPUNIT_ASSERT(valueOf(decodeTermRecord(encodeTermRecord(record))) == record);
+        record.m_earlierTermsTime = milliseconds(5300);
         CPPUNIT_ASSERT(valueOf(decodeTermRecord(encodeTermRecord(record))) == record);
+        record.m_earlierTermsTime = std::chrono::hours(1000000);
+        CPPUNIT_ASSERT(!succeeded(decodeTermRecord(encodeTermRecord(record))));
         CPPUNIT_ASSERT(!succeeded(decodeTermRecord("{}")));
         const JobProgress progress { JobState::Running, { { 0, 0, 1 }, { 0, 0, 2 }, { 0, 1, 0 } },
             { { { 0, 1, 3 }, { 4, 9 } } }, { { { 0, 1 }, { WorkerId("i-1"), WorkerId("i-2") } } } };
