Count the lease of a repeated claim from before its first try

Cause: a claim whose answer is lost is repeated every 0.6 s or so. When the record of the first try was read later, the lease of the term counted from the last try, up to 1.5 s after the time from which the other daemons count it.

Change: a pending claim keeps the time of the read that it is based on. The topic still ended there, so no try was appended sooner, and a term that is proven by reading its claim counts its lease from then.

Conclusion: no daemon counts the lease of a term from a later time than the others do.

--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -94,7 +94,8 @@
         TermRecord sent = m_appended;
         sent.m_earlierTermsTime = record.m_earlierTermsTime;
         if (record.m_kind == TermRecord::Kind::Claim && m_claim && record == sent) {
-            takeTerm(term);
+            // An earlier try of the claim may have been appended, but not before the read that it is based on.
+            takeTerm(term, m_claim->m_readAt);
             return;
         }
     }
@@ -143,7 +144,7 @@
         record.m_kind = TermRecord::Kind::Claim;
         record.m_term = m_end + 1;
         const TimePoint lastTermEnd = m_isVacant ? m_recordAt : m_recordAt + m_settings.m_termLease;
-        m_claim = { now, std::max(lastTermEnd, m_earlierTermsEnd) };
+        m_claim = { now, m_readAt, std::max(lastTermEnd, m_earlierTermsEnd) };
         record.m_earlierTermsTime = remainingMilliseconds(m_claim->m_predecessorLeaseEnd, now);
     }
     m_appending = true;
@@ -151,15 +152,15 @@
     return Append { record, m_end };
 }
 
-void Election::takeTerm(std::uint64_t term)
+void Election::takeTerm(std::uint64_t term, TimePoint leaseFrom)
 {
     m_term = term;
     m_holdsTerm = true;
     m_isVacant = false;
     m_holderAddress = m_settings.m_address;
     m_predecessorLeaseEnd = m_claim->m_predecessorLeaseEnd;
-    m_termLeaseEnd = m_claim->m_sentAt + m_settings.m_termLease;
-    m_recordAt = m_claim->m_sentAt;
+    m_termLeaseEnd = leaseFrom + m_settings.m_termLease;
+    m_recordAt = leaseFrom;
     m_claim.reset();
     m_announcedPartition.reset();
 }
@@ -181,7 +182,7 @@
     switch (m_appended.m_kind) {
     case TermRecord::Kind::Claim:
         if (m_claim && offset + 1 > m_term)
-            takeTerm(offset + 1);
+            takeTerm(offset + 1, m_claim->m_sentAt);
         return;
     case TermRecord::Kind::Renewal:
         if (!m_holdsTerm || m_appended.m_term != m_term)
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -110,10 +110,13 @@
     /// A claim that was sent and has neither succeeded nor been replaced.
     struct PendingClaim {
         TimePoint m_sentAt {};
+        /// When the read was sent that found the end of the topic which the claim has as its condition.
+        TimePoint m_readAt {};
         TimePoint m_predecessorLeaseEnd {};
     };
 
-    void takeTerm(std::uint64_t term);
+    /// Begins the term of the pending claim, whose lease counts from a time before the claim was appended.
+    void takeTerm(std::uint64_t term, TimePoint leaseFrom);
 
     const ElectionSettings m_settings;
     std::uint64_t m_end = 0;
--- a/tests/jobs/ElectionTest.cpp
+++ b/tests/jobs/ElectionTest.cpp
@@ -143,12 +143,15 @@
         const auto claim = b.m_election.takeDueAppend(now);
         CPPUNIT_ASSERT(claim.has_value());
         topic.append(*claim);
+        const TimePoint othersCountFrom = now;
         b.m_election.appendEnded(AppendOutcome::Unknown, 0, now);
         now += milliseconds(700);
         CPPUNIT_ASSERT(b.m_election.takeDueAppend(now).has_value());
         b.m_election.appendEnded(AppendOutcome::EndDiffers, 0, now);
         b.read(now);
         CPPUNIT_ASSERT(b.m_election.holdsTerm(now));
+        // A lease from the repetition on would last longer than other daemons assume.
+        CPPUNIT_ASSERT(!b.m_election.holdsTerm(othersCountFrom + ElectionSettings().m_termLease));
     }
 
     void restartedHolderClaimsAtOnce()
