Count no registry entry as fresh that a listing has returned

Cause: a draining worker counts as ended when its entry is removed sooner than it can expire. When the registry was listed anew, because the store had deleted the records that were to be read, each entry counted as written just before, whatever its age. The entry of a draining worker that was cut off from the store could then expire within the limit, its runs counted as over, and its tasks started again while they still ran.

Change: an entry that a listing returns has no known age.

Conclusion: the removal of an entry ends runs only if the entry itself was read as it was written.

--- a/src/controller/TermObservers.h
+++ b/src/controller/TermObservers.h
@@ -86,6 +86,9 @@
         m_term.m_entryFreshness.readFailed(bootNow());
     }
 
+    /// Whether the records that are read now come from a listing of the topic.
+    bool isListing() const { return m_isListing; }
+
     bool m_isListed = false;
     /// Detail of the last failed read, for the log.
     std::string m_lastError;
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -151,7 +151,8 @@
         m_workerObserver->m_entries.erase(id);
         return;
     }
-    m_entryFreshness.written(id, m_workerFollower->caughtUpAt());
+    // A listing returns entries of any age.
+    m_entryFreshness.written(id, m_workerObserver->isListing() ? TimePoint() : m_workerFollower->caughtUpAt());
     m_missingEntries.erase(id);
     m_workerObserver->m_known.insert(id);
     jobs::WorkerDescription& known = m_workerObserver->m_entries[id];
--- a/tests/controller/StoreStandIn.h
+++ b/tests/controller/StoreStandIn.h
@@ -33,6 +33,8 @@
         std::uint32_t m_calls = 0;
         /// Longer answers to reads get lost, as when they take longer than the reader waits.
         std::size_t m_mostBytes = std::string::npos;
+        /// The next read finds that its records were deleted.
+        bool m_isTrimmed = false;
         /// Wait that the last read asked for.
         std::uint64_t m_waitMs = 0;
     };
@@ -203,6 +205,8 @@
         const std::string limit = parameter(request.m_target, "max_kb");
         const std::size_t maxBytes = (limit.empty() ? 1024 : number(limit)) << 10;
         m_parts[place].m_waitMs = wait;
+        if (std::exchange(m_parts[place].m_isTrimmed, false))
+            return respond({ 410, R"({"first":0})" });
         if (wait == 0 || from < m_parts[place].m_records.size()) {
             ServerResponse answer = recordsFrom(place, from, maxBytes);
             if (answer.m_body.size() > m_parts[place].m_mostBytes)
--- a/tests/controller/StoreTest.cpp
+++ b/tests/controller/StoreTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(handoverEndsThoughWorkersReport);
     CPPUNIT_TEST(pausedSchedulerReadsTheRegistryBeforeItStarts);
     CPPUNIT_TEST(entryThatLapsedInAnOutageEndsNoRun);
+    CPPUNIT_TEST(entryThatIsListedAgainEndsNoRun);
     CPPUNIT_TEST(malformedRecordsDelayNoOthers);
     CPPUNIT_TEST(storedRecordIsTakenUpBeforeItIsRead);
     CPPUNIT_TEST_SUITE_END();
@@ -489,6 +490,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), known("w")->m_runs.size());
     }
 
+    // Guards against a second run of a task whose draining worker is cut off from the store: its entry is old, but was
+    // read again when the topic was listed anew, and expires then.
+    void entryThatIsListedAgainEndsNoRun()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        store.put(jobTopic, 1, "j", jobText("j"));
+        store.put(progressTopic, 0, "j", runningText());
+        HttpListener worker(context, "", [&](const ServerRequest&, const Responder& respond) {
+            respond({ 200, R"({"clock_ms":1000,"born":1,"running":[["j.0.0.0",1,"",10]],"finished":[]})" });
+        });
+        const std::string address = openOnFreePort(worker);
+        store.put("keyed.servers", 0, "w", workerText(address, "draining"));
+        TermFixture fixture(store, context);
+        SchedulerTerm& term = *fixture.m_term;
+        const auto known
+            = [&](const char* id) { return term.isRecovered() ? term.scheduler()->worker(WorkerId(id)) : nullptr; };
+        term.start();
+        runUntil(context, [&] { return known("w") != nullptr && known("w")->m_hasReported; });
+        store.part("keyed.servers").m_isTrimmed = true;
+        store.put("keyed.servers", 0, "w2", workerText(address));
+        runUntil(context, [&] { return known("w2") != nullptr && !store.part("keyed.servers").m_isTrimmed; });
+        store.put("keyed.servers", 0, "w", std::nullopt);
+        store.put("keyed.servers", 0, "w3", workerText(address));
+        runUntil(context, [&] { return known("w3") != nullptr; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), known("w")->m_runs.size());
+    }
+
     // While the store is slow, its scheduler used to learn of a job a quarter of a second after it had stored it.
     void storedRecordIsTakenUpBeforeItIsRead()
     {
