--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -30,10 +30,12 @@
     void releaseTentativeReservations(Step&);
     /// Ends the reservation of workers for the gang, if it has one.
     void endReservation(Step&);
-    /// Whether the tasks of the step that were placed on the worker may still start there.
+    /// Whether the tasks of the step that were placed on the worker may still start there. Its capacity may have shrunk
+    /// since.
     bool mayStart(const Worker& worker, const Step& step) const
     {
-        return isEligible(worker, step) && (!step.m_job->m_record.m_policy.m_advice || hasTicket(worker, step));
+        return isEligible(worker, step) && worker.m_reserved.fitsIn(worker.m_description.m_capacity)
+            && (!step.m_job->m_record.m_policy.m_advice || hasTicket(worker, step));
     }
 
     /// Explains for the log why tasks of the step wait: counts of workers by the first obstacle.
--- a/tests/jobs/JobSchedulerTest.cpp
+++ b/tests/jobs/JobSchedulerTest.cpp
@@ -26,6 +26,11 @@
     CPPUNIT_TEST(occurrencesRunWhenTheyAreDue);
     CPPUNIT_TEST(everyLongWaitIsExplained);
     CPPUNIT_TEST(runsThatAreGivenUpAndListedAgainAreReported);
+    CPPUNIT_TEST(shrunkWorkerGetsWorkOnceItHasRoomAgain);
+    CPPUNIT_TEST(placedRunIsNotStartedOverShrunkCapacity);
+    CPPUNIT_TEST(placedGangIsNotStartedOverShrunkCapacity);
+    CPPUNIT_TEST(stoppingRunCountsOnShrunkWorker);
+    CPPUNIT_TEST(fillingTaskIsNotStartedOnOverloadedWorker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -396,6 +401,114 @@
         CPPUNIT_ASSERT_EQUAL(1U, unexpected[0].m_otherRuns);
         CPPUNIT_ASSERT(unexpected[0].m_loss == lost[0]);
     }
+
+    // Guards against starts on a worker whose runs take more than its capacity, and against a worker that gets no
+    // work after it has grown again.
+    void shrunkWorkerGetsWorkOnceItHasRoomAgain()
+    {
+        SimulatedCell cell = startedCell(1);
+        const WorkerId id = cell.m_workers.begin()->first;
+        cell.accept(SimulatedCell::job("old", { SimulatedCell::step(2, 12000, seconds(10)) }));
+        cell.run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(2U, cell.running("old"));
+        cell.resizeWorker(id, { 8000, 131072, 0 });
+        cell.accept(SimulatedCell::job("new", { SimulatedCell::step(1, 1000, seconds(1)) }));
+        cell.run(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(2U, cell.running("old"));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("new"));
+        cell.resizeWorker(id, { 32000, 131072, 0 });
+        cell.run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("new"));
+        cell.run(seconds(9));
+        CPPUNIT_ASSERT(cell.state("old") == JobState::Done);
+        CPPUNIT_ASSERT(cell.state("new") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
+    // Guards against starting a run whose place was chosen, but not yet stored, when its worker shrank.
+    void placedRunIsNotStartedOverShrunkCapacity()
+    {
+        SimulatedCell cell = startedCell(1);
+        const WorkerId id = cell.m_workers.begin()->first;
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(4, 8000, seconds(1)) }));
+        cell.run(SimulatedCell::tick);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), cell.m_scheduler->worker(id)->m_runs.size());
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("j"));
+        cell.resizeWorker(id, { 17000, 131072, 0 });
+        cell.run(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(2U, cell.running("j"));
+        assertNoViolation(cell);
+        cell.resizeWorker(id, { 32000, 131072, 0 });
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
+    // Guards against starting the members of a gang over the capacity of a worker that shrank after the placement.
+    void placedGangIsNotStartedOverShrunkCapacity()
+    {
+        SimulatedCell cell = startedCell(2);
+        const WorkerId id = cell.m_workers.begin()->first;
+        StepSpec gang = SimulatedCell::step(4, 16000, seconds(1));
+        gang.m_isGang = true;
+        cell.accept(SimulatedCell::job("gang", { gang }));
+        cell.run(SimulatedCell::tick);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), cell.m_scheduler->worker(id)->m_runs.size());
+        cell.resizeWorker(id, { 20000, 131072, 0 });
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("gang"));
+        assertNoViolation(cell);
+        cell.resizeWorker(id, { 32000, 131072, 0 });
+        cell.run(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(4U, cell.running("gang"));
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT(cell.state("gang") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
+    // Guards against counting the capacity of a run as free while it is being stopped.
+    void stoppingRunCountsOnShrunkWorker()
+    {
+        SimulatedCell cell = startedCell(1);
+        const WorkerId id = cell.m_workers.begin()->first;
+        cell.accept(SimulatedCell::job("old", { SimulatedCell::step(1, 16000, seconds(10)) }));
+        cell.run(milliseconds(200));
+        cell.resizeWorker(id, { 20000, 131072, 0 });
+        cell.cancel(JobId("old"));
+        cell.accept(SimulatedCell::job("new", { SimulatedCell::step(1, 16000, seconds(1)) }));
+        cell.run(SimulatedCell::stopTime - milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("old"));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("new"));
+        cell.run(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("old"));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("new"));
+        assertNoViolation(cell);
+    }
+
+    // A filling task reserves no processor time, so it would fit on a worker whose other runs exceed its capacity.
+    void fillingTaskIsNotStartedOnOverloadedWorker()
+    {
+        for (const bool isPlacedBefore : { false, true }) {
+            SimulatedCell cell = startedCell(1);
+            const WorkerId id = cell.m_workers.begin()->first;
+            cell.accept(SimulatedCell::job("old", { SimulatedCell::step(2, 8000, seconds(10)) }));
+            cell.run(milliseconds(200));
+            StepSpec filling = SimulatedCell::step(1, 2000, seconds(1));
+            filling.m_isFilling = true;
+            if (!isPlacedBefore)
+                cell.resizeWorker(id, { 12000, 131072, 0 });
+            cell.accept(SimulatedCell::job("fill", { filling }));
+            cell.run(SimulatedCell::tick);
+            if (isPlacedBefore)
+                cell.resizeWorker(id, { 12000, 131072, 0 });
+            cell.run(seconds(1));
+            CPPUNIT_ASSERT_EQUAL(0U, cell.running("fill"));
+            cell.resizeWorker(id, { 32000, 131072, 0 });
+            cell.run(milliseconds(200));
+            CPPUNIT_ASSERT_EQUAL(1U, cell.running("fill"));
+            assertNoViolation(cell);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobSchedulerTest);
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -181,6 +181,16 @@
         worker.m_description.m_capacity = capacity;
     }
 
+    /// Changes the capacity of a running worker and lists it anew.
+    void resizeWorker(const WorkerId& id, Resources capacity)
+    {
+        WorkerDescription& description = m_workers.at(id).m_description;
+        description.m_capacity = capacity;
+        m_registry[id] = description;
+        if (m_scheduler)
+            m_scheduler->workerListed(description, m_now);
+    }
+
     /// Ends all faults of the store, the network and the workers.
     void endFaults()
     {
