--- a/src/platform/HttpChannel.cpp
+++ b/src/platform/HttpChannel.cpp
@@ -47,13 +47,15 @@
         const auto [parsed, error] = std::from_chars(text.data() + colon + 1, end, port);
         error_code addressError;
         const auto address = asio::ip::make_address(host, addressError);
-        if (addressError || error != std::errc() || parsed != end)
+        if (addressError || error != std::errc() || parsed != end || port == 0)
             return nullptr;
         return std::make_unique<const tcp::endpoint>(address, port);
     }
 
 } // namespace
 
+bool isEndpoint(const std::string& text) { return parseEndpoint(text) != nullptr; }
+
 /// State of the channel; all members are used by handlers on the executor only.
 class HttpChannel::Impl : public std::enable_shared_from_this<HttpChannel::Impl> {
 public:
--- a/src/platform/HttpChannel.h
+++ b/src/platform/HttpChannel.h
@@ -34,6 +34,9 @@
     std::string m_headers {};
 };
 
+/// Whether a channel can connect to the text: "address:port" or "[address]:port" with a numeric address and port.
+bool isEndpoint(const std::string&);
+
 /// Sends one request at a time. A connection is closed after every failure, so that an answer that arrives late cannot
 /// be taken for that of another call. The calls may come from any thread.
 class HttpChannel {
--- a/tests/userplatform/DocumentsTest.cpp
+++ b/tests/userplatform/DocumentsTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(unreadableConfigurationIsRefused);
     CPPUNIT_TEST(workerEntryIsDecoded);
     CPPUNIT_TEST(foreignEntriesNameNoWorker);
+    CPPUNIT_TEST(entriesWithoutUsableAddressNameNoWorker);
     CPPUNIT_TEST(submissionIsDecoded);
     CPPUNIT_TEST(faultySubmissionsAreRefused);
     CPPUNIT_TEST(taskNamesAreReversible);
@@ -67,6 +68,28 @@
             CPPUNIT_ASSERT_MESSAGE(text, !decodeWorkerEntry("i-1", text).has_value());
     }
 
+    // Guards against workers that can never be reached, or that have an empty id, and against deep or huge documents.
+    void entriesWithoutUsableAddressNameNoWorker()
+    {
+        const std::string valid = entry("ready", R"({"cpu":1000,"mem_mb":1024})");
+        CPPUNIT_ASSERT(decodeWorkerEntry("i-1", valid).has_value());
+        CPPUNIT_ASSERT_MESSAGE("empty id", !decodeWorkerEntry("", valid).has_value());
+        for (const std::string address :
+            { "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:http", "name:80" }) {
+            std::string text = valid;
+            text.replace(text.find("10.0.0.1:80"), 11, address);
+            CPPUNIT_ASSERT_MESSAGE(address, !decodeWorkerEntry("i-1", text).has_value());
+        }
+        const std::string nested = std::string(100000, '[') + std::string(100000, ']');
+        for (const std::string& labels : { nested, std::string("1e999999") }) {
+            std::string text = valid;
+            text.replace(text.find(R"(["a","r1-3"])"), 12, labels);
+            decodeWorkerEntry("i-1", text); // must not end the process
+        }
+        CPPUNIT_ASSERT(!decodeWorkerEntry("i-1", nested).has_value());
+        CPPUNIT_ASSERT(!decodeWorkerEntry("i-1", entry("ready", R"({"cpu":1e300,"mem_mb":99999999999999999999})")));
+    }
+
     void submissionIsDecoded()
     {
         const Result<jobs::JobSpec> result = decodeSubmission(R"({"spec":"text","repeat_count":3,"first_ms":10,
