--- a/tests/userplatform/DocumentsTest.cpp
+++ b/tests/userplatform/DocumentsTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(workerEntryIsDecoded);
     CPPUNIT_TEST(foreignEntriesNameNoWorker);
     CPPUNIT_TEST(entriesWithoutUsableAddressNameNoWorker);
+    CPPUNIT_TEST(unreadableReportIsNoReport);
     CPPUNIT_TEST(submissionIsDecoded);
     CPPUNIT_TEST(faultySubmissionsAreRefused);
     CPPUNIT_TEST(taskNamesAreReversible);
@@ -90,6 +91,14 @@
         CPPUNIT_ASSERT(!decodeWorkerEntry("i-1", entry("ready", R"({"cpu":1e300,"mem_mb":99999999999999999999})")));
     }
 
+    // Guards against a report that cannot be parsed being taken for one without runs, which would end those expected.
+    void unreadableReportIsNoReport()
+    {
+        for (const char* text : { "", "[", "[]", "{}", R"({"clock_ms":1,"born":1,"running":7,"finished":[]})" })
+            CPPUNIT_ASSERT_MESSAGE(text, !succeeded(decodeWorkerReport(text)));
+        CPPUNIT_ASSERT(succeeded(decodeWorkerReport(R"({"clock_ms":1,"born":1,"running":[],"finished":[]})")));
+    }
+
     void submissionIsDecoded()
     {
         const Result<jobs::JobSpec> result = decodeSubmission(R"({"spec":"text","repeat_count":3,"first_ms":10,
