Count a worker as ended when another one answers at its address

What callers saw: tasks of a worker that had crashed waited for the end of its lease, 8.3 s, though a new worker with another id answered at its address after 3.3 s; copies of tasks that allow them started every 1.7 s meanwhile. After a takeover the steps with a task there waited for up to 15.6 s.

Cause: a call names the worker that it is meant for, and another one refuses it with 421. That counted as any other failure, so a crash was known only where a worker came back under its id.

Change: such an answer to a request for a report ends the worker. Its runs are lost at once (reason worker-replaced), nothing is placed on it, and places that earlier terms had recorded there are forgotten.

Ruled out: the same address in a new registry entry. Any writer of the registry could then end the runs of a living worker.

Result: workerReplacedAtItsAddressEndsItsRuns and placesOfReplacedWorkersAreForgotten are new; the scheduler had no such input before.

Conclusion: the end of a worker is taken from what answers at its address, not from silence.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -255,8 +255,10 @@
         return;
     target->fetchReport(m_scheduler->storedEnd(order.m_worker),
         [this, worker = order.m_worker](const Result<jobs::WorkerReport>& result) {
-            if (succeeded(result) && usesReports())
+            if (usesReports() && succeeded(result))
                 m_scheduler->workerReported(worker, valueOf(result), bootNow());
+            else if (usesReports() && errorOf(result).m_kind == ErrorKind::NotFound)
+                m_scheduler->workerReplaced(worker, bootNow());
             scheduleStep();
         });
     m_scheduler->leaseExtended(order.m_worker, target->leaseEnd());
@@ -461,6 +463,10 @@
         if (errorOf(result).m_kind == ErrorKind::StaleEpoch)
             return stepDown();
         m_scheduler->reportFailed(id, now);
+        if (errorOf(result).m_kind == ErrorKind::NotFound) {
+            m_scheduler->workerReplaced(id, now);
+            scheduleStep();
+        }
         // A refused connection fails at once; a lost answer has taken long enough.
         if (errorOf(result).m_kind == ErrorKind::DeadlineExceededMayHaveRun)
             return awaitReport(id);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -80,6 +80,8 @@
     /// Removes and returns the workers that were forgotten since the last call: they are not listed, and their runs and
     /// leases have ended.
     std::vector<WorkerId> takeGoneWorkers() { return std::exchange(m_goneWorkers, {}); }
+    /// Handles proof that the worker's process has ended: another worker answers at its address.
+    void workerReplaced(const WorkerId&, TimePoint now);
     void workerReported(const WorkerId&, const WorkerReport&, TimePoint now);
     /// Notes that a request for a report was not answered.
     void reportFailed(const WorkerId&, TimePoint now);
@@ -185,6 +187,8 @@
     Run& addRun(Step&, Task&, Worker&, const RunName&, RunPhase, TimePoint now);
     /// Removes a run from its worker; the task waits again unless it is done.
     void removeRun(Worker&, const RunName&, TimePoint now);
+    /// Removes all runs of a worker that has ended.
+    void loseAllRuns(Worker&, RunLossReason, TimePoint now);
     /// Removes runs that count as over without a listed end.
     void loseRuns(Worker&, const std::vector<RunName>&, RunLossReason, TimePoint now);
     void noteLoss(const Worker&, const RunName&, RunLossReason, TimePoint now);
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -83,7 +83,7 @@
 const char* PlacementPass::ineligibilityReason(const Worker& worker, const Step& step) const
 {
     const WorkerDescription& description = worker.m_description;
-    if (!worker.m_isListed)
+    if (!worker.m_isListed || worker.m_isReplaced)
         return "unlisted";
     if (!worker.m_hasReported)
         return "notReported";
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -30,6 +30,7 @@
         handleWorkerRestart(worker, report.m_bornMs, now);
     worker.m_lastReportAt = now;
     worker.m_isSilent = false;
+    worker.m_isReplaced = false;
     for (const EndReport& end : report.m_ended)
         handleRunEnd(worker, end, now);
     worker.m_hasUnknownRuns = false;
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -115,7 +115,8 @@
 
 const char* nameOf(RunLossReason reason)
 {
-    static constexpr const char* names[] = { "lease-ended", "worker-left", "not-listed", "barred", "refused" };
+    static constexpr const char* names[]
+        = { "lease-ended", "worker-left", "not-listed", "barred", "worker-replaced", "refused" };
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -181,6 +181,8 @@
     PoolNumber m_pool = 0;
     DomainNumber m_domain = 0;
     bool m_isListed = false;
+    /// Another worker answers at the address: the process has ended, also while the registry still lists it.
+    bool m_isReplaced = false;
     /// The description belongs to the current process of the worker; a restarted one may have less capacity.
     bool m_isDescribed = false;
     std::int64_t m_describedBornMs = 0;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -235,6 +235,8 @@
     NotListed,
     /// The worker has confirmed a stop and does not list the run.
     Barred,
+    /// Another worker answers at the worker's address.
+    WorkerReplaced,
     /// The worker refused the start.
     Refused,
 };
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -68,8 +68,9 @@
 
 bool JobScheduler::isAvailable(const Worker& worker, TimePoint now) const
 {
-    return worker.m_isListed && worker.m_hasReported && worker.isAnswering() && worker.m_isDescribed
-        && !worker.m_hasUnknownRuns && !worker.m_description.m_isDraining && worker.m_quarantinedUntil <= now;
+    return worker.m_isListed && !worker.m_isReplaced && worker.m_hasReported && worker.isAnswering()
+        && worker.m_isDescribed && !worker.m_hasUnknownRuns && !worker.m_description.m_isDraining
+        && worker.m_quarantinedUntil <= now;
 }
 
 void JobScheduler::updateRoom(Worker& worker, TimePoint now)
@@ -98,13 +99,32 @@
     Worker* found = findWorker(id);
     if (found == nullptr || !found->m_description.m_isDraining)
         return;
-    Worker& worker = *found;
+    loseAllRuns(*found, RunLossReason::WorkerLeft, now);
+    forgetPlannedPlaces(found->m_number);
+}
+
+void JobScheduler::loseAllRuns(Worker& worker, RunLossReason reason, TimePoint now)
+{
     std::vector<RunName> ended;
     ended.reserve(worker.m_runs.size());
     for (const auto& [name, run] : worker.m_runs)
         ended.push_back(name);
-    loseRuns(worker, ended, RunLossReason::WorkerLeft, now);
-    forgetPlannedPlaces(worker.m_number);
+    loseRuns(worker, ended, reason, now);
+}
+
+void JobScheduler::workerReplaced(const WorkerId& id, TimePoint now)
+{
+    Worker* worker = findWorker(id);
+    if (worker == nullptr || worker->m_isReplaced)
+        return;
+    worker->m_isReplaced = true;
+    workerDelisted(id, now);
+    loseAllRuns(*worker, RunLossReason::WorkerReplaced, now);
+    forgetPlannedPlaces(worker->m_number);
+    // What earlier terms started there has ended as well.
+    worker->m_hasReported = true;
+    m_hasNewReporters = true;
+    forgetInheritedPlaces(now);
 }
 
 void JobScheduler::handleWorkerRestart(Worker& worker, std::int64_t bornMs, TimePoint now)
--- a/tests/controller/StoreTest.cpp
+++ b/tests/controller/StoreTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(pausedSchedulerReadsTheRegistryBeforeItStarts);
     CPPUNIT_TEST(entryThatLapsedInAnOutageEndsNoRun);
     CPPUNIT_TEST(entryThatIsListedAgainEndsNoRun);
+    CPPUNIT_TEST(workerReplacedAtItsAddressEndsItsRuns);
     CPPUNIT_TEST(malformedRecordsDelayNoOthers);
     CPPUNIT_TEST(storedRecordIsTakenUpBeforeItIsRead);
     CPPUNIT_TEST_SUITE_END();
@@ -518,6 +519,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), known("w")->m_runs.size());
     }
 
+    // Guards against tasks that wait for the lease of a crashed worker although the worker that came after it answers
+    // at its address.
+    void workerReplacedAtItsAddressEndsItsRuns()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        store.put(jobTopic, 1, "j", jobText("j"));
+        store.put(progressTopic, 0, "j", runningText());
+        bool isReplaced = false;
+        HttpListener worker(context, "", [&](const ServerRequest&, const Responder& respond) {
+            if (isReplaced)
+                return respond({ 421, "{}" });
+            respond({ 200, R"({"clock_ms":1000,"born":1,"running":[["j.0.0.0",1,"",10]],"finished":[]})" });
+        });
+        const std::string address = openOnFreePort(worker);
+        store.put("keyed.servers", 0, "w", workerText(address));
+        TermFixture fixture(store, context);
+        SchedulerTerm& term = *fixture.m_term;
+        const auto runs = [&] {
+            const jobs::Worker* known = term.isRecovered() ? term.scheduler()->worker(WorkerId("w")) : nullptr;
+            return known == nullptr ? std::size_t(0) : known->m_runs.size();
+        };
+        term.start();
+        runUntil(context, [&] { return runs() == 1; });
+        isReplaced = true;
+        const TimePoint replacedAt = bootNow();
+        runUntil(context, [&] { return runs() == 0; });
+        CPPUNIT_ASSERT(bootNow() - replacedAt < seconds(8));
+    }
+
     // While the store is slow, its scheduler used to learn of a job a quarter of a second after it had stored it.
     void storedRecordIsTakenUpBeforeItIsRead()
     {
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -8,6 +8,7 @@
 class TakeoverTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(TakeoverTest);
     CPPUNIT_TEST(successorWaitsOnlyForStepsOnUnreachableWorkers);
+    CPPUNIT_TEST(placesOfReplacedWorkersAreForgotten);
     CPPUNIT_TEST(placesOfWorkersThatLeftAreForgotten);
     CPPUNIT_TEST(laterStepsForgetPlacesOfWorkersThatLeft);
     CPPUNIT_TEST(inheritedRunsKeepTheLeaseOfTheirTerm);
@@ -39,6 +40,27 @@
         assertNoViolation(cell);
     }
 
+    // Guards against tasks that wait after a takeover for the leases of a worker that has crashed, although another one
+    // answers at its address.
+    void placesOfReplacedWorkersAreForgotten()
+    {
+        SimulatedCell cell = startedCell(3);
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(1, 20000, seconds(2)) }));
+        cell.run(milliseconds(200));
+        const WorkerId crashed = firstWorkerOf(cell);
+        cell.m_workers.at(crashed).m_isUp = false;
+        cell.m_workers.at(crashed).m_running.clear();
+        cell.takeOver();
+        cell.run(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("j"));
+        cell.m_scheduler->workerReplaced(crashed, cell.m_now);
+        cell.run(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+        cell.run(seconds(3));
+        CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
     // Guards against a long-running task that waits for 15 s after a takeover because an earlier term had placed it on
     // a worker that has left.
     void placesOfWorkersThatLeftAreForgotten()
