Give up tasks that crash the workers that start them

Cause: only ends that a worker lists as failed counted as attempts. A run that was lost with its worker started again without a limit.

Change: runs that a worker has just started when its process ends are suspects. Counts are stored with the progress ("c" words), so that the next term knows them. Tasks that allow copies have at most two unresolved runs. Event crash-under-run, counter crash_suspects_total.

--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -401,6 +401,7 @@
         put("failed_runs_total", counters.m_failedRuns);
         put("lost_runs_total", counters.m_lostRuns);
         put("stalled_runs_total", counters.m_stalledRuns);
+        put("crash_suspects_total", counters.m_crashSuspects);
     }
     respond({ 200, text, 0, "text/plain" });
 }
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -154,6 +154,7 @@
             closeLink(gone);
     }
     logRuns();
+    logCrashes();
     writeProgress();
 }
 
@@ -368,6 +369,17 @@
     }
 }
 
+void SchedulerTerm::logCrashes()
+{
+    for (const jobs::CrashUnderRun& crash : m_scheduler->takeCrashes())
+        m_log.write(LogEvent::CrashUnderRun,
+            { { "worker", crash.m_worker.value() }, { "job", crash.m_run.m_task.m_job.value() },
+                { "step", std::uint64_t { crash.m_run.m_task.m_index.m_step } },
+                { "task", std::uint64_t { crash.m_run.m_task.m_index.m_task } },
+                { "run", std::uint64_t { crash.m_run.m_run } }, { "crashes", std::uint64_t { crash.m_crashes } },
+                { "jobGivenUp", crash.m_isGivenUp } });
+}
+
 void SchedulerTerm::removeExpiredJobs(const std::vector<JobId>& jobs)
 {
     for (const JobId& job : jobs) {
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -114,6 +114,8 @@
     void logEnded();
     /// Logs runs that were given up and runs that were listed unexpectedly.
     void logRuns();
+    /// Logs runs under which a worker crashed.
+    void logCrashes();
     void handleWorkerEntry(const userplatform::KeyedRecord&);
     void handleJobRecord(std::uint32_t partition, const userplatform::KeyedRecord&);
     /// Adds or cancels the job that the record names.
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -1,5 +1,5 @@
 // Stored form of a job's progress: words separated by blanks, "s" for the state, "d" for succeeded tasks of one step as
-// ranges, "f" for a failed run of one task, "p" for a worker of one step.
+// ranges, "f" for a failed run of one task, "c" for the number of crashes under one task, "p" for a worker of one step.
 
 #include "jobs/JobProgress.h"
 
@@ -46,6 +46,9 @@
             text += " f " + std::to_string(task.m_occurrence) + ' ' + std::to_string(task.m_step) + ' '
                 + std::to_string(task.m_task) + ' ' + std::to_string(run);
     }
+    for (const auto& [task, crashes] : progress.m_crashes)
+        text += " c " + std::to_string(task.m_occurrence) + ' ' + std::to_string(task.m_step) + ' '
+            + std::to_string(task.m_task) + ' ' + std::to_string(crashes);
     for (const auto& [step, workers] : progress.m_places) {
         for (const WorkerId& worker : workers)
             text
@@ -84,6 +87,10 @@
             progress.m_failedRuns[task].push_back(value);
             continue;
         }
+        if (kind == "c") {
+            progress.m_crashes[task] = value;
+            continue;
+        }
         if (kind != "d" || value < task.m_task || value >= maxTasksPerStep)
             return malformed;
         for (; task.m_task <= value; ++task.m_task)
--- a/src/jobs/JobProgress.h
+++ b/src/jobs/JobProgress.h
@@ -48,6 +48,8 @@
     std::vector<TaskIndex> m_done;
     /// Numbers of the failed runs by task.
     std::map<TaskIndex, std::vector<std::uint32_t>> m_failedRuns;
+    /// Workers that crashed just after they had started a task, by task.
+    std::map<TaskIndex, std::uint32_t> m_crashes;
     /// Workers on which tasks of a step may run, by occurrence and step. A task is started only on a worker that the
     /// stored record names, so that a successor knows which tasks an unreachable worker may be running.
     std::map<StepIndex, std::set<WorkerId>> m_places;
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -15,6 +15,8 @@
     constexpr int workersPerAdviceRequest = 30;
     /// A result that is later than this multiple of the objective has no value.
     constexpr int usefulObjectives = 3;
+    /// Runs of a task that may be unresolved when a copy starts.
+    constexpr std::uint32_t maxUnresolvedCopies = 2;
 
     /// The job with the duration of an advice request added to the estimates of its steps.
     JobSpec withAdviceTime(const JobRecord& record)
@@ -114,6 +116,10 @@
             task->m_highestRun = *std::max_element(runs.begin(), runs.end());
         }
     }
+    for (const auto& [index, crashes] : progress.m_crashes) {
+        if (const auto [step, task] = find(index); task != nullptr)
+            task->m_crashes = crashes;
+    }
     for (const auto& [index, workers] : progress.m_places) {
         if (const auto [step, task] = find({ index.m_occurrence, index.m_step, 0 }); step != nullptr)
             step->m_inheritedPlaces = workers;
@@ -217,7 +223,9 @@
 
 void JobScheduler::refreshWaiting(Step& step, Task& task, TimePoint now)
 {
-    const std::uint32_t runs = step.m_spec->m_allowsCopies ? task.m_activeRuns : task.m_liveRuns;
+    // Copies of a task whose workers fall silent one after the other wait until it is known why.
+    const bool mayCopy = step.m_spec->m_allowsCopies && task.m_liveRuns < maxUnresolvedCopies;
+    const std::uint32_t runs = mayCopy ? task.m_activeRuns : task.m_liveRuns;
     const bool isWaiting = step.m_job->isOpen() && step.m_openDependencies == 0 && !task.m_isDone && runs == 0;
     if (isWaiting == task.m_isWaiting)
         return;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -46,6 +46,8 @@
     std::uint64_t m_failedRuns = 0;
     std::uint64_t m_lostRuns = 0;
     std::uint64_t m_stalledRuns = 0;
+    /// Runs that count as a possible cause of a crash of their worker.
+    std::uint64_t m_crashSuspects = 0;
 };
 
 /// See the head of the file. Functions that take `now` are called with times that do not decrease.
@@ -131,6 +133,8 @@
     /// Runs that were given up, and runs that were listed unexpectedly, since the last call.
     std::vector<LostRun> takeLostRuns() { return std::exchange(m_newLostRuns, {}); }
     std::vector<UnexpectedRun> takeUnexpectedRuns() { return std::exchange(m_unexpectedRuns, {}); }
+    /// Runs under which a worker crashed since the last call.
+    std::vector<CrashUnderRun> takeCrashes() { return std::exchange(m_newCrashes, {}); }
     /// Jobs whose end has been stored since the last call.
     std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
     /// Removes and returns the closed jobs whose retention time is over.
@@ -211,7 +215,7 @@
     PoolNumber poolNumber(const std::string& service);
     static std::uint32_t nextRun(const SchedulerSettings&, const Task&);
     void handleRunEnd(Worker&, const EndReport&, TimePoint now);
-    void handleRunReport(Worker&, const RunReport&, TimePoint now);
+    void handleRunReport(Worker&, const WorkerReport&, const RunReport&, TimePoint now);
     bool isStalled(const Run&, TimePoint now) const;
     void handleStall(Worker&, Run&, TimePoint now);
     void quarantineIfFailing(Worker&, TimePoint now);
@@ -221,6 +225,19 @@
     /// Gives up runs that a report should list and does not.
     void dropMissingRuns(Worker&, const WorkerReport&, TimePoint now);
     void handleWorkerRestart(Worker&, std::int64_t bornMs, TimePoint now);
+
+    /// \name Tasks that crash their workers; see CrashSuspects.cpp
+    /// @{
+    /// Counts the end of the worker's process for the runs that may have caused it, and gives up jobs.
+    void noteCrash(Worker&, TimePoint now);
+    /// Clears the run and its task of suspicion if the report shows that the run has lasted.
+    void proveRun(Run&, const WorkerReport&);
+    void beginProof(Run&);
+    void endProof(Run&);
+    /// Requests reports that can prove runs which keep their worker from other work.
+    void requestTrialReports(Worker&, TimePoint now);
+    /// @}
+
     void superviseWorkers(TimePoint now);
     void superviseRuns(Worker&, TimePoint now);
     /// Forgets inherited places whose runs are known from a report or whose lease has ended.
@@ -296,6 +313,7 @@
     std::deque<LostRun> m_lostRuns;
     std::vector<LostRun> m_newLostRuns;
     std::vector<UnexpectedRun> m_unexpectedRuns;
+    std::vector<CrashUnderRun> m_newCrashes;
     /// Running mean of the share of workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
     SchedulerCounters m_counters;
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -140,7 +140,7 @@
 
 bool PlacementPass::fits(const Worker& worker, const Step& step, const Resources& free) const
 {
-    if (!step.m_spec->reserved().fitsIn(free) || isReservedForOther(worker, step))
+    if (!step.m_spec->reserved().fitsIn(free) || isReservedForOther(worker, step) || worker.m_trials > 0)
         return false;
     return slotsFor(worker, step, free) > 0;
 }
@@ -195,9 +195,12 @@
 std::vector<PlacementPass::Candidate> PlacementPass::candidatesFor(const Step& step, const RackId& rack) const
 {
     const StepSpec& spec = *step.m_spec;
+    // A task under which a worker has crashed needs one that has started nothing lately.
+    const bool hasTrial = std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
+        [](const Task& task) { return task.m_isWaiting && task.m_crashes > 0; });
     // Workers come in the order of best fit; enough of them without another cost make further ones superfluous.
-    const bool isOrdered
-        = !step.m_job->m_record.m_policy.m_advice && !spec.m_isFilling && spec.m_dataRack.empty() && rack.empty();
+    const bool isOrdered = !step.m_job->m_record.m_policy.m_advice && !spec.m_isFilling && spec.m_dataRack.empty()
+        && rack.empty() && !hasTrial;
     const std::uint64_t wanted = std::max<std::uint64_t>(minCandidateSlots, step.m_waitingTasks * candidateMargin);
     std::uint64_t slots = 0;
     std::vector<Candidate> candidates;
@@ -249,6 +252,24 @@
     return best == room.end() ? RackId() : best->first;
 }
 
+Worker* PlacementPass::takeTrialWorker(std::vector<Candidate>& candidates)
+{
+    auto best = candidates.end();
+    for (auto it = candidates.begin(); it != candidates.end(); ++it) {
+        const bool isQuiet = it->m_worker->m_unprovenRuns == 0;
+        if (isQuiet
+            && (best == candidates.end() || it->m_worker->m_runs.size() < best->m_worker->m_runs.size()
+                || (it->m_worker->m_runs.size() == best->m_worker->m_runs.size()
+                    && it->m_worker->m_number < best->m_worker->m_number)))
+            best = it;
+    }
+    if (best == candidates.end())
+        return nullptr;
+    Worker* worker = best->m_worker;
+    candidates.erase(best);
+    return worker;
+}
+
 void PlacementPass::placeTasks(Step& step)
 {
     const RackId rack = step.m_spec->m_isRackLocal ? rackWithMostRoom(step) : RackId();
@@ -271,6 +292,13 @@
         Task& task = step.m_tasks[i];
         if (!task.m_isWaiting)
             continue;
+        if (task.m_crashes > 0) {
+            Worker* trial = takeTrialWorker(candidates);
+            std::make_heap(candidates.begin(), candidates.end(), isWorse);
+            if (trial != nullptr)
+                start(step, i, *trial, JobScheduler::nextRun(m_scheduler.m_settings, task));
+            continue;
+        }
         Candidate chosen = take();
         if (task.m_avoid == chosen.m_worker->m_description.m_worker && !candidates.empty()) {
             const Candidate avoided = chosen;
@@ -440,6 +468,7 @@
         if (reason == nullptr)
             reason = needsTicket && known != step.m_permissions.end() && !known->second.m_isAllowed ? "notAllowed"
                 : isReservedForOther(worker, step)                                                  ? "reserved"
+                : worker.m_trials > 0                                                               ? "trial"
                 : !fits(worker, step, worker.free())                                                ? "noRoom"
                 : needsTicket && !hasTicket(worker, step)                                           ? "noTicket"
                                                                                                     : "free";
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -57,6 +57,9 @@
     bool isValid(const Permission&, const Worker&) const;
     bool hasTicket(const Worker&, const Step&) const;
     bool fits(const Worker&, const Step&, const Resources& free) const;
+    /// Removes and returns the candidate with the least work that has started nothing lately, for a task under which a
+    /// worker has crashed; null if there is none.
+    static Worker* takeTrialWorker(std::vector<Candidate>&);
     std::uint32_t runsOn(const Worker&, const Step&) const;
     double cost(const Worker&, const Step&, const RackId& rack) const;
     /// Calls the visitor for the workers on which tasks of the step may start now; a task may be too large for them.
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -35,7 +35,7 @@
         handleRunEnd(worker, end, now);
     worker.m_hasUnknownRuns = false;
     for (const RunReport& run : report.m_running)
-        handleRunReport(worker, run, now);
+        handleRunReport(worker, report, run, now);
     dropMissingRuns(worker, report, now);
     worker.m_hasReportedInTerm = true;
     // Runs ordered by an earlier term may continue until then, whatever this term orders.
@@ -47,7 +47,8 @@
     throttleFillingTasks(worker, now);
 }
 
-void JobScheduler::handleRunReport(Worker& worker, const RunReport& report, TimePoint now)
+void JobScheduler::handleRunReport(
+    Worker& worker, const WorkerReport& workerReport, const RunReport& report, TimePoint now)
 {
     const auto found = worker.m_runs.find(report.m_run);
     if (found == worker.m_runs.end()) {
@@ -75,6 +76,7 @@
     }
     Run& run = found->second;
     run.m_isListed = true;
+    proveRun(run, workerReport);
     confirm(run, now);
     if (run.m_phase == RunPhase::Starting || run.m_phase == RunPhase::Unknown) {
         setPhase(run, RunPhase::Running);
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -37,6 +37,7 @@
     worker.m_servingRuns += step.m_spec->isServing() ? 1 : 0;
     worker.m_fillingRuns += step.m_spec->m_isFilling ? 1 : 0;
     ++step.m_places[worker.m_number];
+    beginProof(run);
     updateRoom(worker, now);
     ++task.m_liveRuns;
     ++task.m_activeRuns;
@@ -95,6 +96,7 @@
     Step& step = *run.m_step;
     setActive(run, false, now);
     setPhase(run, RunPhase::Running);
+    endProof(run);
     worker.m_reserved -= run.m_reserved;
     worker.m_fillingMillis -= run.m_fillingMillis;
     worker.m_servingRuns -= step.m_spec->isServing() ? 1 : 0;
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -60,6 +60,11 @@
     /// When m_percent last rose.
     TimePoint m_progressAt {};
     std::uint32_t m_ratePercent = 100;
+    /// The run has been listed long enough after its start not to explain a crash of its worker; see CrashSuspects.cpp.
+    bool m_isProven = false;
+    /// A crash was counted for the task before this run, so that the worker gets no other work until the run is proven.
+    bool m_isTrial = false;
+    bool m_isTrialReportRequested = false;
     /// Since when the tail of a serving task has been over its target; max() while it is not.
     TimePoint m_overTargetSince = TimePoint::max();
 };
@@ -72,6 +77,8 @@
     std::uint32_t m_activeRuns = 0;
     std::uint32_t m_highestRun = 0;
     std::vector<std::uint32_t> m_failedRuns;
+    /// Workers whose process ended just after they had started the task, since it last proved itself.
+    std::uint32_t m_crashes = 0;
     std::string m_checkpoint;
     /// Worker on which the last run failed or stalled.
     WorkerId m_avoid;
@@ -213,6 +220,9 @@
     std::uint64_t m_seenEnd = 0;
     std::uint64_t m_storedEnd = 0;
     std::map<RunName, Run> m_runs;
+    /// Number of runs that are not proven, and of those that are tried after a crash.
+    std::uint32_t m_unprovenRuns = 0;
+    std::uint32_t m_trials = 0;
     /// Number of runs with an order that is not confirmed.
     std::uint32_t m_unsettledRuns = 0;
     /// Unanswered starts and when they were ordered: a restarted worker would carry them out when they arrive.
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -23,6 +23,8 @@
                 record.m_progress.m_done.push_back(index);
             else if (!step.m_tasks[i].m_failedRuns.empty())
                 record.m_progress.m_failedRuns[index] = step.m_tasks[i].m_failedRuns;
+            if (!step.m_tasks[i].m_isDone && step.m_tasks[i].m_crashes > 0)
+                record.m_progress.m_crashes[index] = step.m_tasks[i].m_crashes;
         }
         if (step.isFinished())
             continue;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -254,6 +254,17 @@
     friend bool operator==(const LostRun&, const LostRun&) = default;
 };
 
+/// A crash of a worker that a run may have caused.
+struct CrashUnderRun {
+    WorkerId m_worker;
+    RunName m_run;
+    /// Crashes of workers that are counted for the task, and whether its job was given up for them.
+    std::uint32_t m_crashes = 0;
+    bool m_isGivenUp = false;
+
+    friend bool operator==(const CrashUnderRun&, const CrashUnderRun&) = default;
+};
+
 /// A run that a worker lists although this term did not order it there, or had given it up.
 struct UnexpectedRun {
     WorkerId m_worker;
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -119,6 +119,7 @@
         return;
     worker->m_isReplaced = true;
     workerDelisted(id, now);
+    noteCrash(*worker, now);
     loseAllRuns(*worker, RunLossReason::WorkerReplaced, now);
     forgetPlannedPlaces(worker->m_number);
     // What earlier terms started there has ended as well.
@@ -129,6 +130,7 @@
 
 void JobScheduler::handleWorkerRestart(Worker& worker, std::int64_t bornMs, TimePoint now)
 {
+    noteCrash(worker, now);
     worker.m_isDescribed = worker.m_isDescribed && worker.m_describedBornMs == bornMs;
     worker.m_description.m_bornMs = bornMs;
     worker.m_hasReported = false;
@@ -170,6 +172,8 @@
         updateRoom(worker, now);
         if (worker.m_isSilent || worker.m_unsettledRuns > 0)
             superviseRuns(worker, now);
+        if (worker.m_trials > 0)
+            requestTrialReports(worker, now);
         std::erase_if(worker.m_unanswered, [now](const auto& start) { return now - start.second > maxOrderDelay; });
         const bool isGone = !worker.m_isListed && worker.m_runs.empty() && worker.m_leaseEnd < now;
         if (isGone) {
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -36,6 +36,7 @@
         { EndsNoted, 3018, Info, "ends-noted", "Ends of jobs were noted for the next scheduler" },
         { RunLost, 3019, Info, "run-lost", "A run counts as over although its end was not listed" },
         { RunUnexpected, 3020, Warning, "run-unexpected", "A worker lists a run that was not expected there" },
+        { CrashUnderRun, 3021, Info, "crash-under-run", "A worker restarted just after it had started a run" },
         { TaskStarted, 4001, Debug, "task-started", "A task was started" },
         { TaskStopped, 4002, Debug, "task-stopped", "A task was stopped" },
         { JobAccepted, 4008, Info, "job-accepted", "A job was accepted" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -37,6 +37,7 @@
     EndsNoted,
     RunLost,
     RunUnexpected,
+    CrashUnderRun,
     TaskStarted,
     TaskStopped,
     JobAccepted,
--- a/tests/controller/StoreTest.cpp
+++ b/tests/controller/StoreTest.cpp
@@ -598,7 +598,7 @@
         StoreStandIn store(context);
         store.put(jobTopic, 1, "known", jobText("known"));
         store.put(progressTopic, 0, "known", runningText());
-        store.put(progressTopic, 0, "left", jobs::encodeProgress({ jobs::JobState::Done, {}, {}, {} }));
+        store.put(progressTopic, 0, "left", jobs::encodeProgress({ jobs::JobState::Done, {}, {}, {}, {} }));
         TermFixture fixture(store, context);
         fixture.m_term->start();
         runUntil(context, [&] { return !store.newest(progressTopic).contains("left"); });
--- a/tests/jobs/ElectionTest.cpp
+++ b/tests/jobs/ElectionTest.cpp
@@ -366,7 +366,8 @@
         CPPUNIT_ASSERT(!succeeded(decodeTermRecord(encodeTermRecord(record))));
         CPPUNIT_ASSERT(!succeeded(decodeTermRecord("{}")));
         const JobProgress progress { JobState::Running, { { 0, 0, 1 }, { 0, 0, 2 }, { 0, 1, 0 } },
-            { { { 0, 1, 3 }, { 4, 9 } } }, { { { 0, 1 }, { WorkerId("i-1"), WorkerId("i-2") } } } };
+            { { { 0, 1, 3 }, { 4, 9 } } }, { { { 0, 1, 4 }, 2 } },
+            { { { 0, 1 }, { WorkerId("i-1"), WorkerId("i-2") } } } };
         CPPUNIT_ASSERT(valueOf(decodeProgress(encodeProgress(progress))) == progress);
         CPPUNIT_ASSERT(!succeeded(decodeProgress("s 9")));
         CPPUNIT_ASSERT(!succeeded(decodeProgress("x 1 2 3 4")));
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -37,6 +37,9 @@
     /// Starts are carried out but not answered.
     bool m_losesAnswers = false;
     bool m_failsTasks = false;
+    /// When the process crashes, and when the next one begins.
+    TimePoint m_crashesAt = TimePoint::max();
+    TimePoint m_returnsAt = TimePoint::max();
     /// Tasks make no progress.
     bool m_isStuck = false;
     std::uint64_t m_term = 0;
@@ -63,6 +66,8 @@
     static constexpr Duration lease = seconds(8);
     /// Time until a stop takes effect.
     static constexpr Duration stopTime = milliseconds(300);
+    /// Time from the crash of a worker to its next process.
+    static constexpr Duration crashTime = milliseconds(3300);
 
     explicit SimulatedCell(std::uint32_t workers, std::uint64_t seed = 1)
         : m_random(seed)
@@ -191,6 +196,23 @@
             m_scheduler->workerListed(description, m_now);
     }
 
+    /// Ends the process of a worker, which loses its state; another one begins after crashTime.
+    void crashWorker(const WorkerId& id)
+    {
+        SimulatedWorker& worker = m_workers.at(id);
+        const auto lost = std::exchange(worker.m_running, {});
+        for (const auto& [name, run] : lost) {
+            if (specOf(name).m_isGang)
+                breakGang(name);
+        }
+        worker.m_isUp = false;
+        worker.m_crashesAt = TimePoint::max();
+        worker.m_returnsAt = m_now + crashTime;
+        ++m_crashes;
+        if (m_scheduler)
+            m_scheduler->reportFailed(id, m_now);
+    }
+
     /// Ends all faults of the store, the network and the workers.
     void endFaults()
     {
@@ -240,6 +262,9 @@
     std::uint32_t m_adviceDaemons = 8;
     std::uint64_t m_term = 0;
     std::uint64_t m_starts = 0;
+    /// Tasks that crash each worker that starts them, and the number of crashes.
+    std::set<TaskName> m_crashingTasks;
+    std::uint32_t m_crashes = 0;
     std::set<std::string> m_violations;
     TimePoint m_now = TimePoint(seconds(1000));
 
@@ -277,6 +302,8 @@
     void advance()
     {
         m_now += tick;
+        for (auto& [id, worker] : m_workers)
+            crashOrReturn(id, worker);
         for (auto& [id, worker] : m_workers)
             work(worker);
         deliverDelayed();
@@ -294,6 +321,35 @@
         verify();
     }
 
+    /// Ends the other members of a run of a gang.
+    void breakGang(const RunName& lost)
+    {
+        for (auto& [id, worker] : m_workers) {
+            std::vector<RunName> members;
+            for (const auto& [name, run] : worker.m_running) {
+                const bool isSameStep = name.m_task.m_job == lost.m_task.m_job
+                    && name.m_task.m_index.m_step == lost.m_task.m_index.m_step;
+                if (isSameStep && name.m_run == lost.m_run)
+                    members.push_back(name);
+            }
+            for (const RunName& name : members)
+                end(worker, name, RunEnd::Broken);
+        }
+    }
+
+    void crashOrReturn(const WorkerId& id, SimulatedWorker& worker)
+    {
+        if (worker.m_crashesAt <= m_now)
+            crashWorker(id);
+        if (worker.m_returnsAt > m_now)
+            return;
+        worker.m_returnsAt = TimePoint::max();
+        restartWorker(id, worker.m_description.m_capacity);
+        m_registry[id] = worker.m_description;
+        if (m_scheduler)
+            m_scheduler->workerListed(worker.m_description, m_now);
+    }
+
     void end(SimulatedWorker& worker, const RunName& name, RunEnd how)
     {
         worker.m_running.erase(name);
@@ -375,6 +431,8 @@
         worker.m_leaseEnd = std::max(worker.m_leaseEnd, leaseEnd);
         worker.m_running[order.m_run]
             = { ++m_starts, spec.m_isLongRunning ? TimePoint::max() : m_now + work, m_now, spec.reserved() };
+        if (m_crashingTasks.contains(order.m_run.m_task))
+            worker.m_crashesAt = m_now + tick;
         if (!worker.used().fitsIn(worker.m_description.m_capacity))
             m_violations.insert("capacity of " + id.value());
         return StartOutcome::Started;
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -235,7 +235,7 @@
         cell.accept(SimulatedCell::job("ended", { SimulatedCell::step(4, 7000, seconds(5)) }));
         cell.run(milliseconds(200));
         CPPUNIT_ASSERT_EQUAL(4U, cell.running("ended"));
-        cell.m_store[JobId("ended")] = { JobState::Cancelled, {}, {}, {} };
+        cell.m_store[JobId("ended")] = { JobState::Cancelled, {}, {}, {}, {} };
         cell.takeOver();
         cell.accept(SimulatedCell::job("next", { SimulatedCell::step(4, 7000, seconds(1)) }));
         cell.run(seconds(3));
