Fuzz term records with the time of earlier terms

Change: the valid record that is damaged names a time of earlier terms, so that this member is damaged as well.

Conclusion: fuzz programs are built before a change of a stored type is committed.

--- a/fuzz/DocumentsFuzz.cpp
+++ b/fuzz/DocumentsFuzz.cpp
@@ -69,7 +69,8 @@
             return jobs::encodeProgress(progress);
         }
         case Kind::Term:
-            return jobs::encodeTermRecord({ jobs::TermRecord::Kind::Claim, 4, DaemonId("d"), "10.0.0.1:7720", 2, {} });
+            return jobs::encodeTermRecord(
+                { jobs::TermRecord::Kind::Claim, 4, DaemonId("d"), "10.0.0.1:7720", 2, {}, std::chrono::seconds(7) });
         case Kind::Hello:
             return encode(controller::inner::Hello { DaemonId("d"), "10.0.0.1:7720", false, { JobId(jobName) } });
         case Kind::Question:
