Count one crash for a run of a gang that loses several workers at once

Cause: each worker that a gang's run lost counted as a crash under its task. A disruption that took 32 workers down at once gave a gang up after its first run, and its job was shown as failed although it could run.

Result: gangThatLosesTwoWorkersAtOnceIsKept fails before and passes after; 97 of 97 tests of jobs pass.

Conclusion: the limit counts attempts of a gang, as it does for its failures.

--- a/src/jobs/CrashSuspects.cpp
+++ b/src/jobs/CrashSuspects.cpp
@@ -39,7 +39,10 @@
         const auto isSame = [&task](const auto& suspect) { return suspect.first == &task; };
         // A start without an answer may have been sent to a worker that had ended already.
         const bool hasJustStarted = run.m_confirmedAt != TimePoint::max() && !run.m_isProven;
-        if (hasJustStarted && run.m_step->m_job->isOpen() && std::none_of(suspects.begin(), suspects.end(), isSame))
+        // The workers of a gang may be lost together.
+        const bool isCounted = task.m_lastCrashedRun == name.m_run;
+        if (hasJustStarted && !isCounted && run.m_step->m_job->isOpen()
+            && std::none_of(suspects.begin(), suspects.end(), isSame))
             suspects.emplace_back(&task, name);
     }
     // A crash under a task that has a crash already says nothing about the others.
@@ -50,9 +53,11 @@
     for (const auto& [task, name] : suspects) {
         Job& job = *m_jobs.at(name.m_task.m_job);
         ++task->m_crashes;
+        task->m_lastCrashedRun = name.m_run;
         ++m_counters.m_crashSuspects;
         markChanged(job);
-        const std::uint32_t limit = suspects.size() == 1 ? maxExplainedCrashes : maxCrashes;
+        const bool isGang = job.step(name.m_task.m_index.m_occurrence, name.m_task.m_index.m_step)->m_spec->m_isGang;
+        const std::uint32_t limit = suspects.size() == 1 && !isGang ? maxExplainedCrashes : maxCrashes;
         m_newCrashes.push_back({ worker.m_description.m_worker, name, task->m_crashes, task->m_crashes >= limit });
         if (task->m_crashes >= limit && job.isOpen())
             closeJob(job, JobState::Failed, now);
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -79,6 +79,8 @@
     std::vector<std::uint32_t> m_failedRuns;
     /// Workers whose process ended just after they had started the task, since it last proved itself.
     std::uint32_t m_crashes = 0;
+    /// Run for which the last crash was counted.
+    std::uint32_t m_lastCrashedRun = 0;
     std::string m_checkpoint;
     /// Worker on which the last run failed or stalled.
     WorkerId m_avoid;
--- a/tests/jobs/CrashTest.cpp
+++ b/tests/jobs/CrashTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(workersThatCrashForOtherCausesGiveNoTaskUp);
     CPPUNIT_TEST(provenTaskIsNoSuspect);
     CPPUNIT_TEST(startThatWasNotAnsweredIsNoSuspect);
+    CPPUNIT_TEST(gangThatLosesTwoWorkersAtOnceIsKept);
     CPPUNIT_TEST_SUITE_END();
 
     static TaskName task(const std::string& job, std::uint32_t index) { return { JobId(job), { 0, 0, index } }; }
@@ -177,6 +178,27 @@
         CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
         assertNoViolation(cell);
     }
+
+    // Guards against a gang that is given up after one run, because several of its workers were lost together.
+    void gangThatLosesTwoWorkersAtOnceIsKept()
+    {
+        SimulatedCell cell = startedCell(6);
+        StepSpec gang = SimulatedCell::step(4, 20000, seconds(2));
+        gang.m_isGang = true;
+        cell.accept(SimulatedCell::job("gang", { gang }));
+        cell.run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(4U, cell.running("gang"));
+        std::vector<WorkerId> members;
+        for (const auto& [id, worker] : cell.m_workers) {
+            if (!worker.m_running.empty())
+                members.push_back(id);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), members.size());
+        cell.crashWorker(members[0]);
+        cell.crashWorker(members[1]);
+        cell.run(seconds(20));
+        CPPUNIT_ASSERT(cell.state("gang") == JobState::Done);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashTest);
