--- /dev/null
+++ b/review/stand-in/Json.cpp
@@ -0,0 +1,3 @@
+// The JSON library, built from its headers.
+
+#include <boost/json/src.hpp>
