Do not quarantine workers for jobs that fail wherever they run

Cause: each failed run counted against its worker. The six failures of one job in one report put a sound worker into quarantine, and raised it through 4, 8 and 16 to 32 s at once; the next attempt did the same to the next worker. Nothing limited the share of workers in quarantine, and its length never fell. Ruled out: placement (workers had room), the store and the adviser (neither was disturbed).

Change: a job counts once against a worker; the failures of a task that has failed or stalled on a second worker are withdrawn from both, which ends a quarantine that they led to; failures during a quarantine do not lengthen it; at most half of the workers of a pool are in quarantine. The decision is in WorkerHealth, without I/O; two log events show it. The backoff after a refused start is a field of its own. Stalls used the same counter and are treated alike.

Conclusion: failures of one job say nothing about a worker; two jobs that fail only there do.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -155,6 +155,7 @@
     }
     logRuns();
     logCrashes();
+    logQuarantines();
     writeProgress();
 }
 
@@ -380,6 +381,17 @@
                 { "jobGivenUp", crash.m_isGivenUp } });
 }
 
+void SchedulerTerm::logQuarantines()
+{
+    for (const jobs::QuarantineChange& change : m_scheduler->takeQuarantineChanges()) {
+        if (change.m_end > change.m_at)
+            m_log.write(LogEvent::WorkerQuarantined,
+                { { "worker", change.m_worker.value() }, { "forMs", millisecondsOf(change.m_end - change.m_at) } });
+        else
+            m_log.write(LogEvent::QuarantineWithdrawn, { { "worker", change.m_worker.value() } });
+    }
+}
+
 void SchedulerTerm::removeExpiredJobs(const std::vector<JobId>& jobs)
 {
     for (const JobId& job : jobs) {
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -116,6 +116,7 @@
     void logRuns();
     /// Logs runs under which a worker crashed.
     void logCrashes();
+    void logQuarantines();
     void handleWorkerEntry(const userplatform::KeyedRecord&);
     void handleJobRecord(std::uint32_t partition, const userplatform::KeyedRecord&);
     /// Adds or cancels the job that the record names.
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -135,6 +135,8 @@
     std::vector<UnexpectedRun> takeUnexpectedRuns() { return std::exchange(m_unexpectedRuns, {}); }
     /// Runs under which a worker crashed since the last call.
     std::vector<CrashUnderRun> takeCrashes() { return std::exchange(m_newCrashes, {}); }
+    /// Quarantines that have begun, or were ended early, since the last call.
+    std::vector<QuarantineChange> takeQuarantineChanges() { return std::exchange(m_quarantineChanges, {}); }
     /// Jobs whose end has been stored since the last call.
     std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
     /// Removes and returns the closed jobs whose retention time is over.
@@ -224,6 +226,8 @@
     void handleRunReport(Worker&, const WorkerReport&, const RunReport&, TimePoint now);
     bool isStalled(const Run&, TimePoint now) const;
     void handleStall(Worker&, Run&, TimePoint now);
+    /// Counts a failed or stalled run against its worker, or against its task if that has failed on another worker too.
+    void attributeFailure(Worker&, Step&, const RunName&, TimePoint now);
     void quarantineIfFailing(Worker&, TimePoint now);
     /// Handles a start whose outcome is unknown: requests a report that shows whether the run exists.
     void handleUnansweredStart(Worker&, Run&, TimePoint now);
@@ -320,6 +324,7 @@
     std::vector<LostRun> m_newLostRuns;
     std::vector<UnexpectedRun> m_unexpectedRuns;
     std::vector<CrashUnderRun> m_newCrashes;
+    std::vector<QuarantineChange> m_quarantineChanges;
     /// Running mean of the share of workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
     SchedulerCounters m_counters;
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -95,8 +95,10 @@
         return "unknownRuns";
     if (description.m_isDraining)
         return "draining";
-    if (worker.m_quarantinedUntil > m_now)
+    if (worker.m_health.isQuarantined(m_now))
         return "quarantined";
+    if (worker.m_refusalBackoffEnd > m_now)
+        return "refused";
     if (m_scheduler.m_isStoreUnavailable && !step.isRecordedPlace(worker.m_number))
         return "notRecorded";
     const std::string& label = step.m_spec->m_requiredLabel;
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -9,10 +9,9 @@
 
 namespace {
 
-    /// Failure score at which a worker is quarantined, and the duration of the first quarantine.
-    constexpr double quarantineScore = 2.0;
-    constexpr Duration quarantineDuration = std::chrono::seconds(4);
-    constexpr std::uint32_t maxQuarantineDoublings = 3;
+    /// One in this many workers of a pool may be quarantined at most: if more of them fail what they run, it is more
+    /// likely that the jobs are at fault.
+    constexpr std::uint32_t workersPerQuarantine = 2;
     /// Tail latency, as a fraction of the target, above which filling tasks are throttled.
     constexpr double strainedTailRatio = 0.9;
 
@@ -86,8 +85,12 @@
     if (hasProgress)
         run.m_progressAt = now;
     run.m_percent = report.m_percent;
+    Task& task = taskOf(*run.m_step, report.m_run);
     if (!report.m_checkpoint.empty())
-        taskOf(*run.m_step, report.m_run).m_checkpoint = report.m_checkpoint;
+        task.m_checkpoint = report.m_checkpoint;
+    // A long-running task fails now and then in its time; that it is at work shows that it is sound.
+    if (run.m_step->m_spec->m_isLongRunning && run.m_percent >= 100)
+        task.m_failedOn.clear();
     if (!hasProgress && isStalled(run, now))
         return handleStall(worker, run, now);
     if (!run.m_step->m_spec->isServing())
@@ -140,7 +143,7 @@
     const bool isLongRunning = step->m_spec->m_isLongRunning;
     if (end.m_end == RunEnd::Done && isOpen && !isLongRunning) {
         ++m_counters.m_doneRuns;
-        worker.m_failureScore /= 2;
+        worker.m_health.runSucceeded();
         if (step->m_spec->m_isGang) {
             for (Task& member : step->m_tasks)
                 finishTask(*step, member, now);
@@ -173,19 +176,43 @@
     ++m_counters.m_stalledRuns;
     ++run.m_step->m_job->m_history.m_stalledRuns;
     taskOf(*run.m_step, run.m_name).m_avoid = worker.m_description.m_worker;
-    worker.m_failureScore += 1;
-    quarantineIfFailing(worker, now);
+    attributeFailure(worker, *run.m_step, run.m_name, now);
     requestStop(run, now);
 }
 
+void JobScheduler::attributeFailure(Worker& worker, Step& step, const RunName& name, TimePoint now)
+{
+    Task& task = countingTaskOf(step, name);
+    const std::uint64_t job = step.m_job->m_number;
+    TaskIndex index = name.m_task.m_index;
+    if (step.m_spec->m_isGang)
+        index.m_task = 0;
+    if (task.m_failedOn.size() < 2)
+        task.m_failedOn.insert(worker.m_number);
+    if (task.m_failedOn.size() < 2) {
+        worker.m_health.runFailed(job, index, now);
+        return quarantineIfFailing(worker, now);
+    }
+    for (const WorkerNumber number : task.m_failedOn) {
+        Worker* earlier = findWorker(number);
+        if (earlier == nullptr || !earlier->m_health.withdraw(job, index, now))
+            continue;
+        m_quarantineChanges.push_back({ earlier->m_description.m_worker, now, now });
+        updateRoom(*earlier, now);
+    }
+}
+
 void JobScheduler::quarantineIfFailing(Worker& worker, TimePoint now)
 {
-    if (worker.m_failureScore < quarantineScore)
+    if (!worker.m_health.needsQuarantine(now))
+        return;
+    const auto quarantined = std::count_if(m_workers.begin(), m_workers.end(), [&](const auto& entry) {
+        return entry.second.m_pool == worker.m_pool && entry.second.m_health.isQuarantined(now);
+    });
+    if ((static_cast<std::uint32_t>(quarantined) + 1) * workersPerQuarantine > m_poolWorkers[worker.m_pool])
         return;
-    const std::uint32_t doublings = std::min(worker.m_quarantines++, maxQuarantineDoublings);
-    worker.m_quarantinedUntil = now + quarantineDuration * (1 << doublings);
-    // One more failure after the quarantine starts the next one.
-    worker.m_failureScore = quarantineScore - 1;
+    worker.m_health.beginQuarantine(now);
+    m_quarantineChanges.push_back({ worker.m_description.m_worker, now, worker.m_health.quarantineEnd() });
     updateRoom(worker, now);
 }
 
@@ -197,8 +224,7 @@
     ++m_counters.m_failedRuns;
     ++step.m_job->m_history.m_failedRuns;
     task.m_avoid = worker.m_description.m_worker;
-    worker.m_failureScore += 1;
-    quarantineIfFailing(worker, now);
+    attributeFailure(worker, step, name, now);
     if (step.m_spec->m_isLongRunning)
         return;
     task.m_failedRuns.push_back(name.m_run);
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -220,8 +220,7 @@
         break;
     case StartOutcome::RefusedForRoom:
     case StartOutcome::Refused:
-        // The worker's state differs from the scheduler's; the next report resolves it.
-        worker.m_quarantinedUntil = std::max(worker.m_quarantinedUntil, now + m_settings.m_stopRetryInterval);
+        worker.m_refusalBackoffEnd = now + m_settings.m_stopRetryInterval;
         updateRoom(worker, now);
         break;
     case StartOutcome::NotSent:
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -4,6 +4,7 @@
 #include "jobs/RoomIndex.h"
 #include "jobs/SchedulerTypes.h"
 #include "jobs/StepQueue.h"
+#include "jobs/WorkerHealth.h"
 
 #include <boost/container/flat_map.hpp>
 #include <boost/container/flat_set.hpp>
@@ -84,6 +85,8 @@
     std::string m_checkpoint;
     /// Worker on which the last run failed or stalled.
     WorkerId m_avoid;
+    /// The first worker on which a run failed or stalled, and another one; two of them show that the task is at fault.
+    boost::container::flat_set<WorkerNumber> m_failedOn;
     TimePoint m_waitingSince {};
 };
 
@@ -215,10 +218,9 @@
     const Step* m_reservedFor = nullptr;
     /// Expected use by steps whose open advice requests name this worker.
     Resources m_tentativelyReserved;
-    /// Rises by one with each failure and is halved by each success.
-    double m_failureScore = 0;
-    TimePoint m_quarantinedUntil {};
-    std::uint32_t m_quarantines = 0;
+    WorkerHealth m_health;
+    /// The worker refused a start: its state differs from the scheduler's, and the next report resolves that.
+    TimePoint m_refusalBackoffEnd {};
     std::uint64_t m_seenEnd = 0;
     std::uint64_t m_storedEnd = 0;
     std::map<RunName, Run> m_runs;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -265,6 +265,16 @@
     friend bool operator==(const CrashUnderRun&, const CrashUnderRun&) = default;
 };
 
+/// The begin of a quarantine of a worker, or its end because failures that led to it were withdrawn.
+struct QuarantineChange {
+    WorkerId m_worker;
+    TimePoint m_at {};
+    /// End of the quarantine; m_at if it ended early.
+    TimePoint m_end {};
+
+    friend bool operator==(const QuarantineChange&, const QuarantineChange&) = default;
+};
+
 /// A run that a worker lists although this term did not order it there, or had given it up.
 struct UnexpectedRun {
     WorkerId m_worker;
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -70,7 +70,7 @@
 {
     return worker.m_isListed && !worker.m_isReplaced && worker.m_hasReported && worker.isAnswering()
         && worker.m_isDescribed && !worker.m_hasUnknownRuns && !worker.m_description.m_isDraining
-        && worker.m_quarantinedUntil <= now;
+        && !worker.m_health.isQuarantined(now) && worker.m_refusalBackoffEnd <= now;
 }
 
 void JobScheduler::updateRoom(Worker& worker, TimePoint now)
@@ -136,7 +136,7 @@
     worker.m_hasReported = false;
     worker.m_seenEnd = 0;
     worker.m_storedEnd = 0;
-    worker.m_failureScore = 0;
+    worker.m_health = {};
     updateRoom(worker, now);
     for (auto& [name, run] : worker.m_runs) {
         // The new process may have carried out a start before its restart was known here: its first report lists its
@@ -168,7 +168,7 @@
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         Worker& worker = it->second;
         worker.m_isSilent = now - worker.m_lastReportAt > m_settings.m_reportTimeout;
-        // A quarantine may be over.
+        // A quarantine or a backoff may be over.
         updateRoom(worker, now);
         if (worker.m_isSilent || worker.m_unsettledRuns > 0)
             superviseRuns(worker, now);
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -38,6 +38,8 @@
     RunLost,
     RunUnexpected,
     CrashUnderRun,
+    WorkerQuarantined,
+    QuarantineWithdrawn,
     TaskStarted,
     TaskStopped,
     JobAccepted,
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -265,6 +265,8 @@
     /// Tasks that crash each worker that starts them, and the number of crashes.
     std::set<TaskName> m_crashingTasks;
     std::uint32_t m_crashes = 0;
+    /// Jobs whose tasks fail on every worker.
+    std::set<JobId> m_failingJobs;
     std::set<std::string> m_violations;
     TimePoint m_now = TimePoint(seconds(1000));
 
@@ -369,7 +371,8 @@
                 ends.emplace_back(name, RunEnd::Lapsed);
             else if (run.m_stopsAt <= m_now)
                 ends.emplace_back(name, RunEnd::Stopped);
-            else if (worker.m_failsTasks && m_now - run.m_startedAt > milliseconds(100))
+            else if ((worker.m_failsTasks || m_failingJobs.contains(name.m_task.m_job))
+                && m_now - run.m_startedAt > milliseconds(100))
                 ends.emplace_back(name, RunEnd::Failed);
             else if (run.m_endsAt <= m_now && !worker.m_isStuck)
                 ends.emplace_back(name, RunEnd::Done);
