Give up no run because a full page of ends does not list it

Cause: a worker lists 500 of its unacknowledged ends at a time. While the store is away no end can be stored and so none is acknowledged; the scheduler goes on to start tasks at recorded places. A run that had ended and whose end was on a later page was in neither list and counted as lost ("not-listed"). Ruled out: the lease of the worker (extended all the time), late starts (all were answered).

Change: the decoder marks a report with 500 ends as incomplete. Such a report gives no run up, and does not make the worker count as reported in a term: a successor keeps the places recorded there, also after the leases of earlier terms, while its own lease for the worker goes on.

The simulated cell also checks ends that are acknowledged after their task has started again, with random faults too.

Conclusion: what a list does not name is evidence only if the list is complete.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -124,6 +124,8 @@
         if (const auto [step, task] = find({ index.m_occurrence, index.m_step, 0 }); step != nullptr)
             step->m_inheritedPlaces = workers;
     }
+    m_hasInheritedPlaces = m_hasInheritedPlaces || !progress.m_places.empty();
+    m_hasNewReporters = m_hasNewReporters || !progress.m_places.empty();
     for (const TaskIndex& index : progress.m_done) {
         if (const auto [step, task] = find(index); task != nullptr)
             finishTask(*step, *task, now);
@@ -293,12 +295,17 @@
 
 bool JobScheduler::mayRunOnUnreportedWorker(const Step& step, TimePoint now) const
 {
-    if (step.m_inheritedPlaces.empty() || now >= m_inheritedLeaseEnd)
-        return false;
-    return std::any_of(step.m_inheritedPlaces.begin(), step.m_inheritedPlaces.end(), [this](const WorkerId& place) {
-        const Worker* found = worker(place);
-        return found == nullptr || !found->m_hasReported;
-    });
+    return std::any_of(step.m_inheritedPlaces.begin(), step.m_inheritedPlaces.end(),
+        [this, now](const WorkerId& place) { return mayRunInherited(place, now); });
+}
+
+bool JobScheduler::mayRunInherited(const WorkerId& place, TimePoint now) const
+{
+    const Worker* found = worker(place);
+    if (found == nullptr)
+        return now < m_inheritedLeaseEnd;
+    // This term extends the lease of a worker whose reports do not list all ends yet.
+    return !found->m_hasReported && now < std::max(m_inheritedLeaseEnd, found->m_leaseEnd);
 }
 
 void JobScheduler::startRecordedRuns(TimePoint now)
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -65,6 +65,8 @@
     void setInheritedLeaseEnd(TimePoint leaseEnd) { m_inheritedLeaseEnd = leaseEnd; }
     /// Whether a task of the step may still run on a worker that has not reported in this term.
     bool mayRunOnUnreportedWorker(const Step&, TimePoint now) const;
+    /// Whether runs of earlier terms may go on at the worker without being known in this term.
+    bool mayRunInherited(const WorkerId&, TimePoint now) const;
     /// @}
 
     /// Adds a job with the progress that earlier terms stored, which is empty for a new job. Has no effect if the job
@@ -312,8 +314,8 @@
     TimePoint m_nextSupervision {};
     TimePoint m_inheritedLeaseEnd {};
     /// Whether steps may have inherited places.
-    bool m_hasInheritedPlaces = true;
-    /// A worker has reported for the first time since inherited places were last forgotten.
+    bool m_hasInheritedPlaces = false;
+    /// A worker has reported for the first time, or a job was restored, since inherited places were last forgotten.
     bool m_hasNewReporters = false;
     /// Runs that wait until the store names their workers as places of the step.
     std::vector<std::pair<WorkerNumber, RunName>> m_recordingRuns;
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -37,8 +37,9 @@
         handleRunReport(worker, report, run, now);
     dropMissingRuns(worker, report, now);
     worker.m_hasReportedInTerm = true;
-    // Runs ordered by an earlier term may continue until then, whatever this term orders.
-    if (!std::exchange(worker.m_hasReported, true)) {
+    // Runs of an earlier term whose ends are not listed yet are known once those before them have been acknowledged.
+    // Runs ordered by an earlier term may continue until the end of its leases, whatever this term orders.
+    if (report.m_listsAllEnds && !std::exchange(worker.m_hasReported, true)) {
         worker.m_leaseEnd = std::max(worker.m_leaseEnd, m_inheritedLeaseEnd);
         m_hasNewReporters = true;
     }
@@ -111,7 +112,7 @@
         const bool mustBeListed = run.m_confirmedAt < report.m_askedAt;
         const bool isBarred = run.m_phase == RunPhase::Stopping && run.m_stopConfirmedAt < report.m_askedAt;
         const bool isUnseen = run.m_phase == RunPhase::Unknown && run.m_unknownSince < report.m_askedAt;
-        if (std::exchange(run.m_isListed, false) || (!mustBeListed && !isBarred && !isUnseen))
+        if (std::exchange(run.m_isListed, false) || !report.m_listsAllEnds || (!mustBeListed && !isBarred && !isUnseen))
             continue;
         if (mustBeListed)
             missing.push_back(name);
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -198,7 +198,7 @@
     /// The description belongs to the current process of the worker; a restarted one may have less capacity.
     bool m_isDescribed = false;
     std::int64_t m_describedBornMs = 0;
-    /// A report of the current process has arrived in this term.
+    /// A report of the current process that lists all its ends has arrived in this term.
     bool m_hasReported = false;
     /// A report of any process of the worker has arrived in this term.
     bool m_hasReportedInTerm = false;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -104,6 +104,9 @@
     TimePoint m_askedAt {};
     std::vector<RunReport> m_running;
     std::vector<EndReport> m_ended;
+    /// Whether m_ended holds all ends that are not acknowledged. If it does not, the next ones are listed once these
+    /// have been acknowledged, and a run that is in neither list may have ended in any way.
+    bool m_listsAllEnds = true;
 
     friend bool operator==(const WorkerReport&, const WorkerReport&) = default;
 };
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -199,13 +199,12 @@
     const bool isLeaseOver = now >= m_inheritedLeaseEnd;
     if (!m_hasInheritedPlaces || (!isLeaseOver && !std::exchange(m_hasNewReporters, false)))
         return;
-    m_hasInheritedPlaces = !isLeaseOver;
+    m_hasInheritedPlaces = false;
     for (const auto& [id, job] : m_jobs) {
         for (Step& step : job->m_steps) {
-            const auto forgotten = std::erase_if(step.m_inheritedPlaces, [&](const WorkerId& place) {
-                const Worker* found = worker(place);
-                return isLeaseOver || (found != nullptr && found->m_hasReported);
-            });
+            const auto forgotten = std::erase_if(
+                step.m_inheritedPlaces, [&](const WorkerId& place) { return !mayRunInherited(place, now); });
+            m_hasInheritedPlaces = m_hasInheritedPlaces || !step.m_inheritedPlaces.empty();
             if (forgotten > 0 && job->isOpen())
                 markChanged(*job);
         }
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -46,6 +46,8 @@
     TimePoint m_leaseEnd {};
     TimePoint m_nextReportAt {};
     std::uint64_t m_lastEnd = 0;
+    /// The lease has lapsed since the ends up to this number.
+    std::uint64_t m_lapsedEnd = 0;
     std::map<RunName, RunState> m_running;
     std::map<TaskName, std::uint32_t> m_barred;
     std::deque<EndReport> m_ended;
@@ -177,6 +179,7 @@
         worker.m_ended.clear();
         worker.m_barred.clear();
         worker.m_lastEnd = 0;
+        worker.m_lapsedEnd = 0;
         worker.m_term = 0;
         worker.m_isUp = true;
         // The pending request for a report is aborted.
@@ -256,6 +259,8 @@
     bool m_isAcceptedTopicUnavailable = false;
     std::unique_ptr<JobScheduler> m_scheduler;
     bool m_isStoreUp = true;
+    /// Maximum number of ends that a worker lists in a report.
+    std::size_t m_listedEnds = 500;
     /// Real run time as a multiple of the estimate.
     double m_runTimeFactor = 1.0;
     double m_allowedShare = 0.6;
@@ -359,12 +364,16 @@
         barred = std::max(barred, name.m_run);
         worker.m_ended.push_back({ ++worker.m_lastEnd, name, how, {} });
         worker.m_nextReportAt = m_now;
-        if (how == RunEnd::Done)
-            m_doneTasks[name.m_task.m_job].insert(name.m_task);
+        if (how != RunEnd::Done)
+            return;
+        m_doneTasks[name.m_task.m_job].insert(name.m_task);
+        m_doneRuns[name.m_task].insert(name);
     }
 
     void work(SimulatedWorker& worker)
     {
+        if (worker.m_leaseEnd <= m_now)
+            worker.m_lapsedEnd = worker.m_lastEnd;
         std::vector<std::pair<RunName, RunEnd>> ends;
         for (const auto& [name, run] : worker.m_running) {
             if (worker.m_leaseEnd <= m_now)
@@ -401,8 +410,7 @@
         worker.m_leaseEnd = std::max(worker.m_leaseEnd, m_now + lease);
         m_scheduler->leaseExtended(id, m_now + lease + milliseconds(300));
         while (!worker.m_ended.empty() && worker.m_ended.front().m_number <= m_scheduler->storedEnd(id)) {
-            if (worker.m_ended.front().m_end == RunEnd::Done)
-                m_acknowledged.insert(worker.m_ended.front().m_run.m_task);
+            acknowledge(worker.m_ended.front(), worker.m_lapsedEnd);
             worker.m_ended.pop_front();
         }
         WorkerReport report;
@@ -410,10 +418,22 @@
         report.m_askedAt = m_now - milliseconds(1);
         for (const auto& [name, run] : worker.m_running)
             report.m_running.push_back({ name, {}, percentOf(worker, run), 0 });
-        report.m_ended.assign(worker.m_ended.begin(), worker.m_ended.end());
+        const std::size_t listed = std::min(worker.m_ended.size(), m_listedEnds);
+        report.m_ended.assign(worker.m_ended.begin(), worker.m_ended.begin() + static_cast<std::ptrdiff_t>(listed));
+        report.m_listsAllEnds = listed < m_listedEnds;
         m_scheduler->workerReported(id, report, m_now);
     }
 
+    void acknowledge(const EndReport& end, std::uint64_t lapsedEnd)
+    {
+        const TaskName& task = end.m_run.m_task;
+        if (end.m_end != RunEnd::Done)
+            return;
+        m_acknowledged.insert(task);
+        if (m_startedAfterEnd.contains(end.m_run) && end.m_number > lapsedEnd)
+            m_violations.insert("again before the acknowledgement of its end: " + task.m_job.value());
+    }
+
     /// Carries out a start as the worker would.
     StartOutcome begin(const WorkerId& id, std::uint64_t term, const StartOrder& order, TimePoint leaseEnd)
     {
@@ -446,6 +466,8 @@
         const StepSpec& spec = specOf(run);
         if (m_acknowledged.contains(run.m_task) && !spec.m_allowsCopies)
             m_violations.insert("again after its end: " + run.m_task.m_job.value());
+        if (const auto done = m_doneRuns.find(run.m_task); done != m_doneRuns.end() && !spec.m_allowsCopies)
+            m_startedAfterEnd.insert(done->second.begin(), done->second.end());
         for (const auto& [id, worker] : m_workers) {
             for (const auto& [name, other] : worker.m_running) {
                 if (worker.m_isUp && name.m_task == run.m_task && !spec.m_allowsCopies)
@@ -577,6 +599,10 @@
     std::vector<OpenAdviceRequest> m_questions;
     std::unique_ptr<OpenBatch> m_storing;
     std::map<JobId, std::set<TaskName>> m_doneTasks;
+    /// Runs that succeeded, and those of them after which their task was started again. The latter must not be
+    /// acknowledged, unless the lease of their worker has lapsed.
+    std::map<TaskName, std::set<RunName>> m_doneRuns;
+    std::set<RunName> m_startedAfterEnd;
     /// Tasks whose success was acknowledged.
     std::set<TaskName> m_acknowledged;
     /// Jobs that were reported as done and have been verified.
--- a/tests/userplatform/DocumentsTest.cpp
+++ b/tests/userplatform/DocumentsTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(foreignEntriesNameNoWorker);
     CPPUNIT_TEST(entriesWithoutUsableAddressNameNoWorker);
     CPPUNIT_TEST(unreadableReportIsNoReport);
+    CPPUNIT_TEST(fullListOfEndsIsNotTakenForAllOfThem);
     CPPUNIT_TEST(submissionIsDecoded);
     CPPUNIT_TEST(faultySubmissionsAreRefused);
     CPPUNIT_TEST(taskNamesAreReversible);
@@ -99,6 +100,24 @@
         CPPUNIT_ASSERT(succeeded(decodeWorkerReport(R"({"clock_ms":1,"born":1,"running":[],"finished":[]})")));
     }
 
+    // Guards against tasks that start again because their end is not among the first ones that a worker lists.
+    void fullListOfEndsIsNotTakenForAllOfThem()
+    {
+        const auto listsAll = [](int ends) {
+            std::string rows;
+            for (int i = 1; i <= ends; ++i)
+                rows += (i > 1 ? ",[" : "[") + std::to_string(i) + R"(,"a.0.0.)" + std::to_string(i)
+                    + R"(",1,"done",""])";
+            const auto report = decodeWorkerReport(R"({"clock_ms":1,"born":1,"running":[],"finished":[)" + rows + "]}");
+            CPPUNIT_ASSERT(succeeded(report));
+            CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(ends), valueOf(report).m_report.m_ended.size());
+            return valueOf(report).m_report.m_listsAllEnds;
+        };
+        CPPUNIT_ASSERT(listsAll(0));
+        CPPUNIT_ASSERT(listsAll(499));
+        CPPUNIT_ASSERT(!listsAll(500));
+    }
+
     void submissionIsDecoded()
     {
         const Result<jobs::JobSpec> result = decodeSubmission(R"({"spec":"text","repeat_count":3,"first_ms":10,
