--- a/fuzz/DocumentsFuzz.cpp
+++ b/fuzz/DocumentsFuzz.cpp
@@ -69,8 +69,9 @@
             return jobs::encodeProgress(progress);
         }
         case Kind::Term:
-            return jobs::encodeTermRecord(
-                { jobs::TermRecord::Kind::Claim, 4, DaemonId("d"), "10.0.0.1:7720", 2, {}, std::chrono::seconds(7) });
+            return jobs::encodeTermRecord({ jobs::TermRecord::Kind::Claim, 4, DaemonId("d"), "10.0.0.1:7720", 2, {},
+                jobs::TermRecord::Leases {
+                    true, std::chrono::seconds(7), { { WorkerId("i-1"), std::chrono::milliseconds(5300) } } } });
         case Kind::Hello:
             return encode(controller::inner::Hello { DaemonId("d"), "10.0.0.1:7720", false, { JobId(jobName) } });
         case Kind::Question:
--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -29,6 +29,13 @@
     constexpr Duration stopMargin = std::chrono::milliseconds(500);
     /// Difference between the longest lease of a worker and the lease asked for; covers the difference of clocks.
     constexpr Duration leaseMargin = std::chrono::milliseconds(2000);
+    /// Time since the last renewal of the term up to which full leases are granted: several renewals, also while the
+    /// store takes 0.4 s for each. Leases end earlier in longer outages of the store.
+    constexpr Duration renewalSlack = std::chrono::milliseconds(2500);
+    /// A lease ends later than it was granted for by this part of it, since a worker's clock may be slow, and this
+    /// time.
+    constexpr int workerDriftDivisor = 20;
+    constexpr Duration lateOrderMargin = std::chrono::milliseconds(200);
 
     /// Claim delay by the capacity of the host, so that hosts with more capacity claim first: scheduling takes up to
     /// 0.15 of a core and 20 Mbit/s at 350 workers.
@@ -45,6 +52,8 @@
         return delay;
     }
 
+    Duration workerLease(const SiteSettings& settings) { return settings.m_longestLease - leaseMargin; }
+
     jobs::ElectionSettings electionSettings(const SiteSettings& settings, std::uint64_t seed)
     {
         jobs::ElectionSettings election;
@@ -52,6 +61,9 @@
         election.m_address = settings.m_inner;
         election.m_claimDelay = std::chrono::milliseconds(seed % maxClaimDelayMs);
         election.m_weakHostDelay = capacityClaimDelay(settings);
+        election.m_workerLease = workerLease(settings);
+        election.m_leaseReach = election.m_workerLease + renewalSlack;
+        election.m_leaseMargin = election.m_workerLease / workerDriftDivisor + lateOrderMargin;
         return election;
     }
 
@@ -224,8 +236,8 @@
     TermSettings settings;
     settings.m_term = election.term();
     settings.m_progressPartition = election.progressPartition();
-    settings.m_predecessorCeasedAt = election.predecessorCeasedAt();
-    settings.m_lease = m_settings.m_longestLease - leaseMargin;
+    settings.m_earlierLeases = election.earlierLeases();
+    settings.m_lease = workerLease(m_settings);
     TermAuthority authority;
     authority.m_mayIssueOrders = [this] { return m_election.election().holdsTerm(bootNow()); };
     authority.m_steppedDown = [this] {
@@ -238,6 +250,12 @@
     authority.m_isProgressPartitionAnnounced = [this](std::uint32_t partition) {
         return m_election.election().isNewestTerm() && m_election.election().progressPartition() == partition;
     };
+    authority.m_grantLeases = [this] { m_election.grantLeases(); };
+    authority.m_leaseLimit = [this] { return m_election.election().leaseLimit(); };
+    authority.m_announceLeaseEnds
+        = [this](std::map<WorkerId, TimePoint> ends) { m_election.announceLeaseEnds(std::move(ends)); };
+    authority.m_isLeaseWithheld
+        = [this](const WorkerId& worker) { return m_election.election().isLeaseWithheld(worker); };
     m_term = std::make_unique<SchedulerTerm>(
         m_context, m_settings, settings, m_adviceDispatcher, m_notedCompletions, *m_log, std::move(authority));
     m_term->start();
--- a/src/controller/ElectionDriver.cpp
+++ b/src/controller/ElectionDriver.cpp
@@ -56,6 +56,12 @@
     advance();
 }
 
+void ElectionDriver::grantLeases()
+{
+    m_election.grantLeases();
+    advance();
+}
+
 void ElectionDriver::recordRead(const userplatform::KeyedRecord& record)
 {
     if (record.m_key != termKey || !record.m_value)
--- a/src/controller/ElectionDriver.h
+++ b/src/controller/ElectionDriver.h
@@ -25,6 +25,10 @@
     void stepDown() { m_election.depose(); }
     /// Renews the term at once with a record that names the partition of the job progress.
     void announceProgressPartition(std::uint32_t partition);
+    /// Renews the term at once with a record that announces leases of the workers.
+    void grantLeases();
+    /// See Election::announceLeaseEnds().
+    void announceLeaseEnds(std::map<WorkerId, TimePoint> ends) { m_election.announceLeaseEnds(std::move(ends)); }
     /// Releases the term if this daemon holds it.
     void releaseTerm();
 
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -27,6 +27,8 @@
     constexpr Duration waitLogInterval = std::chrono::seconds(3);
     constexpr std::size_t waitLogLines = 12;
     constexpr Duration expiryInterval = std::chrono::seconds(5);
+    /// Maximum number of workers whose lease a term record names; some 25 bytes each, in every renewal.
+    constexpr std::size_t maxAnnouncedLeases = 64;
     /// Time that a caller's query waits for the other daemons to note the end of its job; many times their usual
     /// response time.
     constexpr Duration notePeriod = std::chrono::milliseconds(150);
@@ -113,6 +115,8 @@
         m_progressFollower = std::make_unique<TopicFollower>(m_context, m_site.m_store,
             FollowerSettings { { progressTopic, m_settings.m_progressPartition } }, *m_progressObserver);
         m_progressFollower->start();
+        // The leases are announced while the progress is read.
+        m_authority.m_grantLeases();
     });
 }
 
@@ -165,7 +169,7 @@
         return jobs::isTooOld({ follower.caughtUpAt(), follower.consecutiveFailures(), follower.consecutiveRefusals() },
             maxAge, m_writer->isFailing(), now);
     };
-    bool isHeld = isOld(*m_workerFollower, maxRegistryAge(m_site.m_drainNotice));
+    bool isHeld = now >= m_authority.m_leaseLimit() || isOld(*m_workerFollower, maxRegistryAge(m_site.m_drainNotice));
     for (std::size_t part = 0; part < m_jobFollowers.size(); ++part) {
         // The term may begin before all partitions are listed.
         isHeld = isHeld || (m_jobObservers[part]->m_isListed && isOld(*m_jobFollowers[part], maxViewAge));
@@ -208,7 +212,9 @@
     if (link && link->address() == address)
         return;
     const LinkSettings settings { m_settings.m_term, m_settings.m_lease, m_site.m_longestLease };
-    link = std::make_unique<WorkerLink>(m_context, settings, m_callTiming, id, address);
+    const auto leaseLimit
+        = [this, id] { return m_authority.m_isLeaseWithheld(id) ? TimePoint() : m_authority.m_leaseLimit(); };
+    link = std::make_unique<WorkerLink>(m_context, settings, leaseLimit, m_callTiming, id, address);
     m_reportSchedule.add(id, bootNow());
 }
 
@@ -440,6 +446,7 @@
         m_scheduler->workerDelisted(it->first, now);
         it = m_missingEntries.erase(it);
     }
+    announceLeaseEnds(now);
     for (const WorkerId& worker : m_reportSchedule.due(now))
         awaitReport(worker);
     if (m_nextWaitLogAt <= now) {
@@ -463,6 +470,17 @@
     });
 }
 
+void SchedulerTerm::announceLeaseEnds(TimePoint now)
+{
+    m_authority.m_announceLeaseEnds(m_scheduler->leaseEndsOfUnreachable(maxAnnouncedLeases, now));
+    std::set<WorkerId> withheld;
+    for (const auto& [id, worker] : m_scheduler->workers()) {
+        if (m_authority.m_isLeaseWithheld(id))
+            withheld.insert(id);
+    }
+    m_scheduler->setWithheldLeases(withheld, now);
+}
+
 void SchedulerTerm::awaitReport(const WorkerId& id)
 {
     WorkerLink* target = link(id);
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -34,8 +34,8 @@
     std::uint64_t m_term = 1;
     /// Partition with the progress that earlier terms have stored.
     std::uint32_t m_progressPartition = 0;
-    /// Time after which no earlier term gives orders.
-    TimePoint m_predecessorCeasedAt {};
+    /// Ends of the leases that earlier terms granted to the workers.
+    jobs::LeaseBounds m_earlierLeases;
     /// Lease that is granted to the workers.
     Duration m_lease = std::chrono::seconds(8);
 };
@@ -49,6 +49,14 @@
     /// Announces the partition of the progress to successors, and tells whether the announcement is stored.
     std::function<void(std::uint32_t)> m_announceProgressPartition;
     std::function<bool(std::uint32_t)> m_isProgressPartitionAnnounced;
+    /// Announces that the term grants leases, and the time by which those that are granted now must end. It has passed
+    /// while no lease may be granted.
+    std::function<void()> m_grantLeases;
+    std::function<TimePoint()> m_leaseLimit;
+    /// Announces the ends of the leases of single workers to successors, and tells whether a worker is granted none
+    /// for that reason.
+    std::function<void(std::map<WorkerId, TimePoint>)> m_announceLeaseEnds;
+    std::function<bool(const WorkerId&)> m_isLeaseWithheld;
 };
 
 /// Exists while the daemon holds the term. All calls come from the event loop.
@@ -122,6 +130,8 @@
     /// Adds or cancels the job that the record names.
     void applyJobRecord(const std::string& key, const std::string& value);
     void superviseWorkers();
+    /// Announces the ends of the leases of unreachable workers, and withholds leases from them.
+    void announceLeaseEnds(TimePoint now);
     void awaitReport(const WorkerId&);
     void handleHoldResult(const WorkerId&, const Result<jobs::WorkerReport>&);
     /// Whether reports still change the progress. A successor receives again all ends that were not acknowledged, and a
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -38,14 +38,12 @@
         if (observer->m_isListed)
             restorePartition(*observer);
     }
-    // Leases granted by earlier terms have expired one lease after the last of these terms ended, plus a margin for
-    // slow clocks of workers.
-    const Duration lapse = m_settings.m_lease + m_settings.m_lease / 20 + std::chrono::milliseconds(200);
-    m_scheduler->setInheritedLeaseEnd(m_settings.m_predecessorCeasedAt + lapse);
+    m_scheduler->setInheritedLeases(m_settings.m_earlierLeases, now);
     m_log.write(LogEvent::RecoveryFinished,
         { { "term", m_settings.m_term }, { "jobs", std::uint64_t { m_scheduler->jobCount() } },
             { "workers", std::uint64_t { m_workerObserver->m_entries.size() } },
-            { "earlierLeasesMs", millisecondsOf(m_settings.m_predecessorCeasedAt + lapse - now) },
+            { "earlierLeasesMs", millisecondsOf(std::max(m_settings.m_earlierLeases.m_end - now, Duration::zero())) },
+            { "knownLeases", std::uint64_t { m_settings.m_earlierLeases.m_byWorker.size() } },
             { "unlistedPartitions", std::uint64_t { unlistedPartitionCount() } } });
     m_progressFollower.reset();
     applyNotedEnds();
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -18,9 +18,10 @@
 
 } // namespace
 
-WorkerLink::WorkerLink(boost::asio::io_context& context, const LinkSettings& settings, jobs::CallTiming& timing,
-    const WorkerId& worker, const std::string& address)
+WorkerLink::WorkerLink(boost::asio::io_context& context, const LinkSettings& settings,
+    std::function<TimePoint()> leaseLimit, jobs::CallTiming& timing, const WorkerId& worker, const std::string& address)
     : m_settings(settings)
+    , m_leaseLimit(std::move(leaseLimit))
     , m_timing(timing)
     , m_address(address)
     , m_connection(context, worker, address)
@@ -61,8 +62,12 @@
     // Without this limit the lease of a worker that does not answer would never end.
     if (age > m_settings.m_maxReportAge)
         return header;
-    header.m_runUntilMs = m_clockMs + millisecondsOf(age + m_settings.m_lease);
-    m_leaseEnd = std::max(m_leaseEnd, now + maxLeaseDuration(m_settings.m_lease) + age / (clockDriftDivisor - 1));
+    // The end is a time on the worker's clock, so that an order which arrives late extends the lease no further.
+    const Duration lease = std::min(m_settings.m_lease, m_leaseLimit() - now);
+    if (lease <= Duration::zero())
+        return header;
+    header.m_runUntilMs = m_clockMs + millisecondsOf(age + lease);
+    m_leaseEnd = std::max(m_leaseEnd, now + maxLeaseDuration(lease) + age / (clockDriftDivisor - 1));
     return header;
 }
 
--- a/src/controller/WorkerLink.h
+++ b/src/controller/WorkerLink.h
@@ -26,9 +26,10 @@
 /// Connection of one term to one worker.
 class WorkerLink {
 public:
-    /// `timing` is shared by the links of a term and outlives them.
-    WorkerLink(boost::asio::io_context&, const LinkSettings&, jobs::CallTiming& timing, const WorkerId&,
-        const std::string& address);
+    /// `leaseLimit` returns the time by which a lease that is granted now must end. `timing` is shared by the links of
+    /// a term and outlives them.
+    WorkerLink(boost::asio::io_context&, const LinkSettings&, std::function<TimePoint()> leaseLimit,
+        jobs::CallTiming& timing, const WorkerId&, const std::string& address);
 
     const std::string& address() const { return m_address; }
     /// Requests a report and acknowledges ends. The worker delays the answer until a run ends, except for the first
@@ -55,6 +56,7 @@
     std::function<void(Answer)> timed(IsAnswered, std::function<void(Answer)> handler);
 
     const LinkSettings m_settings;
+    const std::function<TimePoint()> m_leaseLimit;
     jobs::CallTiming& m_timing;
     /// The last call was left unanswered.
     bool m_hasUnanswered = false;
--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -28,6 +28,46 @@
         return std::chrono::ceil<std::chrono::milliseconds>(std::max(end - now, Duration::zero()));
     }
 
+    std::map<WorkerId, Duration> remainingMilliseconds(const std::map<WorkerId, TimePoint>& ends, TimePoint now)
+    {
+        std::map<WorkerId, Duration> remaining;
+        for (const auto& [worker, end] : ends)
+            remaining.emplace(worker, remainingMilliseconds(end, now));
+        return remaining;
+    }
+
+    constexpr std::int64_t greatestCount = std::numeric_limits<std::int32_t>::max();
+
+    bool isCount(const json::value* value)
+    {
+        return value != nullptr && value->is_int64() && value->get_int64() >= 0 && value->get_int64() <= greatestCount;
+    }
+
+    json::object encodeLeaseEnds(const std::map<WorkerId, Duration>& ends)
+    {
+        json::object object;
+        for (const auto& [worker, remaining] : ends)
+            object[worker.value()] = millisecondsOf(remaining);
+        return object;
+    }
+
+    /// Decodes the leases of a record that has them; none if they are malformed.
+    std::optional<TermRecord::Leases> decodeLeases(const json::object& object)
+    {
+        const json::value* grants = object.if_contains("grants");
+        const json::value* earlierTerms = object.if_contains("earlierLeasesMs");
+        const json::value* ends = object.if_contains("leaseEndsMs");
+        if (grants == nullptr || !grants->is_bool() || !isCount(earlierTerms) || ends == nullptr || !ends->is_object())
+            return std::nullopt;
+        TermRecord::Leases leases { grants->get_bool(), std::chrono::milliseconds(earlierTerms->get_int64()), {} };
+        for (const auto& [worker, remaining] : ends->get_object()) {
+            if (!isCount(&remaining))
+                return std::nullopt;
+            leases.m_byWorker[WorkerId(std::string(worker))] = std::chrono::milliseconds(remaining.get_int64());
+        }
+        return leases;
+    }
+
 } // namespace
 
 std::string encodeTermRecord(const TermRecord& record)
@@ -35,8 +75,11 @@
     json::object object { { "kind", static_cast<int>(record.m_kind) }, { "term", record.m_term },
         { "daemon", record.m_daemon.value() }, { "address", record.m_address },
         { "progressPartition", record.m_progressPartition }, { "weaknessMs", millisecondsOf(record.m_weakHostDelay) } };
-    if (record.m_earlierTermsTime)
-        object["earlierTermsMs"] = millisecondsOf(*record.m_earlierTermsTime);
+    if (record.m_leases) {
+        object["grants"] = record.m_leases->m_isGranting;
+        object["earlierLeasesMs"] = millisecondsOf(record.m_leases->m_earlierTerms);
+        object["leaseEndsMs"] = encodeLeaseEnds(record.m_leases->m_byWorker);
+    }
     return json::serialize(object);
 }
 
@@ -54,21 +97,20 @@
     const json::value* address = object->if_contains("address");
     const json::value* partition = object->if_contains("progressPartition");
     const json::value* weakness = object->if_contains("weaknessMs");
-    const json::value* earlierTerms = object->if_contains("earlierTermsMs");
-    constexpr std::int64_t greatest = std::numeric_limits<std::int32_t>::max();
-    const auto isAbsentOrCount = [](const json::value* value) {
-        return value == nullptr || (value->is_int64() && value->get_int64() >= 0 && value->get_int64() <= greatest);
-    };
+    const auto isAbsentOrCount = [](const json::value* value) { return value == nullptr || isCount(value); };
     if (kind == nullptr || !kind->is_int64() || kind->get_int64() < 0 || kind->get_int64() > 2 || term == nullptr
         || !term->is_int64() || daemon == nullptr || !daemon->is_string() || address == nullptr || !address->is_string()
-        || !isAbsentOrCount(partition) || !isAbsentOrCount(weakness) || !isAbsentOrCount(earlierTerms))
+        || !isAbsentOrCount(partition) || !isAbsentOrCount(weakness))
         return malformed;
     TermRecord record { static_cast<TermRecord::Kind>(kind->get_int64()), static_cast<std::uint64_t>(term->get_int64()),
         DaemonId(std::string(daemon->get_string())), std::string(address->get_string()),
         partition == nullptr ? 0 : static_cast<std::uint32_t>(partition->get_int64()),
         std::chrono::milliseconds(weakness == nullptr ? 0 : weakness->get_int64()), std::nullopt };
-    if (earlierTerms != nullptr)
-        record.m_earlierTermsTime = std::chrono::milliseconds(earlierTerms->get_int64());
+    if (object->contains("grants") || object->contains("leaseEndsMs")) {
+        record.m_leases = decodeLeases(*object);
+        if (!record.m_leases)
+            return malformed;
+    }
     return record;
 }
 
@@ -90,9 +132,9 @@
         m_term = term;
         m_holderAddress = record.m_address;
         // The reply to a claim may be lost; reading the record proves that it was appended. A claim that was repeated
-        // names another time of the earlier terms.
+        // names other times.
         TermRecord sent = m_appended;
-        sent.m_earlierTermsTime = record.m_earlierTermsTime;
+        sent.m_leases = record.m_leases;
         if (record.m_kind == TermRecord::Kind::Claim && m_claim && record == sent) {
             // An earlier try of the claim may have been appended, but not before the read that it is based on.
             takeTerm(term, m_claim->m_readAt);
@@ -104,17 +146,29 @@
         m_recordInterval = std::clamp(
             std::max(now - m_recordAt, m_recordInterval - m_recordInterval / 4), shortestInterval, longestInterval);
     m_recordAt = now;
-    m_earlierTermsEnd
-        = now + std::min(record.m_earlierTermsTime.value_or(m_settings.m_termLease), m_settings.m_termLease);
     // A record with this daemon's address that it did not write comes from an earlier process, which no longer runs.
     const bool isOfEarlierProcess = !m_holdsTerm && !m_claim && record.m_address == m_settings.m_address;
     m_isVacant = record.m_kind == TermRecord::Kind::Release || isOfEarlierProcess;
+    m_knownLeases = leasesBy(record, m_isVacant, now);
     if (m_isVacant) {
         m_holdsTerm = false;
         m_holderAddress.clear();
     }
 }
 
+LeaseBounds Election::leasesBy(const TermRecord& record, bool hasEnded, TimePoint now) const
+{
+    const Duration longest = m_settings.m_termLease + m_settings.m_workerLease + m_settings.m_leaseMargin;
+    if (!record.m_leases)
+        return { now + longest, {} };
+    const Duration reach = hasEnded ? m_settings.m_workerLease : m_settings.m_leaseReach;
+    const Duration ownLeases = record.m_leases->m_isGranting ? reach + m_settings.m_leaseMargin : Duration::zero();
+    LeaseBounds bounds { now + std::max(ownLeases, std::min(record.m_leases->m_earlierTerms, longest)), {} };
+    for (const auto& [worker, remaining] : record.m_leases->m_byWorker)
+        bounds.m_byWorker[worker] = now + std::min(remaining, longest);
+    return bounds;
+}
+
 void Election::caughtUp(std::uint64_t end, TimePoint askedAt)
 {
     m_end = std::max(m_end, end);
@@ -134,7 +188,10 @@
     TermRecord record { TermRecord::Kind::Renewal, m_term, m_settings.m_daemon, m_settings.m_address,
         m_progressPartition, m_settings.m_weakHostDelay, std::nullopt };
     if (m_holdsTerm) {
-        record.m_earlierTermsTime = remainingMilliseconds(m_predecessorLeaseEnd, now);
+        record.m_leases = { m_isGranting, remainingMilliseconds(m_earlierLeases.m_end, now),
+            remainingMilliseconds(m_announcedEnds, now) };
+        for (const auto& [worker, end] : m_announcedEnds)
+            m_namedWorkers.insert(worker);
         record.m_progressPartition = m_announcedPartition.value_or(m_progressPartition);
         if (m_isLeaving)
             record.m_kind = TermRecord::Kind::Release;
@@ -143,9 +200,9 @@
             return std::nullopt;
         record.m_kind = TermRecord::Kind::Claim;
         record.m_term = m_end + 1;
-        const TimePoint lastTermEnd = m_isVacant ? m_recordAt : m_recordAt + m_settings.m_termLease;
-        m_claim = { now, m_readAt, std::max(lastTermEnd, m_earlierTermsEnd) };
-        record.m_earlierTermsTime = remainingMilliseconds(m_claim->m_predecessorLeaseEnd, now);
+        m_claim = { now, m_readAt, m_knownLeases };
+        record.m_leases = { false, remainingMilliseconds(m_knownLeases.m_end, now),
+            remainingMilliseconds(m_knownLeases.m_byWorker, now) };
     }
     m_appending = true;
     m_appended = record;
@@ -158,7 +215,13 @@
     m_holdsTerm = true;
     m_isVacant = false;
     m_holderAddress = m_settings.m_address;
-    m_predecessorLeaseEnd = m_claim->m_predecessorLeaseEnd;
+    m_earlierLeases = m_claim->m_earlierLeases;
+    m_isGranting = false;
+    m_leaseLimit = {};
+    m_announcedEnds = m_earlierLeases.m_byWorker;
+    m_namedWorkers.clear();
+    for (const auto& [worker, end] : m_announcedEnds)
+        m_namedWorkers.insert(worker);
     m_termLeaseEnd = leaseFrom + m_settings.m_termLease;
     m_recordAt = leaseFrom;
     m_claim.reset();
@@ -171,6 +234,25 @@
     m_nextRenewal = {};
 }
 
+void Election::grantLeases()
+{
+    m_isGranting = true;
+    m_nextRenewal = {};
+}
+
+void Election::completeRenewal(TimePoint sentAt)
+{
+    m_termLeaseEnd = sentAt + m_settings.m_termLease;
+    m_progressPartition = m_appended.m_progressPartition;
+    m_namedWorkers.clear();
+    for (const auto& [worker, remaining] : m_appended.m_leases->m_byWorker)
+        m_namedWorkers.insert(worker);
+    if (m_appended.m_leases->m_isGranting)
+        m_leaseLimit = sentAt + m_settings.m_leaseReach;
+    else if (m_isGranting)
+        m_nextRenewal = {};
+}
+
 void Election::appendEnded(AppendOutcome outcome, std::uint64_t offset, TimePoint sentAt)
 {
     m_appending = false;
@@ -185,10 +267,8 @@
             takeTerm(offset + 1, m_claim->m_sentAt);
         return;
     case TermRecord::Kind::Renewal:
-        if (!m_holdsTerm || m_appended.m_term != m_term)
-            return;
-        m_termLeaseEnd = sentAt + m_settings.m_termLease;
-        m_progressPartition = m_appended.m_progressPartition;
+        if (m_holdsTerm && m_appended.m_term == m_term)
+            completeRenewal(sentAt);
         return;
     case TermRecord::Kind::Release:
         m_holdsTerm = false;
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -4,12 +4,15 @@
 // earlier schedulers. Free of I/O: records, results and times are passed in.
 #pragma once
 
+#include "jobs/LeaseBounds.h"
 #include "model/Identifier.h"
 #include "model/Result.h"
 #include "model/Time.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -31,8 +34,16 @@
     Duration m_weakHostDelay {};
     Duration m_renewInterval = std::chrono::milliseconds(300);
     /// Term lease: time after the last confirmed renewal for which a holder may give orders. Longer than usual outages
-    /// of the store; a successor waits for its end where it cannot reach a worker.
+    /// of the store.
     Duration m_termLease = std::chrono::seconds(7);
+    /// Lease of a worker that an order extends.
+    Duration m_workerLease = std::chrono::seconds(8);
+    /// Time after the last confirmed renewal by which all leases end that a holder grants to workers. A successor waits
+    /// for it where it cannot reach a worker. Leases are shorter in an outage of the store that is longer than the
+    /// difference to m_workerLease.
+    Duration m_leaseReach = std::chrono::milliseconds(10500);
+    /// Time by which a lease may end later, because the clock of its worker is slow.
+    Duration m_leaseMargin = std::chrono::milliseconds(600);
 };
 
 /// A record of the election topic.
@@ -47,10 +58,21 @@
     std::uint32_t m_progressPartition = 0;
     /// ElectionSettings::m_weakHostDelay of the daemon; stored as "weaknessMs".
     Duration m_weakHostDelay {};
-    /// Time from the sending of the record for which earlier terms may still give orders, in whole milliseconds; stored
-    /// as "earlierTermsMs". Hosts do not share a clock, so the record cannot name the end itself. None in records of
-    /// versions that did not write it.
-    std::optional<Duration> m_earlierTermsTime;
+    /// What the term knows of the leases of the workers. Times are whole milliseconds from the sending of the record:
+    /// hosts do not share a clock, so it cannot name the ends themselves.
+    struct Leases {
+        /// Whether this term may have granted leases; stored as "grants".
+        bool m_isGranting = false;
+        /// Until the end of the leases of all earlier terms; stored as "earlierLeasesMs".
+        Duration m_earlierTerms {};
+        /// Until the end of the leases of single workers, by earlier terms and by this one, which grants them no more
+        /// while its newest record names them; stored as "leaseEndsMs".
+        std::map<WorkerId, Duration> m_byWorker;
+
+        friend bool operator==(const Leases&, const Leases&) = default;
+    };
+    /// None in records of versions that did not write it.
+    std::optional<Leases> m_leases;
 
     friend bool operator==(const TermRecord&, const TermRecord&) = default;
 };
@@ -103,8 +125,25 @@
     std::uint64_t term() const { return m_term; }
     /// "address:port" of the holder of the newest term; empty when there is none.
     const std::string& holderAddress() const { return m_holderAddress; }
-    /// End of the lease of all earlier terms; valid while this daemon holds the term.
-    TimePoint predecessorCeasedAt() const { return m_predecessorLeaseEnd; }
+
+    /// \name Leases of the workers, while this daemon holds the term
+    /// @{
+    /// Ends of the leases of all earlier terms.
+    const LeaseBounds& earlierLeases() const { return m_earlierLeases; }
+    /// Begins to grant leases: the next record announces that, and is due at once.
+    void grantLeases();
+    /// The time by which leases that are granted now must end. It has passed until the store has a record which
+    /// announces leases.
+    TimePoint leaseLimit() const { return m_leaseLimit; }
+    /// Replaces the ends of the leases of single workers that the following records tell successors. The holder grants
+    /// these workers no lease from this call on, until isLeaseWithheld() is false.
+    void announceLeaseEnds(std::map<WorkerId, TimePoint> ends) { m_announcedEnds = std::move(ends); }
+    /// Whether a record that the store has, may have or will get names the end of the worker's lease.
+    bool isLeaseWithheld(const WorkerId& worker) const
+    {
+        return m_announcedEnds.contains(worker) || m_namedWorkers.contains(worker);
+    }
+    /// @}
 
 private:
     /// A claim that was sent and has neither succeeded nor been replaced.
@@ -112,11 +151,14 @@
         TimePoint m_sentAt {};
         /// When the read was sent that found the end of the topic which the claim has as its condition.
         TimePoint m_readAt {};
-        TimePoint m_predecessorLeaseEnd {};
+        LeaseBounds m_earlierLeases;
     };
 
     /// Begins the term of the pending claim, whose lease counts from a time before the claim was appended.
     void takeTerm(std::uint64_t term, TimePoint leaseFrom);
+    /// Ends of the leases of all terms up to that of the record, which was read at `now`.
+    LeaseBounds leasesBy(const TermRecord&, bool hasEnded, TimePoint now) const;
+    void completeRenewal(TimePoint sentAt);
 
     const ElectionSettings m_settings;
     std::uint64_t m_end = 0;
@@ -136,14 +178,19 @@
     /// Partition that this daemon's records name while it holds the term; none before its first announcement.
     std::optional<std::uint32_t> m_announcedPartition;
     TimePoint m_recordAt {};
-    /// End of the leases of all terms before m_term. A holder that is cut off from the store outlasts later terms that
-    /// were released or whose daemon was restarted.
-    TimePoint m_earlierTermsEnd {};
+    /// Ends of the leases of all terms that the newest record tells of. A holder that is cut off from the store
+    /// outlasts later terms that were released or whose daemon was restarted.
+    LeaseBounds m_knownLeases;
     /// Longest recent interval between two records of the holder; decays by a quarter with each record.
     Duration m_recordInterval = std::chrono::milliseconds(300);
     TimePoint claimAt() const;
     TimePoint m_termLeaseEnd {};
-    TimePoint m_predecessorLeaseEnd {};
+    LeaseBounds m_earlierLeases;
+    bool m_isGranting = false;
+    TimePoint m_leaseLimit {};
+    std::map<WorkerId, TimePoint> m_announcedEnds;
+    /// Workers that are named by the newest record of this term in the store, or by a later one that it may have.
+    std::set<WorkerId> m_namedWorkers;
     TimePoint m_nextRenewal {};
     bool m_appending = false;
     TermRecord m_appended;
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -124,8 +124,7 @@
         if (const auto [step, task] = find({ index.m_occurrence, index.m_step, 0 }); step != nullptr)
             step->m_inheritedPlaces = workers;
     }
-    m_hasInheritedPlaces = m_hasInheritedPlaces || !progress.m_places.empty();
-    m_hasNewReporters = m_hasNewReporters || !progress.m_places.empty();
+    m_areInheritedPlacesChanged = m_areInheritedPlacesChanged || !progress.m_places.empty();
     for (const TaskIndex& index : progress.m_done) {
         if (const auto [step, task] = find(index); task != nullptr)
             finishTask(*step, *task, now);
@@ -302,10 +301,15 @@
 bool JobScheduler::mayRunInherited(const WorkerId& place, TimePoint now) const
 {
     const Worker* found = worker(place);
-    if (found == nullptr)
-        return now < m_inheritedLeaseEnd;
+    return (found == nullptr || !found->m_hasReported) && now < unreportedLeaseEnd(place);
+}
+
+TimePoint JobScheduler::unreportedLeaseEnd(const WorkerId& id) const
+{
+    const Worker* found = worker(id);
     // This term extends the lease of a worker whose reports do not list all ends yet.
-    return !found->m_hasReported && now < std::max(m_inheritedLeaseEnd, found->m_leaseEnd);
+    const TimePoint granted = found == nullptr ? TimePoint() : found->m_leaseEnd;
+    return std::max(granted, m_inheritedLeases.endFor(id));
 }
 
 void JobScheduler::startRecordedRuns(TimePoint now)
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -2,6 +2,7 @@
 // and the adviser's replies. A deterministic state machine without I/O, clock or threads.
 #pragma once
 
+#include "jobs/LeaseBounds.h"
 #include "jobs/SchedulerState.h"
 
 #include <functional>
@@ -60,15 +61,28 @@
 
     /// \name Recovery
     /// @{
-    /// Sets the time by which the leases of all earlier terms have ended. Until then, the steps of restored jobs wait
+    /// Sets the times by which the leases of all earlier terms have ended. Until then, the steps of restored jobs wait
     /// for the reports of the workers on which they may have tasks.
-    void setInheritedLeaseEnd(TimePoint leaseEnd) { m_inheritedLeaseEnd = leaseEnd; }
+    void setInheritedLeases(LeaseBounds bounds, TimePoint now)
+    {
+        m_inheritedLeases = std::move(bounds);
+        m_inheritedAt = now;
+    }
     /// Whether a task of the step may still run on a worker that has not reported in this term.
     bool mayRunOnUnreportedWorker(const Step&, TimePoint now) const;
     /// Whether runs of earlier terms may go on at the worker without being known in this term.
     bool mayRunInherited(const WorkerId&, TimePoint now) const;
     /// @}
 
+    /// \name Leases of workers that cannot be reached
+    /// @{
+    /// Ends of the leases of workers on which tasks may run and that have not reported for long; at most `most`. A
+    /// successor that is told these ends does not have to wait for the leases which this term grants to the others.
+    std::map<WorkerId, TimePoint> leaseEndsOfUnreachable(std::size_t most, TimePoint now) const;
+    /// Replaces the workers that are granted no lease now. They get no new work.
+    void setWithheldLeases(const std::set<WorkerId>&, TimePoint now);
+    /// @}
+
     /// Adds a job with the progress that earlier terms stored, which is empty for a new job. Has no effect if the job
     /// is known.
     void addJob(const JobRecord&, const JobProgress& stored, std::int64_t wallNowMs, TimePoint now);
@@ -254,6 +268,8 @@
     void superviseRuns(Worker&, TimePoint now);
     /// Forgets inherited places whose runs are known from a report or whose lease has ended.
     void forgetInheritedPlaces(TimePoint now);
+    /// Time by which the runs of a worker that does not report have ended.
+    TimePoint unreportedLeaseEnd(const WorkerId&) const;
     /// Forgets a worker that has left as a planned place of later steps.
     void forgetPlannedPlaces(WorkerNumber);
     void evacuate(Worker&, TimePoint now);
@@ -312,11 +328,14 @@
     };
     std::map<std::uint64_t, std::vector<SentProgress>> m_batchRecords;
     TimePoint m_nextSupervision {};
-    TimePoint m_inheritedLeaseEnd {};
-    /// Whether steps may have inherited places.
-    bool m_hasInheritedPlaces = false;
-    /// A worker has reported for the first time, or a job was restored, since inherited places were last forgotten.
-    bool m_hasNewReporters = false;
+    LeaseBounds m_inheritedLeases;
+    TimePoint m_inheritedAt {};
+    /// The inherited places of all steps, and the earliest end of a lease among them.
+    std::set<WorkerId> m_inheritedPlaces;
+    TimePoint m_nextInheritedEnd = TimePoint::max();
+    std::set<WorkerId> m_withheldLeases;
+    /// A worker has reported for the first time, or a job was restored, since m_inheritedPlaces was updated.
+    bool m_areInheritedPlacesChanged = false;
     /// Runs that wait until the store names their workers as places of the step.
     std::vector<std::pair<WorkerNumber, RunName>> m_recordingRuns;
     std::vector<SchedulerAction> m_actions;
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -97,6 +97,8 @@
         return "draining";
     if (worker.m_health.isQuarantined(m_now))
         return "quarantined";
+    if (worker.m_isLeaseWithheld)
+        return "leaseWithheld";
     if (worker.m_refusalBackoffEnd > m_now)
         return "refused";
     if (m_scheduler.m_isStoreUnavailable && !step.isRecordedPlace(worker.m_number))
@@ -481,8 +483,11 @@
         text += ", keeps free " + std::to_string(step.m_reservedWorkers.size());
     if (step.m_isAdvicePending)
         text += ", asks the adviser";
-    if (m_scheduler.mayRunOnUnreportedWorker(step, m_now))
-        text += ", may run on an unreachable worker";
+    for (const WorkerId& place : step.m_inheritedPlaces) {
+        if (m_scheduler.mayRunInherited(place, m_now))
+            text += ", may run on " + place.value() + " for "
+                + std::to_string(millisecondsOf(m_scheduler.unreportedLeaseEnd(place) - m_now)) + " ms";
+    }
     for (const auto& [reason, count] : reasons)
         text += std::string(", ") + reason + ' ' + std::to_string(count);
     return text;
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -232,6 +232,8 @@
     /// Unanswered starts and when they were ordered: a restarted worker would carry them out when they arrive.
     std::vector<std::pair<RunName, TimePoint>> m_unanswered;
 
+    /// The worker is granted no lease now, since a successor may have been told when it ends.
+    bool m_isLeaseWithheld = false;
     bool m_isSilent = false;
     /// Whether the worker is not silent and has reported since its last unanswered request.
     bool isAnswering() const { return !m_isSilent && m_unansweredAt < m_lastReportAt; }
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -15,6 +15,8 @@
     constexpr Duration maxOrderDelay = std::chrono::seconds(13);
     /// Step in percent by which the rate of a filling task rises.
     constexpr std::uint32_t rateStepPercent = 10;
+    /// A worker that has not reported for this long after a takeover counts as unreachable. Others report at once.
+    constexpr Duration unreportedPeriod = std::chrono::milliseconds(800);
     /// Time for which a lost run is remembered, so that the log tells why a run that appears again was given up.
     constexpr Duration lostRunRetention = std::chrono::seconds(30);
 
@@ -28,6 +30,7 @@
         worker.m_number = static_cast<WorkerNumber>(m_workersByNumber.size());
         m_workersByNumber.push_back(&worker);
         m_workerNumbers[description.m_worker] = worker.m_number;
+        worker.m_isLeaseWithheld = m_withheldLeases.contains(description.m_worker);
     }
     const std::int64_t born = worker.m_description.m_bornMs;
     const bool wasDraining = worker.m_isListed && worker.m_description.m_isDraining;
@@ -70,7 +73,7 @@
 {
     return worker.m_isListed && !worker.m_isReplaced && worker.m_hasReported && worker.isAnswering()
         && worker.m_isDescribed && !worker.m_hasUnknownRuns && !worker.m_description.m_isDraining
-        && !worker.m_health.isQuarantined(now) && worker.m_refusalBackoffEnd <= now;
+        && !worker.m_isLeaseWithheld && !worker.m_health.isQuarantined(now) && worker.m_refusalBackoffEnd <= now;
 }
 
 void JobScheduler::updateRoom(Worker& worker, TimePoint now)
@@ -124,7 +127,7 @@
     forgetPlannedPlaces(worker->m_number);
     // What earlier terms started there has ended as well.
     worker->m_hasReported = true;
-    m_hasNewReporters = true;
+    m_areInheritedPlacesChanged = true;
     forgetInheritedPlaces(now);
 }
 
@@ -196,19 +199,51 @@
 
 void JobScheduler::forgetInheritedPlaces(TimePoint now)
 {
-    const bool isLeaseOver = now >= m_inheritedLeaseEnd;
-    if (!m_hasInheritedPlaces || (!isLeaseOver && !std::exchange(m_hasNewReporters, false)))
+    if (!std::exchange(m_areInheritedPlacesChanged, false) && now < m_nextInheritedEnd)
         return;
-    m_hasInheritedPlaces = false;
+    m_inheritedPlaces.clear();
     for (const auto& [id, job] : m_jobs) {
         for (Step& step : job->m_steps) {
             const auto forgotten = std::erase_if(
                 step.m_inheritedPlaces, [&](const WorkerId& place) { return !mayRunInherited(place, now); });
-            m_hasInheritedPlaces = m_hasInheritedPlaces || !step.m_inheritedPlaces.empty();
+            m_inheritedPlaces.insert(step.m_inheritedPlaces.begin(), step.m_inheritedPlaces.end());
             if (forgotten > 0 && job->isOpen())
                 markChanged(*job);
         }
     }
+    m_nextInheritedEnd = TimePoint::max();
+    for (const WorkerId& place : m_inheritedPlaces)
+        m_nextInheritedEnd = std::min(m_nextInheritedEnd, unreportedLeaseEnd(place));
+}
+
+std::map<WorkerId, TimePoint> JobScheduler::leaseEndsOfUnreachable(std::size_t most, TimePoint now) const
+{
+    std::map<WorkerId, TimePoint> ends;
+    for (const WorkerId& place : m_inheritedPlaces) {
+        const Worker* found = worker(place);
+        const bool isSilent = now - m_inheritedAt > unreportedPeriod || m_inheritedLeases.m_byWorker.contains(place);
+        // A worker that reports ends which it has not listed before is extended.
+        if (ends.size() < most && isSilent && (found == nullptr || !found->m_hasReportedInTerm))
+            ends.emplace(place, unreportedLeaseEnd(place));
+    }
+    for (const auto& [id, worker] : m_workers) {
+        if (ends.size() < most && worker.m_isSilent && worker.m_hasReportedInTerm && !worker.m_runs.empty())
+            ends.emplace(id, unreportedLeaseEnd(id));
+    }
+    return ends;
+}
+
+void JobScheduler::setWithheldLeases(const std::set<WorkerId>& withheld, TimePoint now)
+{
+    if (withheld == m_withheldLeases)
+        return;
+    for (const auto& [id, number] : m_workerNumbers) {
+        Worker* each = findWorker(number);
+        if (each == nullptr || std::exchange(each->m_isLeaseWithheld, withheld.contains(id)) == withheld.contains(id))
+            continue;
+        updateRoom(*each, now);
+    }
+    m_withheldLeases = withheld;
 }
 
 void JobScheduler::forgetPlannedPlaces(WorkerNumber worker)
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -137,7 +137,8 @@
         LinkSettings link;
         link.m_maxReportAge = milliseconds(0);
         jobs::CallTiming timing;
-        WorkerLink workerLink(context, link, timing, WorkerId("i-1"), openOnFreePort(worker));
+        WorkerLink workerLink(
+            context, link, [] { return TimePoint::max(); }, timing, WorkerId("i-1"), openOnFreePort(worker));
         bool hasReported = false;
         workerLink.awaitReport(0, [&](const Result<jobs::WorkerReport>& report) { hasReported = succeeded(report); });
         runUntil(context, [&] { return hasReported; });
@@ -161,7 +162,8 @@
                 { 200, R"({"clock_ms":1000,"born":1,"running":[)" + running + R"(],"finished":[)" + finished + "]}" });
         });
         jobs::CallTiming timing;
-        WorkerLink workerLink(context, {}, timing, WorkerId("i-1"), openOnFreePort(worker));
+        WorkerLink workerLink(
+            context, {}, [] { return TimePoint::max(); }, timing, WorkerId("i-1"), openOnFreePort(worker));
         const auto isAccepted = [&] {
             std::optional<bool> accepted;
             workerLink.fetchReport(0, [&](const Result<jobs::WorkerReport>& report) { accepted = succeeded(report); });
@@ -196,7 +198,8 @@
             respond({ 200, R"({"clock_ms":1000,"born":1})" });
         });
         jobs::CallTiming timing;
-        WorkerLink workerLink(context, {}, timing, WorkerId("i-1"), openOnFreePort(worker));
+        WorkerLink workerLink(
+            context, {}, [] { return TimePoint::max(); }, timing, WorkerId("i-1"), openOnFreePort(worker));
         const auto stop = [&](const char* job) {
             workerLink.stop({ WorkerId("i-1"), { { JobId(job), {} }, 1 } },
                 [&](bool isConfirmed) { confirmed += isConfirmed ? 1 : 0; });
@@ -223,7 +226,8 @@
             respond({ 200, R"({"clock_ms":1000,"born":1,"running":[],"finished":[]})" });
         });
         jobs::CallTiming timing;
-        WorkerLink workerLink(context, {}, timing, WorkerId("i-1"), openOnFreePort(worker));
+        WorkerLink workerLink(
+            context, {}, [] { return TimePoint::max(); }, timing, WorkerId("i-1"), openOnFreePort(worker));
         std::optional<jobs::StartOutcome> outcome;
         const auto start = [&](std::uint32_t run) {
             outcome.reset();
--- a/tests/controller/StoreTest.cpp
+++ b/tests/controller/StoreTest.cpp
@@ -51,7 +51,12 @@
             authority.m_steppedDown = [] {};
             authority.m_announceProgressPartition = [](std::uint32_t) {};
             authority.m_isProgressPartitionAnnounced = [](std::uint32_t) { return true; };
-            m_term = std::make_unique<SchedulerTerm>(context, m_site, TermSettings { 2, 0, bootNow(), seconds(8) },
+            authority.m_grantLeases = [] {};
+            authority.m_leaseLimit = [] { return TimePoint::max(); };
+            authority.m_announceLeaseEnds = [](const std::map<WorkerId, TimePoint>&) {};
+            authority.m_isLeaseWithheld = [](const WorkerId&) { return false; };
+            const jobs::LeaseBounds earlierLeases { bootNow() + seconds(8) + milliseconds(600), {} };
+            m_term = std::make_unique<SchedulerTerm>(context, m_site, TermSettings { 2, 0, earlierLeases, seconds(8) },
                 m_adviceDispatcher, m_notedCompletions, *m_log, std::move(authority));
         }
 
--- a/tests/jobs/ElectionTest.cpp
+++ b/tests/jobs/ElectionTest.cpp
@@ -20,7 +20,11 @@
     CPPUNIT_TEST(restartedHolderClaimsAtOnce);
     CPPUNIT_TEST(releasedTermIsClaimedAtOnce);
     CPPUNIT_TEST(holderThatIsCutOffOutlastsTwoTakeovers);
-    CPPUNIT_TEST(recordsWithoutTheTimeOfEarlierTermsCountAsALease);
+    CPPUNIT_TEST(recordsWithoutLeasesCountAsALease);
+    CPPUNIT_TEST(noLeaseIsGrantedBeforeItIsAnnounced);
+    CPPUNIT_TEST(termThatGrantedNothingDoesNotLengthenTheWait);
+    CPPUNIT_TEST(endsOfSingleLeasesOutliveTheirTerm);
+    CPPUNIT_TEST(namedLeaseIsWithheldUntilARecordWithoutItIsStored);
     CPPUNIT_TEST(authorityEndsWithoutRenewals);
     CPPUNIT_TEST(announcedPartitionOutlivesItsTerm);
     CPPUNIT_TEST(weakHostsWaitForStrongerOnesOnly);
@@ -73,6 +77,15 @@
             }
         }
 
+        /// Claims the term and begins to grant leases.
+        void grant(TimePoint now)
+        {
+            step(now);
+            m_election.grantLeases();
+            step(now);
+            CPPUNIT_ASSERT(m_election.leaseLimit() > now);
+        }
+
         Election m_election;
         Topic& m_topic;
         std::uint64_t m_read = 0;
@@ -101,14 +114,16 @@
         Daemon a("a", topic);
         Daemon b("b", topic);
         TimePoint now(seconds(100));
-        a.step(now);
+        a.grant(now);
         b.step(now);
         for (; !b.m_election.holdsTerm(now) && now < TimePoint(seconds(110)); now += milliseconds(50))
             b.step(now);
         CPPUNIT_ASSERT(now < TimePoint(seconds(102)));
         CPPUNIT_ASSERT(b.m_election.term() > 1);
-        // The earlier holder may have given orders until the end of its term lease.
-        CPPUNIT_ASSERT(b.m_election.predecessorCeasedAt() >= TimePoint(seconds(107)));
+        // The earlier holder may have granted leases up to its limit.
+        CPPUNIT_ASSERT(a.m_election.leaseLimit() == TimePoint(seconds(100)) + ElectionSettings().m_leaseReach);
+        CPPUNIT_ASSERT(
+            b.m_election.earlierLeases().m_end >= a.m_election.leaseLimit() + ElectionSettings().m_leaseMargin);
         a.read(now);
         CPPUNIT_ASSERT(!a.m_election.isNewestTerm());
     }
@@ -172,7 +187,7 @@
         Daemon a("a", topic);
         Daemon b("b", topic);
         TimePoint now(seconds(100));
-        a.step(now);
+        a.grant(now);
         b.step(now);
         a.m_election.leave();
         now += seconds(1);
@@ -180,7 +195,8 @@
         CPPUNIT_ASSERT(a.m_election.isReleased());
         b.step(now);
         CPPUNIT_ASSERT(b.m_election.holdsTerm(now));
-        CPPUNIT_ASSERT(b.m_election.predecessorCeasedAt() == now);
+        const ElectionSettings settings;
+        CPPUNIT_ASSERT(b.m_election.earlierLeases().m_end == now + settings.m_workerLease + settings.m_leaseMargin);
     }
 
     // The first holder is cut off from the store. The next one takes over and gives its term up soon after, or its
@@ -193,8 +209,10 @@
             Daemon cutOff("a", topic);
             Daemon second("b", topic);
             TimePoint now(seconds(100));
-            cutOff.step(now);
-            const TimePoint leaseEnd = now + ElectionSettings().m_termLease;
+            cutOff.grant(now);
+            const ElectionSettings settings;
+            const Duration wait = settings.m_leaseReach + settings.m_leaseMargin;
+            const TimePoint leaseEnd = now + wait;
             for (; !second.m_election.isNewestTerm(); now += milliseconds(50))
                 second.step(now);
             for (const TimePoint end = now + pause; now < end; now += milliseconds(50))
@@ -208,17 +226,115 @@
             Daemon third(isRestart ? "b" : "c", topic);
             third.step(now);
             CPPUNIT_ASSERT(third.m_election.holdsTerm(now));
-            const TimePoint ceasedAt = third.m_election.predecessorCeasedAt();
-            CPPUNIT_ASSERT(ceasedAt >= std::max(leaseEnd, now));
-            return ceasedAt - now;
+            const TimePoint earlierEnd = third.m_election.earlierLeases().m_end;
+            CPPUNIT_ASSERT(earlierEnd >= std::max(leaseEnd, now));
+            return earlierEnd - now;
         };
+        const Duration wait = ElectionSettings().m_leaseReach + ElectionSettings().m_leaseMargin;
         for (const bool isRestart : { true, false }) {
-            CPPUNIT_ASSERT(secondTakeover(isRestart, milliseconds(500)) < ElectionSettings().m_termLease);
-            CPPUNIT_ASSERT_EQUAL(Duration::zero().count(), secondTakeover(isRestart, seconds(8)).count());
+            CPPUNIT_ASSERT(secondTakeover(isRestart, milliseconds(500)) < wait);
+            CPPUNIT_ASSERT_EQUAL(Duration::zero().count(), secondTakeover(isRestart, seconds(12)).count());
         }
     }
 
-    void recordsWithoutTheTimeOfEarlierTermsCountAsALease()
+    // Guards against a lease that a successor does not know of, because its term's only record is the claim.
+    void noLeaseIsGrantedBeforeItIsAnnounced()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        TimePoint now(seconds(100));
+        a.step(now);
+        CPPUNIT_ASSERT(a.m_election.holdsTerm(now));
+        CPPUNIT_ASSERT(a.m_election.leaseLimit() <= now);
+        a.m_election.grantLeases();
+        const auto announcement = a.m_election.takeDueAppend(now);
+        CPPUNIT_ASSERT(announcement.has_value());
+        topic.append(*announcement);
+        a.m_election.appendEnded(AppendOutcome::Unknown, 0, now);
+        CPPUNIT_ASSERT(a.m_election.leaseLimit() <= now);
+        now += milliseconds(200);
+        a.step(now);
+        CPPUNIT_ASSERT(a.m_election.leaseLimit() == now + ElectionSettings().m_leaseReach);
+    }
+
+    // Guards against a wait that begins anew with each daemon that takes the term and fails before it can use it.
+    void termThatGrantedNothingDoesNotLengthenTheWait()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        Daemon b("b", topic);
+        Daemon c("c", topic);
+        TimePoint now(seconds(100));
+        a.grant(now);
+        c.read(now);
+        const auto takeOver = [&now](Daemon& daemon) {
+            for (; !daemon.m_election.isNewestTerm(); now += milliseconds(50))
+                daemon.step(now);
+        };
+        takeOver(b);
+        takeOver(c);
+        const ElectionSettings settings;
+        const TimePoint end = TimePoint(seconds(100)) + settings.m_leaseReach + settings.m_leaseMargin;
+        CPPUNIT_ASSERT(c.m_election.earlierLeases().m_end >= end);
+        CPPUNIT_ASSERT(c.m_election.earlierLeases().m_end <= end + milliseconds(100));
+    }
+
+    // Guards against a wait for a worker that was lost in an earlier term which begins anew with each takeover.
+    void endsOfSingleLeasesOutliveTheirTerm()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        Daemon b("b", topic);
+        Daemon c("c", topic);
+        TimePoint now(seconds(100));
+        a.grant(now);
+        const TimePoint end = now + seconds(5);
+        a.m_election.announceLeaseEnds({ { WorkerId("lost"), end } });
+        now += milliseconds(300);
+        a.step(now);
+        const auto takeOver = [&now](Daemon& daemon) {
+            for (; !daemon.m_election.isNewestTerm(); now += milliseconds(50))
+                daemon.step(now);
+        };
+        takeOver(b);
+        b.m_election.grantLeases();
+        b.step(now);
+        CPPUNIT_ASSERT(b.m_election.isLeaseWithheld(WorkerId("lost")));
+        takeOver(c);
+        const LeaseBounds& leases = c.m_election.earlierLeases();
+        CPPUNIT_ASSERT(leases.endFor(WorkerId("lost")) >= end);
+        CPPUNIT_ASSERT(leases.endFor(WorkerId("lost")) <= end + milliseconds(200));
+        CPPUNIT_ASSERT(leases.endFor(WorkerId("other")) > now + seconds(8));
+    }
+
+    // Guards against a lease that is extended after a successor may have read when it ends.
+    void namedLeaseIsWithheldUntilARecordWithoutItIsStored()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        const WorkerId worker("i-1");
+        TimePoint now(seconds(100));
+        a.grant(now);
+        a.m_election.announceLeaseEnds({ { worker, now + seconds(5) } });
+        CPPUNIT_ASSERT(a.m_election.isLeaseWithheld(worker));
+        now += milliseconds(300);
+        const auto naming = a.m_election.takeDueAppend(now);
+        CPPUNIT_ASSERT(naming.has_value());
+        topic.append(*naming);
+        a.m_election.announceLeaseEnds({});
+        a.m_election.appendEnded(AppendOutcome::Unknown, 0, now);
+        CPPUNIT_ASSERT(a.m_election.isLeaseWithheld(worker));
+        now += milliseconds(300);
+        const auto refused = a.m_election.takeDueAppend(now);
+        CPPUNIT_ASSERT(refused.has_value());
+        a.m_election.appendEnded(AppendOutcome::NotAppended, 0, now);
+        CPPUNIT_ASSERT(a.m_election.isLeaseWithheld(worker));
+        now += milliseconds(300);
+        a.step(now);
+        CPPUNIT_ASSERT(!a.m_election.isLeaseWithheld(worker));
+    }
+
+    void recordsWithoutLeasesCountAsALease()
     {
         Topic topic;
         topic.m_records.push_back({ TermRecord::Kind::Release, 1, DaemonId("a"), "a:1", 0, {}, std::nullopt });
@@ -226,7 +342,9 @@
         const TimePoint now(seconds(100));
         b.step(now);
         CPPUNIT_ASSERT(b.m_election.holdsTerm(now));
-        CPPUNIT_ASSERT(b.m_election.predecessorCeasedAt() == now + ElectionSettings().m_termLease);
+        const ElectionSettings settings;
+        CPPUNIT_ASSERT(b.m_election.earlierLeases().m_end
+            == now + settings.m_termLease + settings.m_workerLease + settings.m_leaseMargin);
     }
 
     void authorityEndsWithoutRenewals()
@@ -360,9 +478,11 @@
         TermRecord record { TermRecord::Kind::Renewal, 12, DaemonId("a"), "10.0.0.1:7720", 3, milliseconds(800),
             std::nullopt };
         CPPUNIT_ASSERT(valueOf(decodeTermRecord(encodeTermRecord(record))) == record);
-        record.m_earlierTermsTime = milliseconds(5300);
+        record.m_leases = { true, milliseconds(5300), { { WorkerId("i-1"), milliseconds(0) } } };
         CPPUNIT_ASSERT(valueOf(decodeTermRecord(encodeTermRecord(record))) == record);
-        record.m_earlierTermsTime = std::chrono::hours(1000000);
+        record.m_leases->m_byWorker[WorkerId("i-2")] = std::chrono::hours(1000000);
+        CPPUNIT_ASSERT(!succeeded(decodeTermRecord(encodeTermRecord(record))));
+        record.m_leases = { false, std::chrono::hours(1000000), {} };
         CPPUNIT_ASSERT(!succeeded(decodeTermRecord(encodeTermRecord(record))));
         CPPUNIT_ASSERT(!succeeded(decodeTermRecord("{}")));
         const JobProgress progress { JobState::Running, { { 0, 0, 1 }, { 0, 0, 2 }, { 0, 1, 0 } },
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -70,6 +70,8 @@
     static constexpr Duration stopTime = milliseconds(300);
     /// Time from the crash of a worker to its next process.
     static constexpr Duration crashTime = milliseconds(3300);
+    static constexpr Duration renewalInterval = milliseconds(300);
+    static constexpr std::size_t maxAnnouncedLeases = 64;
 
     explicit SimulatedCell(std::uint32_t workers, std::uint64_t seed = 1)
         : m_random(seed)
@@ -125,7 +127,8 @@
             m_scheduler->addJob(record, progressOf(id), wallMs(), m_now);
         if (!m_isAcceptedTopicUnavailable)
             readAccepted();
-        m_scheduler->setInheritedLeaseEnd(m_now + lease + milliseconds(600));
+        m_scheduler->setInheritedLeases({ m_now + lease + milliseconds(600), m_storedLeaseEnds }, m_now);
+        m_announcedLeaseEnds = m_storedLeaseEnds;
     }
 
     JobProgress progressOf(const JobId& id) const
@@ -321,6 +324,7 @@
         answerAdviceRequests();
         store();
         const auto busy = static_cast<std::uint32_t>(m_questions.size());
+        announceLeaseEnds();
         const AdviceCapacity advice { m_adviceDaemons - std::min(m_adviceDaemons, busy), m_adviceDaemons };
         m_scheduler->setStoreUnavailable(!m_isStoreUp);
         for (const SchedulerAction& action : m_scheduler->step(wallMs(), m_now, advice))
@@ -407,8 +411,10 @@
             return;
         worker.m_term = m_term;
         worker.m_nextReportAt = m_now + milliseconds(500);
-        worker.m_leaseEnd = std::max(worker.m_leaseEnd, m_now + lease);
-        m_scheduler->leaseExtended(id, m_now + lease + milliseconds(300));
+        if (!isLeaseWithheld(id)) {
+            worker.m_leaseEnd = std::max(worker.m_leaseEnd, m_now + lease);
+            m_scheduler->leaseExtended(id, m_now + lease + milliseconds(300));
+        }
         while (!worker.m_ended.empty() && worker.m_ended.front().m_number <= m_scheduler->storedEnd(id)) {
             acknowledge(worker.m_ended.front(), worker.m_lapsedEnd);
             worker.m_ended.pop_front();
@@ -424,13 +430,35 @@
         m_scheduler->workerReported(id, report, m_now);
     }
 
+    bool isLeaseWithheld(const WorkerId& id) const
+    {
+        return m_announcedLeaseEnds.contains(id) || m_storedLeaseEnds.contains(id);
+    }
+
+    /// Tells successors when the leases of unreachable workers end, as the term records do.
+    void announceLeaseEnds()
+    {
+        m_announcedLeaseEnds = m_scheduler->leaseEndsOfUnreachable(maxAnnouncedLeases, m_now);
+        std::set<WorkerId> withheld;
+        for (const auto& [id, worker] : m_workers) {
+            if (isLeaseWithheld(id))
+                withheld.insert(id);
+        }
+        m_scheduler->setWithheldLeases(withheld, m_now);
+        if (m_now < m_nextRenewalAt)
+            return;
+        m_nextRenewalAt = m_now + renewalInterval;
+        m_storedLeaseEnds = m_announcedLeaseEnds;
+    }
+
     void acknowledge(const EndReport& end, std::uint64_t lapsedEnd)
     {
         const TaskName& task = end.m_run.m_task;
-        if (end.m_end != RunEnd::Done)
+        // An end does not count if the worker's lease lapsed before the acknowledgement.
+        if (end.m_end != RunEnd::Done || end.m_number <= lapsedEnd)
             return;
         m_acknowledged.insert(task);
-        if (m_startedAfterEnd.contains(end.m_run) && end.m_number > lapsedEnd)
+        if (m_startedAfterEnd.contains(end.m_run))
             m_violations.insert("again before the acknowledgement of its end: " + task.m_job.value());
     }
 
@@ -598,6 +626,10 @@
     std::vector<DelayedAnswer> m_answers;
     std::vector<OpenAdviceRequest> m_questions;
     std::unique_ptr<OpenBatch> m_storing;
+    /// Ends of leases as the term announces them, and as the newest term record tells them.
+    std::map<WorkerId, TimePoint> m_announcedLeaseEnds;
+    std::map<WorkerId, TimePoint> m_storedLeaseEnds;
+    TimePoint m_nextRenewalAt {};
     std::map<JobId, std::set<TaskName>> m_doneTasks;
     /// Runs that succeeded, and those of them after which their task was started again. The latter must not be
     /// acknowledged, unless the lease of their worker has lapsed.
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(placesOfWorkersThatLeftAreForgotten);
     CPPUNIT_TEST(laterStepsForgetPlacesOfWorkersThatLeft);
     CPPUNIT_TEST(inheritedRunsKeepTheLeaseOfTheirTerm);
+    CPPUNIT_TEST(takeoversDoNotLengthenTheWaitForALostWorker);
     CPPUNIT_TEST(runningJobsAreKnownWithoutTheAcceptedOnes);
     CPPUNIT_TEST(unknownRunsKeepTheirWorkerFromNewWork);
     CPPUNIT_TEST(everythingIsStoredAnewAfterAMove);
@@ -130,6 +131,37 @@
         assertNoViolation(cell);
     }
 
+    // Guards against a long-running task that waits anew with each takeover for the leases of the term before, although
+    // its worker was lost earlier; and against one that starts while its worker is only cut off and still runs it.
+    void takeoversDoNotLengthenTheWaitForALostWorker()
+    {
+        for (const bool isLost : { true, false }) {
+            SimulatedCell cell = startedCell(3);
+            StepSpec lasting = SimulatedCell::step(3, 10000, milliseconds(100));
+            lasting.m_maxPerWorker = 2;
+            lasting.m_isLongRunning = true;
+            cell.accept(SimulatedCell::job("j", { lasting }));
+            cell.run(seconds(2));
+            SimulatedWorker& lost = cell.m_workers.at(firstWorkerOf(cell));
+            const TimePoint lostAt = cell.m_now;
+            lost.m_isReachable = false;
+            if (isLost) {
+                lost.m_isUp = false;
+                lost.m_running.clear();
+            }
+            cell.run(seconds(1));
+            for (int takeovers = 0; takeovers < 3; ++takeovers) {
+                cell.takeOver();
+                cell.run(milliseconds(2500));
+            }
+            // The lease that the last order to the worker extended, and the time until the next takeover.
+            const TimePoint leaseEnd = lostAt + seconds(1) + SimulatedCell::lease + milliseconds(600);
+            cell.run(leaseEnd + milliseconds(500) - cell.m_now);
+            CPPUNIT_ASSERT_EQUAL(3U, cell.running("j"));
+            assertNoViolation(cell);
+        }
+    }
+
     // A takeover while the store serves only part of its partitions: running jobs go on, the others are added later,
     // and nothing runs twice.
     void runningJobsAreKnownWithoutTheAcceptedOnes()
