Store the cancellation of a job that the scheduler does not know

Cause: the scheduler's view of the accepted jobs may be 2.5 s old; Gateway::cancel answered 410 from it and stored nothing.

Before the change cancellationOfAJobThatTheSchedulerDoesNotKnowIsStored fails ("Expected: 200, Actual: 410"); cancellationsOfUnknownJobsExpire is new.

Change: every cancellation of a job that has not ended is stored before it is answered. Cancellations whose job never came expire like jobs, and their records are removed.

Conclusion: an absence in a view that lags is no answer to a caller who acts on it.

--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -212,8 +212,7 @@
 {
     queryState(call->m_job, std::min(call->m_deadline, bootNow() + queryTimeout),
         [this, call](const Result<jobs::JobState>& result) {
-            if (!succeeded(result) && errorOf(result).m_kind == ErrorKind::NotFound)
-                return call->m_respond({ 410, "{}" });
+            // A job that the scheduler does not know may have been accepted just now: its view of the store lags.
             if (succeeded(result) && jobs::isFinal(valueOf(result)))
                 return call->m_respond({ 200, "{}" });
             storeCancellation(call);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -155,7 +155,8 @@
     std::vector<QuarantineChange> takeQuarantineChanges() { return std::exchange(m_quarantineChanges, {}); }
     /// Jobs whose end has been stored since the last call.
     std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
-    /// Removes and returns the closed jobs whose retention time is over.
+    /// Removes and returns the closed jobs whose retention time is over, and the jobs that were cancelled and never
+    /// added in that time.
     std::vector<JobId> takeExpired(TimePoint now);
     /// @}
 
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -151,6 +151,12 @@
         std::erase(m_jobsWithFutureOccurrences, job);
         m_jobs.erase(id);
     }
+    std::erase_if(m_cancelledEarly, [&](const auto& cancelled) {
+        const bool isExpired = cancelled.second + m_settings.m_retention < now;
+        if (isExpired)
+            expired.push_back(cancelled.first);
+        return isExpired;
+    });
     return expired;
 }
 
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -194,7 +194,6 @@
     forgetInheritedPlaces(now);
     while (!m_lostRuns.empty() && m_lostRuns.front().m_at + lostRunRetention < now)
         m_lostRuns.pop_front();
-    std::erase_if(m_cancelledEarly, [&](const auto& entry) { return entry.second + m_settings.m_retention < now; });
 }
 
 void JobScheduler::forgetInheritedPlaces(TimePoint now)
--- a/tests/controller/GatewayTest.cpp
+++ b/tests/controller/GatewayTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(schedulerThatCouldNotStoreIsNotAskedAgain);
     CPPUNIT_TEST(slowStoreIsBypassedWithoutFurtherAppends);
     CPPUNIT_TEST(recordIsStoredThoughTheSchedulerDoesNotAnswer);
+    CPPUNIT_TEST(cancellationOfAJobThatTheSchedulerDoesNotKnowIsStored);
     CPPUNIT_TEST_SUITE_END();
 
     /// A gateway whose direct appends are refused, and a stand-in for the scheduler's daemon.
@@ -58,11 +59,12 @@
         }
 
         /// Status and Retry-After of the answer to a submission.
-        std::pair<unsigned, unsigned> submit()
+        std::pair<unsigned, unsigned> submit() { return call("POST", R"({"spec":"","steps":[{"count":1}]})"); }
+
+        std::pair<unsigned, unsigned> call(const std::string& method, const std::string& body)
         {
             std::optional<ServerResponse> answer;
-            ServerRequest request { "POST", "/q/0123456789abcdef", "h", R"({"spec":"","steps":[{"count":1}]})", "",
-                bootNow() };
+            ServerRequest request { method, "/q/0123456789abcdef", "h", body, "", bootNow() };
             m_gateway->handle(std::move(request), [&](ServerResponse response) { answer = std::move(response); });
             runUntil(m_context, [&] { return answer.has_value(); });
             return { answer->m_status, answer->m_retryAfterSeconds };
@@ -136,6 +138,20 @@
         CPPUNIT_ASSERT_EQUAL(2, fixture.m_schedulerCalls);
         fixture.m_held.clear();
     }
+
+    // Guards against a job that runs on after it was cancelled, because the scheduler had not read its acceptance yet
+    // and the cancellation was stored nowhere.
+    void cancellationOfAJobThatTheSchedulerDoesNotKnowIsStored()
+    {
+        Fixture fixture;
+        fixture.setFault(StoreStandIn::Fault::None);
+        fixture.m_schedulerStatus = 404;
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call("DELETE", "").first);
+        std::size_t stored = 0;
+        for (std::uint32_t part = 0; part < jobPartitions; ++part)
+            stored += fixture.m_store.newest(jobTopic, part).count(cancellationKey(JobId("0123456789abcdef")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), stored);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/tests/jobs/JobSchedulerTest.cpp
+++ b/tests/jobs/JobSchedulerTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(placedJobIsPendingUntilAWorkerHasBegunIt);
     CPPUNIT_TEST(gangStartsTogetherWithOneRunNumber);
     CPPUNIT_TEST(cancelledJobIsStoppedAndNotStarted);
+    CPPUNIT_TEST(cancellationsOfUnknownJobsExpire);
     CPPUNIT_TEST(jobIsShownAsDoneOnceThatIsStored);
     CPPUNIT_TEST(adviserIsAskedAndRefusalsAreKept);
     CPPUNIT_TEST(shortQuestionsDoNotWaitForLongOnes);
@@ -207,6 +208,22 @@
     }
 
     // Guards against a job that was reported as done and runs again after a takeover.
+    // Guards against cancellations of jobs that do not exist which stay in the store for ever.
+    void cancellationsOfUnknownJobsExpire()
+    {
+        const SchedulerSettings settings;
+        JobScheduler scheduler(settings);
+        const TimePoint now(seconds(100));
+        const JobRecord late = SimulatedCell::job("late", { SimulatedCell::step(1, 1000, seconds(1)) });
+        scheduler.cancelJob(late.m_job, now);
+        scheduler.cancelJob(JobId("unknown"), now);
+        scheduler.addJob(late, {}, 0, now);
+        CPPUNIT_ASSERT(scheduler.state(late.m_job) == JobState::Cancelled);
+        CPPUNIT_ASSERT(scheduler.takeExpired(now + settings.m_retention).empty());
+        const std::vector<JobId> expired = scheduler.takeExpired(now + settings.m_retention + seconds(1));
+        CPPUNIT_ASSERT(expired == std::vector<JobId> { JobId("unknown") });
+    }
+
     void jobIsShownAsDoneOnceThatIsStored()
     {
         SimulatedCell cell = startedCell(1);
