Do not reckon leases with the clock of a worker's earlier process

Cause: answers on different connections may overtake each other. One of a worker's earlier process that was read after one of the later process replaced the clock of the later one, so that the next orders granted it up to its longest lease, 10 s, where the scheduler counts 8.3 s. If the worker was cut off then, its tasks could start again while it still ran them.

Evidence: answerOfAnEarlierProcessDoesNotSetTheClock fails before the change: "until 508000", where at most 10300 is right.

Change: an answer with an earlier start time of the process goes to the scheduler, which ignores it, and leaves the clock alone.

Conclusion: closes one way to a lease that outlasts its bound.

--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -101,6 +101,10 @@
         if (!succeeded(result))
             return handler(errorOf(result));
         userplatform::WorkerReportAnswer answer = valueOf(std::move(result));
+        answer.m_report.m_askedAt = askedAt;
+        // Answers on different connections may overtake each other; the clock of an ended process says nothing.
+        if (answer.m_report.m_bornMs < m_bornMs)
+            return handler(std::move(answer.m_report));
         // A restarted worker has a new clock: orders computed with the old one may have granted it the longest lease.
         if (m_bornMs != 0 && answer.m_report.m_bornMs != m_bornMs)
             m_leaseEnd = std::max(m_leaseEnd, bootNow() + maxLeaseDuration(m_settings.m_longestLease));
@@ -108,7 +112,6 @@
         m_clockMs = answer.m_clockMs;
         m_clockAt = bootNow();
         m_hasClock = true;
-        answer.m_report.m_askedAt = askedAt;
         handler(std::move(answer.m_report));
     };
 }
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -10,6 +10,7 @@
 #include "tests/controller/EventLoop.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/json.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
 #include <stdexcept>
@@ -27,6 +28,7 @@
     CPPUNIT_TEST(refusedRecordFailsAtOnceAndStoreIsProbed);
     CPPUNIT_TEST(unansweredRecordIsRetried);
     CPPUNIT_TEST(leaseOfUnresponsiveWorkerIsNotExtended);
+    CPPUNIT_TEST(answerOfAnEarlierProcessDoesNotSetTheClock);
     CPPUNIT_TEST(malformedRowFailsTheReport);
     CPPUNIT_TEST(lostOrderDelaysNoOtherOne);
     CPPUNIT_TEST(listenerOpensAfterAddressInUse);
@@ -150,6 +152,37 @@
         held.clear();
     }
 
+    // Guards against a lease that is reckoned with the clock of a worker's earlier process, whose answer was read after
+    // one of the later process. It would be far longer than the scheduler assumes.
+    void answerOfAnEarlierProcessDoesNotSetTheClock()
+    {
+        boost::asio::io_context context;
+        std::string answer = R"({"clock_ms":1000,"born":2,"running":[],"finished":[]})";
+        std::int64_t runUntilMs = 0;
+        HttpListener worker(context, "", [&](const ServerRequest& request, const Responder& respond) {
+            const boost::json::value body = boost::json::parse(request.m_body);
+            if (const boost::json::value* until = body.as_object().if_contains("until_ms"))
+                runUntilMs = until->as_int64();
+            respond({ 200, answer });
+        });
+        jobs::CallTiming timing;
+        const LinkSettings link;
+        WorkerLink workerLink(
+            context, link, [] { return TimePoint::max(); }, timing, WorkerId("i-1"), openOnFreePort(worker));
+        const auto fetch = [&] {
+            bool hasReported = false;
+            workerLink.fetchReport(0, [&](const Result<jobs::WorkerReport>&) { hasReported = true; });
+            runUntil(context, [&] { return hasReported; });
+        };
+        fetch();
+        answer = R"({"clock_ms":500000,"born":1,"running":[],"finished":[]})";
+        fetch();
+        fetch();
+        const std::int64_t mostMs = 1000 + millisecondsOf(link.m_lease + link.m_maxReportAge);
+        CPPUNIT_ASSERT(runUntilMs > 0);
+        CPPUNIT_ASSERT_MESSAGE("until " + std::to_string(runUntilMs), runUntilMs <= mostMs);
+    }
+
     // A row that cannot be read used to be left out, so that a run counted as ended and was started again elsewhere.
     void malformedRowFailsTheReport()
     {
