--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -169,17 +169,21 @@
         return jobs::isTooOld({ follower.caughtUpAt(), follower.consecutiveFailures(), follower.consecutiveRefusals() },
             maxAge, m_writer->isFailing(), now);
     };
-    bool isHeld = now >= m_authority.m_leaseLimit() || isOld(*m_workerFollower, maxRegistryAge(m_site.m_drainNotice));
+    bool isHeld = isOld(*m_workerFollower, maxRegistryAge(m_site.m_drainNotice));
     for (std::size_t part = 0; part < m_jobFollowers.size(); ++part) {
         // The term may begin before all partitions are listed.
         isHeld = isHeld || (m_jobObservers[part]->m_isListed && isOld(*m_jobFollowers[part], maxViewAge));
     }
-    m_scheduler->setStartsHeld(isHeld);
+    // A start grants a lease.
+    const bool hasNoLease = now >= m_authority.m_leaseLimit();
+    m_scheduler->setStartsHeld(isHeld || hasNoLease);
     const bool isUnread = m_workerFollower->consecutiveFailures() >= jobs::failuresOfUnavailableStore;
     if (std::exchange(m_isRegistryUnread, isUnread) != isUnread)
         logView(isUnread, "registry", now);
     if (std::exchange(m_areStartsHeld, isHeld) != isHeld)
         logView(isHeld, "view of workers and cancellations", now);
+    if (std::exchange(m_hasNoLease, hasNoLease) != hasNoLease)
+        logView(hasNoLease, "announcement of leases", now);
 }
 
 void SchedulerTerm::logView(bool isLost, const char* dependency, TimePoint now)
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -197,6 +197,7 @@
     TimePoint m_nextWaitLogAt {};
     bool m_isStepScheduled = false;
     bool m_areStartsHeld = false;
+    bool m_hasNoLease = false;
     bool m_isRegistryUnread = false;
     bool m_isHandingOver = false;
     bool m_hasSteppedDown = false;
