--- a/tests/jobs/ElectionTest.cpp
+++ b/tests/jobs/ElectionTest.cpp
@@ -91,6 +91,13 @@
         std::uint64_t m_read = 0;
     };
 
+    /// Lets the daemon take the term of a holder that is silent from now on.
+    static void takeOver(Daemon& daemon, TimePoint& now)
+    {
+        for (; !daemon.m_election.isNewestTerm(); now += milliseconds(50))
+            daemon.step(now);
+    }
+
 public:
     void firstDaemonHoldsTheTermAndRenewsIt()
     {
@@ -267,12 +274,8 @@
         TimePoint now(seconds(100));
         a.grant(now);
         c.read(now);
-        const auto takeOver = [&now](Daemon& daemon) {
-            for (; !daemon.m_election.isNewestTerm(); now += milliseconds(50))
-                daemon.step(now);
-        };
-        takeOver(b);
-        takeOver(c);
+        takeOver(b, now);
+        takeOver(c, now);
         const ElectionSettings settings;
         const TimePoint end = TimePoint(seconds(100)) + settings.m_leaseReach + settings.m_leaseMargin;
         CPPUNIT_ASSERT(c.m_election.earlierLeases().m_end >= end);
@@ -292,15 +295,11 @@
         a.m_election.announceLeaseEnds({ { WorkerId("lost"), end } });
         now += milliseconds(300);
         a.step(now);
-        const auto takeOver = [&now](Daemon& daemon) {
-            for (; !daemon.m_election.isNewestTerm(); now += milliseconds(50))
-                daemon.step(now);
-        };
-        takeOver(b);
+        takeOver(b, now);
         b.m_election.grantLeases();
         b.step(now);
         CPPUNIT_ASSERT(b.m_election.isLeaseWithheld(WorkerId("lost")));
-        takeOver(c);
+        takeOver(c, now);
         const LeaseBounds& leases = c.m_election.earlierLeases();
         CPPUNIT_ASSERT(leases.endFor(WorkerId("lost")) >= end);
         CPPUNIT_ASSERT(leases.endFor(WorkerId("lost")) <= end + milliseconds(200));
