Log whether a given-up run may still be started, and by which process

Callers see nothing of it.

Change: run-lost has orderedMs, unanswered and leaseMs; run-unexpected has orderedMs, unanswered and laterProcess. No decision changes.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -367,16 +367,21 @@
             { { "worker", lost.m_worker.value() }, { "job", lost.m_run.m_task.m_job.value() },
                 { "step", std::uint64_t { lost.m_run.m_task.m_index.m_step } },
                 { "task", std::uint64_t { lost.m_run.m_task.m_index.m_task } },
-                { "run", std::uint64_t { lost.m_run.m_run } }, { "reason", jobs::nameOf(lost.m_reason) } });
+                { "run", std::uint64_t { lost.m_run.m_run } }, { "reason", jobs::nameOf(lost.m_reason) },
+                { "orderedMs", millisecondsOf(lost.m_at - lost.m_orderedAt) }, { "unanswered", lost.m_isUnanswered },
+                { "leaseMs", millisecondsOf(lost.m_leaseEnd - lost.m_at) } });
     for (const jobs::UnexpectedRun& listed : m_scheduler->takeUnexpectedRuns()) {
         const Duration sinceLoss = listed.m_loss ? m_lastStepAt - listed.m_loss->m_at : Duration::zero();
+        const Duration sinceOrder = listed.m_loss ? m_lastStepAt - listed.m_loss->m_orderedAt : Duration::zero();
         m_log.write(LogEvent::RunUnexpected,
             { { "worker", listed.m_worker.value() }, { "job", listed.m_run.m_task.m_job.value() },
                 { "step", std::uint64_t { listed.m_run.m_task.m_index.m_step } },
                 { "task", std::uint64_t { listed.m_run.m_task.m_index.m_task } },
                 { "run", std::uint64_t { listed.m_run.m_run } }, { "otherRuns", std::uint64_t { listed.m_otherRuns } },
                 { "lost", listed.m_loss ? jobs::nameOf(listed.m_loss->m_reason) : "not ordered in this term" },
-                { "lostMs", millisecondsOf(sinceLoss) } });
+                { "lostMs", millisecondsOf(sinceLoss) }, { "orderedMs", millisecondsOf(sinceOrder) },
+                { "unanswered", listed.m_loss && listed.m_loss->m_isUnanswered },
+                { "laterProcess", listed.m_loss && listed.m_loss->m_bornMs < listed.m_bornMs } });
     }
 }
 
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -337,6 +337,7 @@
         ++history.m_starts;
         setPhase(run->second, RunPhase::Starting);
         run->second.m_orderedAt = now;
+        run->second.m_bornMs = worker->m_description.m_bornMs;
         StartOrder order { worker->m_description.m_worker, name, step.m_job->m_record.m_spec.m_payload,
             taskOf(step, name).m_checkpoint, {} };
         if (step.m_job->m_record.m_policy.m_advice)
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -220,7 +220,7 @@
     void loseAllRuns(Worker&, RunLossReason, TimePoint now);
     /// Removes runs that count as over without a listed end.
     void loseRuns(Worker&, const std::vector<RunName>&, RunLossReason, TimePoint now);
-    void noteLoss(const Worker&, const RunName&, RunLossReason, TimePoint now);
+    void noteLoss(const Worker&, const Run&, RunLossReason, TimePoint now);
     /// Notes a listed run that this term did not order on the worker, or had given up.
     void noteUnexpectedRun(const Worker&, const RunName&, std::uint32_t otherRuns);
     void requestStop(Run&, TimePoint now);
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -31,6 +31,7 @@
     run.m_reserved = step.m_spec->reserved();
     run.m_fillingMillis = step.m_spec->m_isFilling ? step.m_spec->m_need.m_cpuMillis : 0;
     run.m_orderedAt = now;
+    run.m_bornMs = worker.m_description.m_bornMs;
     run.m_progressAt = now;
     worker.m_reserved += run.m_reserved;
     worker.m_fillingMillis += run.m_fillingMillis;
@@ -122,15 +123,19 @@
     return names[static_cast<std::size_t>(reason)];
 }
 
-void JobScheduler::noteLoss(const Worker& worker, const RunName& name, RunLossReason reason, TimePoint now)
+void JobScheduler::noteLoss(const Worker& worker, const Run& run, RunLossReason reason, TimePoint now)
 {
-    m_lostRuns.push_back({ worker.m_description.m_worker, name, reason, now });
+    const bool isUnanswered = reason != RunLossReason::Refused && run.m_phase != RunPhase::Recording
+        && run.m_confirmedAt == TimePoint::max();
+    m_lostRuns.push_back({ worker.m_description.m_worker, run.m_name, reason, now, run.m_orderedAt, run.m_bornMs,
+        isUnanswered, worker.m_leaseEnd });
     m_newLostRuns.push_back(m_lostRuns.back());
 }
 
 void JobScheduler::noteUnexpectedRun(const Worker& worker, const RunName& name, std::uint32_t otherRuns)
 {
-    UnexpectedRun unexpected { worker.m_description.m_worker, name, otherRuns, std::nullopt };
+    UnexpectedRun unexpected { worker.m_description.m_worker, name, worker.m_description.m_bornMs, otherRuns,
+        std::nullopt };
     for (const LostRun& loss : m_lostRuns) {
         if (loss.m_run == name && loss.m_worker == unexpected.m_worker)
             unexpected.m_loss = loss;
@@ -141,10 +146,10 @@
 void JobScheduler::loseRuns(Worker& worker, const std::vector<RunName>& names, RunLossReason reason, TimePoint now)
 {
     for (const RunName& name : names) {
+        Run& run = worker.m_runs.at(name);
         ++m_counters.m_lostRuns;
-        noteLoss(worker, name, reason, now);
-        if (const auto found = worker.m_runs.find(name); found != worker.m_runs.end())
-            ++found->second.m_step->m_job->m_history.m_lostRuns;
+        noteLoss(worker, run, reason, now);
+        ++run.m_step->m_job->m_history.m_lostRuns;
         removeRun(worker, name, now);
     }
 }
@@ -232,7 +237,7 @@
     // A run listed by a report did start, whatever the reply to a repeated order says.
     if (run.m_confirmedAt == TimePoint::max()) {
         if (outcome != StartOutcome::NotSent)
-            noteLoss(worker, name, RunLossReason::Refused, now);
+            noteLoss(worker, run, RunLossReason::Refused, now);
         removeRun(worker, name, now);
     }
     if (step.m_spec->m_isGang)
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -46,6 +46,8 @@
     /// Processor use of a filling task, which reserves no processor time.
     std::int64_t m_fillingMillis = 0;
     TimePoint m_orderedAt {};
+    /// Start time of the worker process that was ordered to start the run, or listed it first.
+    std::int64_t m_bornMs = 0;
     bool m_isActive = true;
     /// The report that is being handled lists the run.
     bool m_isListed = false;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -253,6 +253,13 @@
     RunName m_run;
     RunLossReason m_reason = RunLossReason::LeaseEnded;
     TimePoint m_at {};
+    /// When the run was ordered, or first listed, and the start time of the worker process at that time.
+    TimePoint m_orderedAt {};
+    std::int64_t m_bornMs = 0;
+    /// The start was neither answered nor listed, so that it may still be carried out.
+    bool m_isUnanswered = false;
+    /// Time until which orders allowed the worker to go on.
+    TimePoint m_leaseEnd {};
 
     friend bool operator==(const LostRun&, const LostRun&) = default;
 };
@@ -282,6 +289,8 @@
 struct UnexpectedRun {
     WorkerId m_worker;
     RunName m_run;
+    /// Start time of the worker process that lists it.
+    std::int64_t m_bornMs = 0;
     /// Unresolved runs of the task that were known before.
     std::uint32_t m_otherRuns = 0;
     /// When and why the run was given up; none if this term did not order it.
