Bind a worker's later process before a task starts elsewhere

Cause: what a worker's process has confirmed, or its lease, ends with that process, but the scheduler counted it for the worker. A start without an answer may be carried out by a later process: the task was given up when the lease of the earlier one had ended or a stop was confirmed by it; a single stop was sent to the later one, and nobody looked whether it arrived. A confirmation by the earlier process that was read late counted for the later one. A late order grants the later process up to the longest lease, 10 s, from its arrival.

Change: an unanswered start is remembered with the time until which it may arrive, 13 s or the expiry of its ticket. A run of a silent worker is given up once a process that began unnoticed would have ended it too. After a restart each such start is a run that is being stopped: it keeps its room and its task until the later process has confirmed a stop that was sent after the restart was noticed. The lease of a restarted worker counts late orders to the earlier process, in the ends that are told to successors too.

Remains: a start that arrives before any call has reached the later process cannot be barred.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -254,8 +254,8 @@
     WorkerLink* target = link(order.m_worker);
     if (target == nullptr)
         return;
-    target->stop(order, [this, order](bool confirmed) {
-        m_scheduler->stopAnswered(order.m_worker, order.m_run, confirmed, bootNow());
+    target->stop(order, [this, order, askedAt = bootNow()](bool confirmed) {
+        m_scheduler->stopAnswered(order.m_worker, order.m_run, confirmed, askedAt, bootNow());
         scheduleStep();
     });
 }
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -15,6 +15,8 @@
     constexpr int workersPerAdviceRequest = 30;
     /// A result that is later than this multiple of the objective has no value.
     constexpr int usefulObjectives = 3;
+    /// Time after the expiry of a ticket here by which it has expired on each worker.
+    constexpr Duration ticketExpiryMargin = std::chrono::milliseconds(200);
     /// Runs of a task that may be unresolved when a copy starts.
     constexpr std::uint32_t maxUnresolvedCopies = 2;
 
@@ -340,8 +342,13 @@
         run->second.m_bornMs = worker->m_description.m_bornMs;
         StartOrder order { worker->m_description.m_worker, name, step.m_job->m_record.m_spec.m_payload,
             taskOf(step, name).m_checkpoint, {} };
-        if (step.m_job->m_record.m_policy.m_advice)
-            order.m_ticket = step.m_permissions.at(number).m_ticket;
+        run->second.m_mayBeginUntil = now + maxOrderDelay;
+        if (step.m_job->m_record.m_policy.m_advice) {
+            const Permission& permission = step.m_permissions.at(number);
+            order.m_ticket = permission.m_ticket;
+            run->second.m_mayBeginUntil
+                = std::min(run->second.m_mayBeginUntil, permission.m_expiresAt + ticketExpiryMargin);
+        }
         ++m_counters.m_starts;
         m_actions.emplace_back(std::move(order));
     }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -23,6 +23,9 @@
     Duration m_stopRetryInterval = std::chrono::milliseconds(700);
     /// Time after which a start without a reply is treated as unanswered.
     Duration m_startTimeout = std::chrono::milliseconds(1500);
+    /// Time after which a lease has ended that a worker counts from the arrival of an order: its longest lease, and the
+    /// error of its clock.
+    Duration m_longestLease = std::chrono::milliseconds(10300);
     /// Remaining validity that a ticket must have for the start order to arrive in time.
     Duration m_ticketMargin = std::chrono::milliseconds(120);
     /// Time for which the outcome of a closed job is kept.
@@ -106,8 +109,8 @@
     /// Notes that an order that extends the worker's lease is about to be sent.
     void leaseExtended(const WorkerId&, TimePoint leaseEnd);
     void startAnswered(const WorkerId&, const RunName&, StartOutcome, TimePoint now);
-    /// Handles the result of a stop order: confirmed by the worker, or not answered.
-    void stopAnswered(const WorkerId&, const RunName&, bool confirmed, TimePoint now);
+    /// Handles the result of a stop order sent at askedAt: confirmed by the worker, or not answered.
+    void stopAnswered(const WorkerId&, const RunName&, bool confirmed, TimePoint askedAt, TimePoint now);
     /// Handles the adviser's reply to a request sent at askedAt; the tickets expire `validity` after that time.
     void adviceAnswered(
         const AdviceRequest&, const std::vector<Ticket>&, TimePoint askedAt, Duration validity, TimePoint now);
@@ -252,6 +255,11 @@
     /// Gives up runs that a report should list and does not.
     void dropMissingRuns(Worker&, const WorkerReport&, TimePoint now);
     void handleWorkerRestart(Worker&, std::int64_t bornMs, TimePoint now);
+    /// Stops a run whose start may still arrive at a later process of its worker, until that process has confirmed it.
+    /// Its task does not start elsewhere, and its capacity is kept, until then.
+    void stopLateStart(Worker&, const RunName&, TimePoint now);
+    /// Time by which the run has ended if its worker stays silent.
+    TimePoint endOfSilentRun(const Worker&, const Run&) const;
 
     /// \name Tasks that crash their workers; see CrashSuspects.cpp
     /// @{
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -62,6 +62,8 @@
     if (run.m_confirmedAt != TimePoint::max())
         return;
     run.m_confirmedAt = now;
+    run.m_mayBeginUntil = {};
+    run.m_worker->m_unanswered.erase(run.m_name);
     job.m_history.m_longestStart = std::max(job.m_history.m_longestStart, now - run.m_orderedAt);
 }
 
@@ -247,7 +249,8 @@
 void JobScheduler::handleUnansweredStart(Worker& worker, Run& run, TimePoint now)
 {
     ++m_counters.m_unknownStarts;
-    worker.m_unanswered.emplace_back(run.m_name, now);
+    if (run.m_mayBeginUntil > now)
+        worker.m_unanswered.try_emplace(run.m_name, run.m_mayBeginUntil);
     worker.m_unansweredAt = now;
     updateRoom(worker, now);
     if (run.m_phase != RunPhase::Starting)
@@ -258,10 +261,12 @@
     m_actions.emplace_back(ReportOrder { worker.m_description.m_worker });
 }
 
-void JobScheduler::stopAnswered(const WorkerId& id, const RunName& name, bool confirmed, TimePoint now)
+void JobScheduler::stopAnswered(
+    const WorkerId& id, const RunName& name, bool confirmed, TimePoint askedAt, TimePoint now)
 {
     Worker* worker = findWorker(id);
-    if (worker == nullptr)
+    // What an earlier process has confirmed does not bind the present one.
+    if (worker == nullptr || askedAt < worker->m_restartedAt)
         return;
     const auto run = worker->m_runs.find(name);
     if (run == worker->m_runs.end() || !confirmed || run->second.m_phase != RunPhase::Stopping)
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -53,6 +53,8 @@
     bool m_isListed = false;
     /// When the worker's confirmation arrived; max() before. A report that was requested later must list the run.
     TimePoint m_confirmedAt = TimePoint::max();
+    /// Time until which the start may be carried out, by this process of the worker or a later one, if it has not been.
+    TimePoint m_mayBeginUntil {};
     /// When waiting for the reply to the start was given up; max() otherwise.
     TimePoint m_unknownSince = TimePoint::max();
     /// When the reply to the stop arrived; max() before. If a report that was requested later does not list the run, it
@@ -231,8 +233,11 @@
     std::uint32_t m_trials = 0;
     /// Number of runs with an order that is not confirmed.
     std::uint32_t m_unsettledRuns = 0;
-    /// Unanswered starts and when they were ordered: a restarted worker would carry them out when they arrive.
-    std::vector<std::pair<RunName, TimePoint>> m_unanswered;
+    /// Starts that a later process of the worker would carry out when they arrive, and the times until which they may
+    /// arrive. Runs that were confirmed are not among them.
+    std::map<RunName, TimePoint> m_unanswered;
+    /// When the restart of the worker was noticed.
+    TimePoint m_restartedAt {};
 
     /// The worker is granted no lease now, since a successor may have been told when it ends.
     bool m_isLeaseWithheld = false;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -136,6 +136,9 @@
     friend bool operator==(const Ticket&, const Ticket&) = default;
 };
 
+/// Latest time after which an unanswered order may still be carried out.
+inline constexpr Duration maxOrderDelay = std::chrono::seconds(13);
+
 // Orders, in the order in which they are to be carried out.
 
 struct StartOrder {
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -11,8 +11,6 @@
 
     /// Interval of the checks for silent workers and unconfirmed stops.
     constexpr Duration supervisionInterval = std::chrono::milliseconds(50);
-    /// Latest time after which an unanswered order may still be carried out.
-    constexpr Duration maxOrderDelay = std::chrono::seconds(13);
     /// Step in percent by which the rate of a filling task rises.
     constexpr std::uint32_t rateStepPercent = 10;
     /// A worker that has not reported for this long after a takeover counts as unreachable. Others report at once.
@@ -140,6 +138,9 @@
     worker.m_seenEnd = 0;
     worker.m_storedEnd = 0;
     worker.m_health = {};
+    worker.m_restartedAt = now;
+    // An order to an earlier process, carried out late, grants the longest lease.
+    worker.m_leaseEnd = std::max(worker.m_leaseEnd, now + maxOrderDelay + m_settings.m_longestLease);
     updateRoom(worker, now);
     for (auto& [name, run] : worker.m_runs) {
         // The new process may have carried out a start before its restart was known here: its first report lists its
@@ -147,16 +148,30 @@
         if (run.m_confirmedAt != TimePoint::max())
             continue;
         // The start may still be in flight and would be carried out by the new process.
+        if (run.m_mayBeginUntil > now)
+            worker.m_unanswered.try_emplace(name, run.m_mayBeginUntil);
         requestStop(run, now);
         run.m_stopConfirmedAt = TimePoint::max();
     }
     m_actions.emplace_back(ReportOrder { worker.m_description.m_worker });
-    for (const auto& [name, orderedAt] : worker.m_unanswered) {
-        if (!worker.m_runs.contains(name))
-            m_actions.emplace_back(StopOrder { worker.m_description.m_worker, name });
+    for (const auto& [name, until] : worker.m_unanswered) {
+        if (!worker.m_runs.contains(name) && now <= until)
+            stopLateStart(worker, name, now);
     }
 }
 
+void JobScheduler::stopLateStart(Worker& worker, const RunName& name, TimePoint now)
+{
+    Step* step = stepOf(name.m_task, now);
+    if (step == nullptr) {
+        m_actions.emplace_back(StopOrder { worker.m_description.m_worker, name });
+        return;
+    }
+    Run& run = addRun(*step, taskOf(*step, name), worker, name, RunPhase::Unknown, now);
+    run.m_mayBeginUntil = worker.m_unanswered.at(name);
+    requestStop(run, now);
+}
+
 void JobScheduler::leaseExtended(const WorkerId& id, TimePoint leaseEnd)
 {
     if (Worker* worker = findWorker(id))
@@ -177,8 +192,9 @@
             superviseRuns(worker, now);
         if (worker.m_trials > 0)
             requestTrialReports(worker, now);
-        std::erase_if(worker.m_unanswered, [now](const auto& start) { return now - start.second > maxOrderDelay; });
-        const bool isGone = !worker.m_isListed && worker.m_runs.empty() && worker.m_leaseEnd < now;
+        std::erase_if(worker.m_unanswered, [now](const auto& start) { return start.second < now; });
+        const bool isGone
+            = !worker.m_isListed && worker.m_runs.empty() && worker.m_unanswered.empty() && worker.m_leaseEnd < now;
         if (isGone) {
             forgetPlannedPlaces(worker.m_number);
             m_freeRoom.remove(worker);
@@ -226,8 +242,11 @@
             ends.emplace(place, unreportedLeaseEnd(place));
     }
     for (const auto& [id, worker] : m_workers) {
-        if (ends.size() < most && worker.m_isSilent && worker.m_hasReportedInTerm && !worker.m_runs.empty())
-            ends.emplace(id, unreportedLeaseEnd(id));
+        if (ends.size() >= most || !worker.m_isSilent || !worker.m_hasReportedInTerm || worker.m_runs.empty())
+            continue;
+        TimePoint& end = ends.emplace(id, unreportedLeaseEnd(id)).first->second;
+        for (const auto& [name, run] : worker.m_runs)
+            end = std::max(end, endOfSilentRun(worker, run));
     }
     return ends;
 }
@@ -257,11 +276,20 @@
     }
 }
 
+TimePoint JobScheduler::endOfSilentRun(const Worker& worker, const Run& run) const
+{
+    TimePoint end = worker.m_leaseEnd;
+    // A process that has begun unnoticed counts the lease from the arrival of the start.
+    if (run.m_mayBeginUntil > run.m_orderedAt)
+        end = std::max(end, run.m_mayBeginUntil + m_settings.m_longestLease);
+    return end;
+}
+
 void JobScheduler::superviseRuns(Worker& worker, TimePoint now)
 {
     std::vector<RunName> lapsed;
     for (auto& [name, run] : worker.m_runs) {
-        if (worker.m_isSilent && worker.m_leaseEnd < now) {
+        if (worker.m_isSilent && endOfSilentRun(worker, run) < now) {
             lapsed.push_back(name);
             continue;
         }
--- a/tests/jobs/EndListTest.cpp
+++ b/tests/jobs/EndListTest.cpp
@@ -88,7 +88,7 @@
         scheduler.workerReported(worker.m_worker, { 1, now + milliseconds(10), {}, {} }, now + milliseconds(20));
         now += milliseconds(30);
         scheduler.step(0, now, {});
-        scheduler.stopAnswered(worker.m_worker, run, true, now);
+        scheduler.stopAnswered(worker.m_worker, run, true, now, now);
         now += milliseconds(10);
         WorkerReport report { 1, now, {}, { { 1, { { JobId("other"), {} }, 1 }, RunEnd::Done, {} } } };
         report.m_listsAllEnds = false;
--- a/tests/jobs/LateOrderTest.cpp
+++ b/tests/jobs/LateOrderTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(ticketBoundsTheWaitForALateStart);
     CPPUNIT_TEST(lateStartIsBarredInALaterProcessBeforeAnother);
     CPPUNIT_TEST(stopOfALateStartIsRepeatedUntilTheLaterProcessConfirmsIt);
+    CPPUNIT_TEST(stopConfirmedByAnEarlierProcessBarsNothing);
     CPPUNIT_TEST(roomOfALateStartIsKeptOnALaterProcess);
     CPPUNIT_TEST(leaseFromALateOrderOutlastsThoseOfTheLaterProcess);
     CPPUNIT_TEST_SUITE_END();
@@ -117,6 +118,39 @@
         CPPUNIT_ASSERT(arrivedBefore < 4);
     }
 
+    // Guards against a confirmation by the ended process that is read after a report of the later one: it does not keep
+    // the later process from carrying the start out.
+    void stopConfirmedByAnEarlierProcessBarsNothing()
+    {
+        SchedulerSettings settings;
+        JobScheduler scheduler(settings);
+        TimePoint now(seconds(100));
+        SimulatedCell cell(1);
+        const WorkerDescription worker = cell.m_workers.begin()->second.m_description;
+        const WorkerId id = worker.m_worker;
+        scheduler.workerListed(worker, now);
+        scheduler.workerReported(id, { 1, now, {}, {} }, now);
+        scheduler.addJob(singleTask(), {}, 0, now);
+        scheduler.step(0, now, {});
+        scheduler.stored(scheduler.takeChanges().m_number);
+        const auto orders = scheduler.step(0, now, {});
+        const RunName run = std::get<StartOrder>(orders.at(0)).m_run;
+        scheduler.startAnswered(id, run, StartOutcome::Unknown, now);
+        now += milliseconds(10);
+        scheduler.workerReported(id, { 1, now, {}, {} }, now);
+        const TimePoint stopSentAt = now;
+        now += milliseconds(10);
+        scheduler.workerReported(id, { 2, now, {}, {} }, now);
+        scheduler.stopAnswered(id, run, true, stopSentAt, now);
+        now += milliseconds(10);
+        scheduler.workerReported(id, { 2, now, {}, {} }, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler.worker(id)->m_runs.size());
+        scheduler.stopAnswered(id, run, true, now, now);
+        now += milliseconds(10);
+        scheduler.workerReported(id, { 2, now, {}, {} }, now);
+        CPPUNIT_ASSERT(scheduler.worker(id)->m_runs.empty());
+    }
+
     // Guards against more work than a restarted worker can carry: a start that it may still carry out needs room.
     void roomOfALateStartIsKeptOnALaterProcess()
     {
@@ -158,7 +192,7 @@
             cell.run(seconds(2));
             cell.accept(SimulatedCell::job("other", { SimulatedCell::step(1, 1000, seconds(60)) }));
             cell.run(milliseconds(300));
-            CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.m_workers.at(first).m_running.size());
+            CPPUNIT_ASSERT_EQUAL(1U, cell.running("other"));
             cell.m_workers.at(other).m_isReachable = true;
             cell.m_workers.at(first).m_isReachable = false;
             cell.run(seconds(30));
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -548,12 +548,12 @@
     {
         SimulatedWorker& worker = m_workers.at(order.m_worker);
         if (!worker.m_isUp || !worker.m_isReachable || worker.m_losesStops)
-            return m_scheduler->stopAnswered(order.m_worker, order.m_run, false, m_now);
+            return m_scheduler->stopAnswered(order.m_worker, order.m_run, false, m_now, m_now);
         std::uint32_t& barred = worker.m_barred[order.m_run.m_task];
         barred = std::max(barred, order.m_run.m_run);
         if (const auto run = worker.m_running.find(order.m_run); run != worker.m_running.end())
             run->second.m_stopsAt = std::min(run->second.m_stopsAt, m_now + stopTime);
-        m_scheduler->stopAnswered(order.m_worker, order.m_run, true, m_now);
+        m_scheduler->stopAnswered(order.m_worker, order.m_run, true, m_now, m_now);
     }
 
     void carryOut(const ThrottleOrder&) { }
