Late starts: name the place again in the store, forget ended ones, take the longest lease from the site

Cause (found when reading the change): a run that is stopped after a restart was not among the stored places of its step, so that a successor did not know of it; a start whose end is listed was still counted as one that may arrive; the longest lease was a constant of the scheduler.

--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -25,6 +25,7 @@
     const TimePoint now = bootNow();
     jobs::SchedulerSettings settings;
     settings.m_term = m_settings.m_term;
+    settings.m_longestLease = maxLeaseDuration(m_site.m_longestLease);
     m_scheduler = std::make_unique<jobs::JobScheduler>(settings);
     for (const auto& [id, worker] : m_workerObserver->m_entries) {
         m_scheduler->workerListed(worker, now);
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -13,11 +13,10 @@
     /// Time between reading the clock here and applying the lease on the worker.
     constexpr Duration leaseMargin = std::chrono::milliseconds(100);
 
-    /// Time on the clock of this host after which a lease has certainly ended on a worker.
-    Duration maxLeaseDuration(Duration lease) { return lease + lease / (clockDriftDivisor - 1) + leaseMargin; }
-
 } // namespace
 
+Duration maxLeaseDuration(Duration lease) { return lease + lease / (clockDriftDivisor - 1) + leaseMargin; }
+
 WorkerLink::WorkerLink(boost::asio::io_context& context, const LinkSettings& settings,
     std::function<TimePoint()> leaseLimit, jobs::CallTiming& timing, const WorkerId& worker, const std::string& address)
     : m_settings(settings)
--- a/src/controller/WorkerLink.h
+++ b/src/controller/WorkerLink.h
@@ -23,6 +23,9 @@
     Duration m_maxReportAge = std::chrono::milliseconds(1300);
 };
 
+/// Time on the clock of this host after which a lease that a worker was granted has certainly ended.
+Duration maxLeaseDuration(Duration lease);
+
 /// Connection of one term to one worker.
 class WorkerLink {
 public:
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -25,7 +25,7 @@
     Duration m_startTimeout = std::chrono::milliseconds(1500);
     /// Time after which a lease has ended that a worker counts from the arrival of an order: its longest lease, and the
     /// error of its clock.
-    Duration m_longestLease = std::chrono::milliseconds(10300);
+    Duration m_longestLease = std::chrono::milliseconds(10305);
     /// Remaining validity that a ticket must have for the start order to arrive in time.
     Duration m_ticketMargin = std::chrono::milliseconds(120);
     /// Time for which the outcome of a closed job is kept.
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -156,6 +156,7 @@
     } else if (end.m_end == RunEnd::Lapsed || end.m_end == RunEnd::Broken || end.m_end == RunEnd::Alone) {
         ++step->m_job->m_history.m_lostRuns;
     }
+    worker.m_unanswered.erase(end.m_run);
     removeRun(worker, end.m_run, now);
     // Other copies of a task that has its result are superfluous.
     if (task.m_isDone && task.m_liveRuns > 0 && !step->m_spec->m_isGang)
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -170,6 +170,9 @@
     Run& run = addRun(*step, taskOf(*step, name), worker, name, RunPhase::Unknown, now);
     run.m_mayBeginUntil = worker.m_unanswered.at(name);
     requestStop(run, now);
+    // A successor has to know the place again.
+    if (step->m_job->isOpen())
+        markChanged(*step->m_job);
 }
 
 void JobScheduler::leaseExtended(const WorkerId& id, TimePoint leaseEnd)
