--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -294,7 +294,7 @@
         asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
         const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
         int starts = 0;
-        // Answers the first start of a connection, and closes the connection when the second one has arrived.
+        // Counts the next start that arrives on the connection, and leaves it unanswered.
         const auto receive = [&](asio::ip::tcp::socket& socket, std::string& input) {
             input.clear();
             asio::async_read_until(socket, asio::dynamic_buffer(input), '}',
--- a/tests/jobs/LateOrderTest.cpp
+++ b/tests/jobs/LateOrderTest.cpp
@@ -20,7 +20,7 @@
 
     static constexpr Resources whole { 32000, 131072, 0 };
 
-    /// Accepts a job of one task whose start the only worker leaves unanswered, and returns that worker.
+    /// Accepts a job of one task whose start its worker leaves unanswered, and returns that worker.
     static WorkerId orderLateStart(SimulatedCell& cell, const JobRecord& job)
     {
         for (auto& [id, worker] : cell.m_workers)
