--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -47,6 +47,14 @@
         "store": "127.0.0.1:5", "host": {"cores": 0.25, "linkMbps": 10},
     })";
 
+    /// Sends a start of the run, whose outcome is none until it is known.
+    static void sendStart(WorkerLink& link, std::uint32_t run, std::optional<jobs::StartOutcome>& outcome)
+    {
+        outcome.reset();
+        link.start({ WorkerId("i-1"), { { JobId("j"), {} }, run }, "", "", "" },
+            [&outcome](const userplatform::StartAnswer& answer) { outcome = answer.m_outcome; });
+    }
+
 public:
     void settingsAreRead()
     {
@@ -266,21 +274,16 @@
         WorkerLink workerLink(
             context, {}, [] { return TimePoint::max(); }, timing, WorkerId("i-1"), openOnFreePort(worker));
         std::optional<jobs::StartOutcome> outcome;
-        const auto start = [&](std::uint32_t run) {
-            outcome.reset();
-            workerLink.start({ WorkerId("i-1"), { { JobId("j"), {} }, run }, "", "", "" },
-                [&](const userplatform::StartAnswer& answer) { outcome = answer.m_outcome; });
-        };
-        start(1);
+        sendStart(workerLink, 1, outcome);
         runUntil(context, [&] { return outcome.has_value(); });
         CPPUNIT_ASSERT(outcome == jobs::StartOutcome::Started);
-        start(2);
+        sendStart(workerLink, 2, outcome);
         std::this_thread::sleep_for(2 * timing.timeout());
         runUntil(context, [&] { return outcome.has_value(); });
         CPPUNIT_ASSERT(outcome == jobs::StartOutcome::NotSent);
         CPPUNIT_ASSERT_EQUAL(1, starts);
         // The connection is as good as before.
-        start(3);
+        sendStart(workerLink, 3, outcome);
         runUntil(context, [&] { return outcome.has_value(); });
         CPPUNIT_ASSERT(outcome == jobs::StartOutcome::Started);
     }
@@ -307,12 +310,7 @@
         WorkerLink workerLink(
             context, {}, [] { return TimePoint::max(); }, timing, WorkerId("i-1"), address);
         std::optional<jobs::StartOutcome> outcome;
-        const auto start = [&](std::uint32_t run) {
-            outcome.reset();
-            workerLink.start({ WorkerId("i-1"), { { JobId("j"), {} }, run }, "", "", "" },
-                [&](const userplatform::StartAnswer& answer) { outcome = answer.m_outcome; });
-        };
-        start(1);
+        sendStart(workerLink, 1, outcome);
         runUntil(context, [&] { return starts == 1; });
         asio::write(first,
             asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n{\"clock_ms\":1000,\"born\":1}")));
@@ -322,7 +320,7 @@
         std::string laterInput;
         acceptor.async_accept(second, [&](boost::system::error_code) { receive(second, laterInput); });
         receive(first, input);
-        start(2);
+        sendStart(workerLink, 2, outcome);
         runUntil(context, [&] { return starts == 2; });
         first.close();
         runUntil(context, [&] { return outcome.has_value(); });
