Log how long the end of a job waits for the store, and what a recovery has read

To tell an end that was never stored from one that a successor did not read, job-ended names its term and the time that the end waited for the store, and recovery-finished names the partition of the progress, the records in it and the jobs that have not ended. No decision changes.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -349,8 +349,9 @@
     for (const jobs::EndedJob& job : m_scheduler->takeEnded()) {
         const jobs::JobHistory& history = job.m_history;
         m_log.write(LogEvent::JobEnded,
-            { { "job", job.m_job.value() }, { "state", jobs::nameOf(job.m_state) },
+            { { "job", job.m_job.value() }, { "state", jobs::nameOf(job.m_state) }, { "term", m_settings.m_term },
                 { "tookMs", millisecondsOf(now - job.m_acceptedAt) },
+                { "unstoredMs", millisecondsOf(now - job.m_closedAt) },
                 { "objectiveMs", millisecondsOf(job.m_objective - job.m_acceptedAt) }, { "starts", history.m_starts },
                 { "failed", history.m_failedRuns }, { "stalled", history.m_stalledRuns },
                 { "lost", history.m_lostRuns }, { "questions", history.m_questions },
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -42,6 +42,9 @@
     m_scheduler->setInheritedLeases(m_settings.m_earlierLeases, now);
     m_log.write(LogEvent::RecoveryFinished,
         { { "term", m_settings.m_term }, { "jobs", std::uint64_t { m_scheduler->jobCount() } },
+            { "openJobs", std::uint64_t { m_scheduler->openJobCount() } },
+            { "progressPartition", std::uint64_t { m_settings.m_progressPartition } },
+            { "progressRecords", std::uint64_t { m_progressObserver->m_records.size() } },
             { "workers", std::uint64_t { m_workerObserver->m_entries.size() } },
             { "earlierLeasesMs", millisecondsOf(std::max(m_settings.m_earlierLeases.m_end - now, Duration::zero())) },
             { "knownLeases", std::uint64_t { m_settings.m_earlierLeases.m_byWorker.size() } },
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -358,6 +358,12 @@
 
 bool JobScheduler::knows(const JobId& id) const { return m_jobs.contains(id); }
 
+std::size_t JobScheduler::openJobCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto& entry) { return entry.second->isOpen(); }));
+}
+
 JobState JobScheduler::state(const JobId& id) const
 {
     const Job& job = *m_jobs.at(id);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -182,6 +182,8 @@
     const std::map<WorkerId, Worker>& workers() const { return m_workers; }
     const SchedulerCounters& counters() const { return m_counters; }
     std::size_t jobCount() const { return m_jobs.size(); }
+    /// Number of jobs that have not ended.
+    std::size_t openJobCount() const;
     /// @}
 
 private:
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -101,7 +101,8 @@
             continue;
         Job& job = *found->second;
         if (!isFinal(job.m_storedState) && isFinal(sent.m_state))
-            m_ended.push_back({ sent.m_job, sent.m_state, job.m_acceptedAt, job.m_objective, job.m_history });
+            m_ended.push_back(
+                { sent.m_job, sent.m_state, job.m_acceptedAt, job.m_objective, job.m_closedAt, job.m_history });
         job.m_storedState = sent.m_state;
         if (isFinal(job.m_storedState))
             m_unstoredCompletions.erase(sent.m_job);
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -226,6 +226,8 @@
     TimePoint m_acceptedAt {};
     /// Target completion time.
     TimePoint m_objective {};
+    /// When the scheduler closed the job; callers see its end once that is stored.
+    TimePoint m_closedAt {};
     JobHistory m_history;
 
     friend bool operator==(const EndedJob&, const EndedJob&) = default;
