--- a/tests/controller/StoreTest.cpp
+++ b/tests/controller/StoreTest.cpp
@@ -3,8 +3,7 @@
 
 #include "controller/JobAppender.h"
 #include "controller/ProgressWriter.h"
-#include "controller/SchedulerTerm.h"
-#include "tests/controller/StoreStandIn.h"
+#include "tests/controller/TermFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
@@ -39,67 +38,6 @@
     CPPUNIT_TEST(storedRecordIsTakenUpBeforeItIsRead);
     CPPUNIT_TEST_SUITE_END();
 
-    /// A term with its collaborators.
-    struct TermFixture {
-        explicit TermFixture(StoreStandIn& store, boost::asio::io_context& context)
-            : m_adviceDispatcher(context, nullptr)
-            , m_log(openLog())
-        {
-            m_site.m_store = store.address();
-            TermAuthority authority;
-            authority.m_mayIssueOrders = [this] { return m_mayIssueOrders; };
-            authority.m_steppedDown = [] {};
-            authority.m_announceProgressPartition = [](std::uint32_t) {};
-            authority.m_isProgressPartitionAnnounced = [](std::uint32_t) { return true; };
-            authority.m_grantLeases = [] {};
-            authority.m_leaseLimit = [] { return TimePoint::max(); };
-            authority.m_announceLeaseEnds = [](const std::map<WorkerId, TimePoint>&) {};
-            authority.m_isLeaseWithheld = [](const WorkerId&) { return false; };
-            const jobs::LeaseBounds earlierLeases { bootNow() + seconds(8) + milliseconds(600), {} };
-            m_term = std::make_unique<SchedulerTerm>(context, m_site, TermSettings { 2, 0, earlierLeases, seconds(8) },
-                m_adviceDispatcher, m_notedCompletions, *m_log, std::move(authority));
-        }
-
-        static std::unique_ptr<observability::EventLog> openLog()
-        {
-            observability::EventLogSettings settings;
-            settings.m_minimum = observability::Severity::Error;
-            return valueOf(observability::EventLog::open(settings));
-        }
-
-        bool m_mayIssueOrders = true;
-        SiteSettings m_site;
-        AdviceDispatcher m_adviceDispatcher;
-        NotedCompletions m_notedCompletions;
-        std::unique_ptr<observability::EventLog> m_log;
-        std::unique_ptr<SchedulerTerm> m_term;
-    };
-
-    static std::string jobText(const std::string& name)
-    {
-        jobs::JobRecord record;
-        record.m_job = JobId(name);
-        record.m_policy.m_queue = "q";
-        record.m_spec.m_steps.resize(1);
-        record.m_spec.m_steps[0].m_count = 1;
-        return jobs::encodeJobRecord(record);
-    }
-
-    static std::string workerText(const std::string& address, const std::string& state = "ready")
-    {
-        return R"({"service":"s","address":")" + address
-            + R"(","zone":"z","version":"1","slots":8,"cold_remaining_ms":0,"sequence":1,"born":1,"state":")" + state
-            + R"(",)" + R"("capacity":{"cpu":32000,"mem_mb":131072},"labels":["a","r1"]})";
-    }
-
-    static std::string runningText()
-    {
-        jobs::JobProgress progress;
-        progress.m_state = jobs::JobState::Running;
-        progress.m_places[{ 0, 0 }] = { WorkerId("w") };
-        return jobs::encodeProgress(progress);
-    }
-
 public:
     void refusedRecordGoesToTheNextPartition()
     {
