Tests: a shown end that all daemons and its worker lose (failing)

The tests run a term against a stand-in of the store that refuses the progress, a worker that lists the end and a daemon that notes it; then all of them are replaced. Both fail: the end is shown at once, and the successor starts the task again.

--- /dev/null
+++ b/tests/controller/ShownEndTest.cpp
@@ -0,0 +1,182 @@
+// Tests of what callers are told of the end of a job while the store does not take it, and of what a successor knows of
+// it.
+
+#include "tests/controller/TermFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <optional>
+
+namespace sapphiredale::controller {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Fault = StoreStandIn::Fault;
+
+class ShownEndTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ShownEndTest);
+    CPPUNIT_TEST(endIsShownOnlyOnceItIsStored);
+    CPPUNIT_TEST(shownEndStandsWhenAllDaemonsAndItsWorkerAreLost);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// The only worker, which runs the only task of job "j" from the beginning.
+    struct WorkerStandIn {
+        explicit WorkerStandIn(boost::asio::io_context& context)
+            : m_listener(context, "",
+                [this](const ServerRequest& request, const Responder& respond) { handle(request, respond); })
+            , m_address(openOnFreePort(m_listener))
+        {
+        }
+
+        void handle(const ServerRequest& request, const Responder& respond)
+        {
+            if (request.m_target == "/-/run-start") {
+                ++m_starts;
+                m_run = static_cast<int>(boost::json::parse(request.m_body).as_object().at("run").as_int64());
+                m_isDone = true;
+            }
+            const std::string run = R"("j.0.0.0",)" + std::to_string(m_run);
+            const std::string running = m_run == 0 || m_isDone ? "" : "[" + run + R"(,"",50])";
+            const std::string finished = m_run != 0 && m_isDone ? "[1," + run + R"(,"done",""])" : "";
+            respond({ 200,
+                R"({"clock_ms":1000,"born":)" + std::to_string(m_bornMs) + R"(,"running":[)" + running
+                    + R"(],"finished":[)" + finished + "]}" });
+        }
+
+        /// Another process begins, which knows nothing of the first one's runs and ends.
+        void restart()
+        {
+            ++m_bornMs;
+            m_run = 0;
+            m_isDone = false;
+        }
+
+        int m_bornMs = 1;
+        /// Run of the task, 0 if there is none; a run that was ordered ends at once.
+        int m_run = 1;
+        bool m_isDone = false;
+        int m_starts = 0;
+        HttpListener m_listener;
+        const std::string m_address;
+    };
+
+    /// A cell whose job has ended while the store refuses to record it. The second of two daemons answers everything.
+    struct Cell {
+        Cell()
+            : m_store(m_context)
+            , m_worker(m_context)
+            , m_daemon(m_context, "", [](const ServerRequest&, const Responder& respond) {
+                respond({ 200, "{}" });
+            })
+        {
+            jobs::JobRecord job = valueOf(jobs::decodeJobRecord(JobId("j"), jobText("j")));
+            job.m_policy.m_service = "s";
+            const std::string text = jobs::encodeJobRecord(job);
+            m_store.put(jobTopic, 1, "j", text);
+            m_store.put(progressTopic, 0, "j", runningText());
+            m_store.put(progressTopic, 0, "=j", text);
+            m_store.put("keyed.servers", 0, "w", workerText(m_worker.m_address));
+            m_first.emplace(m_store, m_context, 2);
+            m_first->m_adviceDispatcher.helloReceived({ DaemonId("d"), openOnFreePort(m_daemon), false, {} });
+            SchedulerTerm& term = *m_first->m_term;
+            term.start();
+            runUntil(m_context, [&] {
+                const jobs::JobScheduler* scheduler = term.scheduler();
+                const jobs::Worker* worker = scheduler == nullptr ? nullptr : scheduler->worker(WorkerId("w"));
+                return worker != nullptr && worker->m_runs.size() == 1;
+            });
+        }
+
+        void endJobInOutage(Fault fault)
+        {
+            for (std::uint32_t part = 0; part < progressPartitions; ++part)
+                m_store.part(progressTopic, part).m_fault = fault;
+            m_worker.m_isDone = true;
+            runUntil(m_context, [&] { return !m_first->m_term->scheduler()->unstoredCompletions().empty(); });
+        }
+
+        void endOutage()
+        {
+            for (std::uint32_t part = 0; part < progressPartitions; ++part)
+                m_store.part(progressTopic, part).m_fault = Fault::None;
+        }
+
+        /// State of the job as a caller sees it.
+        jobs::JobState ask(SchedulerTerm& term)
+        {
+            std::optional<jobs::JobState> answered;
+            term.queryState(JobId("j"), [&](const Result<jobs::JobState>& state) { answered = valueOf(state); });
+            runUntil(m_context, [&] { return answered.has_value(); });
+            return *answered;
+        }
+
+        /// Whether callers that ask for a second are told that the job is done.
+        bool isShownWithinASecond(SchedulerTerm& term)
+        {
+            bool isShown = false;
+            for (const TimePoint end = bootNow() + seconds(1); bootNow() < end && !isShown;) {
+                isShown = ask(term) == jobs::JobState::Done;
+                m_context.run_one_for(milliseconds(5));
+            }
+            return isShown;
+        }
+
+        bool isStored()
+        {
+            for (std::uint32_t part = 0; part < progressPartitions; ++part) {
+                const auto records = m_store.newest(progressTopic, part);
+                const auto found = records.find("j");
+                if (found != records.end()
+                    && valueOf(jobs::decodeProgress(found->second)).m_state == jobs::JobState::Done)
+                    return true;
+            }
+            return false;
+        }
+
+        boost::asio::io_context m_context;
+        StoreStandIn m_store;
+        WorkerStandIn m_worker;
+        HttpListener m_daemon;
+        std::optional<TermFixture> m_first;
+    };
+
+public:
+    // Guards against a caller that is told of an end which only the memory of daemons and workers holds.
+    void endIsShownOnlyOnceItIsStored()
+    {
+        for (const Fault fault : { Fault::Refuses, Fault::IsSilent }) {
+            Cell cell;
+            cell.endJobInOutage(fault);
+            CPPUNIT_ASSERT(!cell.isShownWithinASecond(*cell.m_first->m_term));
+            CPPUNIT_ASSERT(!cell.isStored());
+            cell.endOutage();
+            runUntil(cell.m_context, [&] { return cell.ask(*cell.m_first->m_term) == jobs::JobState::Done; });
+            CPPUNIT_ASSERT(cell.isStored());
+        }
+    }
+
+    // Guards against a job that runs again after its caller was told that it is done, when all daemons end in an outage
+    // of the store and the worker that lists the end is lost.
+    void shownEndStandsWhenAllDaemonsAndItsWorkerAreLost()
+    {
+        Cell cell;
+        cell.endJobInOutage(Fault::Refuses);
+        const bool isShown = cell.isShownWithinASecond(*cell.m_first->m_term);
+        cell.m_first.reset();
+        cell.m_worker.restart();
+        cell.m_store.put("keyed.servers", 0, "w", workerText(cell.m_worker.m_address, "ready", 2));
+        cell.endOutage();
+        TermFixture second(cell.m_store, cell.m_context, 3);
+        second.m_term->start();
+        runUntil(cell.m_context, [&] {
+            return second.m_term->isRecovered() && second.m_term->scheduler()->knows(JobId("j"))
+                && second.m_term->scheduler()->state(JobId("j")) == jobs::JobState::Done;
+        });
+        CPPUNIT_ASSERT_MESSAGE("started again after it was shown", !isShown || cell.m_worker.m_starts == 0);
+        // The end is lost with the worker and the daemons, so the scenario provokes the fault.
+        CPPUNIT_ASSERT_EQUAL(1, cell.m_worker.m_starts);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ShownEndTest);
+
+} // namespace sapphiredale::controller
