Show the end of a job once it is stored

Cause: while the store did not take appends, the scheduler showed an end once a majority of the daemons had noted it in memory. A note ended with the process that held it, while the scheduler counted it for the cell. When all daemons ended in the outage, at once or one half after the other, and the worker that listed the end was lost, no process knew of the end. Change: an end is shown once the store has it, whatever its outcome. The notes, their messages and log events are removed. The platform offers nothing else that outlasts the processes. Price: callers whose jobs end in an outage wait for its end.

--- a/src/controller/AdviceDispatcher.cpp
+++ b/src/controller/AdviceDispatcher.cpp
@@ -13,8 +13,6 @@
 
     /// A daemon gets no questions once no hello has arrived for this long; hellos are sent once a second.
     constexpr Duration helloSilenceTimeout = std::chrono::milliseconds(2600);
-    /// A daemon without a hello for this long counts as replaced or removed; network partitions are shorter.
-    constexpr Duration daemonRetention = std::chrono::seconds(60);
     /// Time for which a daemon gets no questions after a failed one.
     constexpr Duration failureBackoff = std::chrono::milliseconds(800);
     /// Added to the time that the adviser needs.
@@ -52,17 +50,6 @@
     return now - peer.m_lastHelloAt < helloSilenceTimeout && peer.m_backoffUntil <= now;
 }
 
-std::vector<std::string> AdviceDispatcher::knownDaemons() const
-{
-    std::vector<std::string> addresses;
-    const TimePoint now = bootNow();
-    for (const auto& [address, peer] : m_peers) {
-        if (now - peer.m_lastHelloAt < daemonRetention)
-            addresses.push_back(address);
-    }
-    return addresses;
-}
-
 jobs::AdviceCapacity AdviceDispatcher::capacity() const
 {
     jobs::AdviceCapacity capacity;
--- a/src/controller/AdviceDispatcher.h
+++ b/src/controller/AdviceDispatcher.h
@@ -23,8 +23,6 @@
     /// Registers the sender of a hello, or stops using it when it is leaving.
     void helloReceived(const inner::Hello&);
     jobs::AdviceCapacity capacity() const;
-    /// Inner addresses of the other daemons that have sent a hello recently and have not left, reachable or not.
-    std::vector<std::string> knownDaemons() const;
     /// Sends the question through an idle daemon; fails with Overloaded when there is none.
     void ask(const jobs::AdviceRequest&, AnswerHandler);
 
--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -257,7 +257,7 @@
     authority.m_isLeaseWithheld
         = [this](const WorkerId& worker) { return m_election.election().isLeaseWithheld(worker); };
     m_term = std::make_unique<SchedulerTerm>(
-        m_context, m_settings, settings, m_adviceDispatcher, m_notedCompletions, *m_log, std::move(authority));
+        m_context, m_settings, settings, m_adviceDispatcher, *m_log, std::move(authority));
     m_term->start();
 }
 
@@ -289,18 +289,11 @@
         m_helloChannel = openPeerChannel(m_context, m_helloAddress);
         m_isHelloAnswered = true;
     }
-    inner::Hello hello { m_settings.m_daemon, m_settings.m_inner, m_isStopping, {} };
-    // The scheduler that requested the noting already knows the ends.
-    if (m_notedEndsSentTo != m_helloAddress && m_notedCompletions.term() != m_election.election().term())
-        hello.m_notedEnds = m_notedCompletions.jobs();
-    const bool hasNotedEnds = !hello.m_notedEnds.empty();
+    const inner::Hello hello { m_settings.m_daemon, m_settings.m_inner, m_isStopping };
     m_helloChannel->send(peerCall(inner::helloPath, inner::encode(hello), helloTimeout),
-        [this, hasNotedEnds, address = m_helloAddress](const Result<platform::HttpAnswer>& result) {
-            if (address != m_helloAddress)
-                return;
-            m_isHelloAnswered = succeeded(result) && valueOf(result).m_status == 200;
-            if (hasNotedEnds && m_isHelloAnswered)
-                m_notedEndsSentTo = address;
+        [this, address = m_helloAddress](const Result<platform::HttpAnswer>& result) {
+            if (address == m_helloAddress)
+                m_isHelloAnswered = succeeded(result) && valueOf(result).m_status == 200;
         });
 }
 
@@ -319,22 +312,12 @@
 {
     if (request.m_target == inner::advisePath)
         return handleAdviceRequest(request, std::move(respond));
-    if (request.m_target == inner::noteEndsPath)
-        return handleNoteEnds(request, respond);
     if (request.m_target == inner::helloPath) {
         const Result<inner::Hello> hello = inner::decodeHello(request.m_body);
         if (!succeeded(hello))
             return respond(errorResponse(ErrorKind::NotScheduler));
         // Registered even without a term, since other daemons may read a claim before the claiming daemon does.
         m_adviceDispatcher.helloReceived(valueOf(hello));
-        if (!valueOf(hello).m_notedEnds.empty()) {
-            m_notedCompletions.add(0, valueOf(hello).m_notedEnds, bootNow());
-            m_log->write(LogEvent::EndsNoted,
-                { { "from", valueOf(hello).m_daemon.value() },
-                    { "jobs", std::uint64_t { valueOf(hello).m_notedEnds.size() } } });
-            if (m_term)
-                m_term->applyNotedEnds();
-        }
         if (m_term)
             m_term->requestStep();
         return respond({ 200, "{}" });
@@ -349,11 +332,9 @@
     if (!m_term || !succeeded(name))
         return respond(errorResponse(ErrorKind::NotScheduler));
     if (request.m_target == inner::statePath) {
-        return m_term->queryState(
-            JobId(valueOf(name)), [respond = std::move(respond)](const Result<jobs::JobState>& state) {
-                respond(succeeded(state) ? ServerResponse { 200, inner::encodeState(valueOf(state)) }
-                                         : errorResponse(errorOf(state).m_kind));
-            });
+        const Result<jobs::JobState> state = m_term->state(JobId(valueOf(name)));
+        return respond(succeeded(state) ? ServerResponse { 200, inner::encodeState(valueOf(state)) }
+                                        : errorResponse(errorOf(state).m_kind));
     }
     if (request.m_target == inner::pendingPath) {
         const Result<std::uint32_t> pending = m_term->pending(valueOf(name));
@@ -377,19 +358,6 @@
         });
 }
 
-void Controller::handleNoteEnds(const ServerRequest& request, const Responder& respond)
-{
-    const Result<inner::NoteEnds> note = inner::decodeNoteEnds(request.m_body);
-    // Rejected while the store serves this daemon, since a later term may exist then.
-    if (!succeeded(note) || !m_election.isStoreFailing() || valueOf(note).m_term < m_election.election().term())
-        return respond(errorResponse(ErrorKind::NotReady));
-    m_notedCompletions.add(valueOf(note).m_term, valueOf(note).m_jobs, bootNow());
-    m_notedEndsSentTo.clear();
-    m_log->write(LogEvent::EndsNoted,
-        { { "term", valueOf(note).m_term }, { "jobs", std::uint64_t { valueOf(note).m_jobs.size() } } });
-    respond({ 200, "{}" });
-}
-
 void Controller::handleOperatorRequest(const ServerRequest& request, const Responder& respond)
 {
     if (request.m_target != "/metrics")
--- a/src/controller/Controller.h
+++ b/src/controller/Controller.h
@@ -43,7 +43,6 @@
     void answerReadiness(const ServerRequest&, const Responder&);
     void handleInnerRequest(const ServerRequest&, Responder);
     void handleAdviceRequest(const ServerRequest&, Responder);
-    void handleNoteEnds(const ServerRequest&, const Responder&);
     void handleOperatorRequest(const ServerRequest&, const Responder&);
     SchedulerLocation scheduler() const;
     bool isReady() const;
@@ -63,9 +62,6 @@
     /// Number of questions that this daemon has sent to the adviser for other daemons.
     std::uint32_t m_adviceCalls = 0;
     AdviceDispatcher m_adviceDispatcher;
-    NotedCompletions m_notedCompletions;
-    /// Address of the scheduler that has received the noted ends.
-    std::string m_notedEndsSentTo;
     ElectionDriver m_election;
     std::unique_ptr<SchedulerTerm> m_term;
     Gateway m_gateway;
--- a/src/controller/ElectionDriver.h
+++ b/src/controller/ElectionDriver.h
@@ -19,8 +19,6 @@
 
     void start() { m_follower.start(); }
     const jobs::Election& election() const { return m_election; }
-    /// Whether the last read of the term records failed.
-    bool isStoreFailing() const { return m_follower.consecutiveFailures() > 0; }
     /// Gives up the term because a later one exists.
     void stepDown() { m_election.depose(); }
     /// Renews the term at once with a record that names the partition of the job progress.
--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -362,8 +362,8 @@
 
 void Gateway::queryState(const JobId& job, TimePoint deadline, std::function<void(Result<jobs::JobState>)> handler)
 {
-    if (SchedulerTerm* own = m_locateScheduler().m_localTerm)
-        return own->queryState(job, std::move(handler));
+    if (const SchedulerTerm* own = m_locateScheduler().m_localTerm)
+        return handler(own->state(job));
     ask(inner::statePath, inner::encodeName(job.value()), deadline, inner::decodeState, std::move(handler));
 }
 
--- a/src/controller/InnerProtocol.cpp
+++ b/src/controller/InnerProtocol.cpp
@@ -38,39 +38,12 @@
         return value == nullptr ? nullptr : value->if_array();
     }
 
-    json::array encodeJobs(const std::vector<JobId>& jobs)
-    {
-        json::array names;
-        names.reserve(jobs.size());
-        for (const JobId& job : jobs)
-            names.emplace_back(job.value());
-        return names;
-    }
-
-    /// Returns nothing when an element is not a string.
-    std::optional<std::vector<JobId>> decodeJobs(const json::array& names)
-    {
-        std::vector<JobId> jobs;
-        jobs.reserve(names.size());
-        for (const json::value& name : names) {
-            if (!name.is_string())
-                return std::nullopt;
-            jobs.emplace_back(std::string(name.get_string()));
-        }
-        return jobs;
-    }
-
 } // namespace
 
 std::string encode(const Hello& hello)
 {
-    return json::serialize(json::object { { "daemon", hello.m_daemon.value() }, { "address", hello.m_address },
-        { "leaving", hello.m_isLeaving }, { "notedEnds", encodeJobs(hello.m_notedEnds) } });
-}
-
-std::string encode(const NoteEnds& note)
-{
-    return json::serialize(json::object { { "term", note.m_term }, { "jobs", encodeJobs(note.m_jobs) } });
+    return json::serialize(json::object {
+        { "daemon", hello.m_daemon.value() }, { "address", hello.m_address }, { "leaving", hello.m_isLeaving } });
 }
 
 std::string encode(const jobs::AdviceRequest& question)
@@ -109,24 +82,9 @@
     const json::string* daemon = textOf(object, "daemon");
     const json::string* address = textOf(object, "address");
     const json::value* leaving = object.if_contains("leaving");
-    const json::array* noted = listOf(object, "notedEnds");
-    if (daemon == nullptr || address == nullptr || leaving == nullptr || !leaving->is_bool() || noted == nullptr)
-        return malformed;
-    std::optional<std::vector<JobId>> jobs = decodeJobs(*noted);
-    if (!jobs)
-        return malformed;
-    return Hello { DaemonId(std::string(*daemon)), std::string(*address), leaving->get_bool(), *std::move(jobs) };
-}
-
-Result<NoteEnds> decodeNoteEnds(std::string_view text)
-{
-    const json::object object = parse(text);
-    const std::int64_t* term = numberOf(object, "term");
-    const json::array* names = listOf(object, "jobs");
-    std::optional<std::vector<JobId>> jobs = names == nullptr ? std::nullopt : decodeJobs(*names);
-    if (term == nullptr || !jobs)
+    if (daemon == nullptr || address == nullptr || leaving == nullptr || !leaving->is_bool())
         return malformed;
-    return NoteEnds { static_cast<std::uint64_t>(*term), *std::move(jobs) };
+    return Hello { DaemonId(std::string(*daemon)), std::string(*address), leaving->get_bool() };
 }
 
 Result<jobs::AdviceRequest> decodeQuestion(std::string_view text)
--- a/src/controller/InnerProtocol.h
+++ b/src/controller/InnerProtocol.h
@@ -16,7 +16,6 @@
 inline constexpr const char* helloPath = "/inner/hello";
 inline constexpr const char* storePath = "/inner/store";
 inline constexpr const char* advisePath = "/inner/advise";
-inline constexpr const char* noteEndsPath = "/inner/note-ends";
 
 /// Tells the scheduler that the sending daemon can ask the adviser.
 struct Hello {
@@ -24,21 +23,10 @@
     /// "address:port" of its inner listener.
     std::string m_address;
     bool m_isLeaving = false;
-    /// Job ends that this daemon has noted for an earlier scheduler.
-    std::vector<JobId> m_notedEnds;
 
     friend bool operator==(const Hello&, const Hello&) = default;
 };
 
-/// Finished jobs whose end the scheduler cannot store. Status 200 means that the daemon has noted them and that the
-/// store is unavailable to it too.
-struct NoteEnds {
-    std::uint64_t m_term = 0;
-    std::vector<JobId> m_jobs;
-
-    friend bool operator==(const NoteEnds&, const NoteEnds&) = default;
-};
-
 /// A job record that a daemon stores on behalf of another one that cannot reach the store.
 struct StoreRequest {
     std::string m_key;
@@ -51,7 +39,6 @@
 std::string encode(const jobs::AdviceRequest&);
 std::string encode(const jobs::Advice&);
 std::string encode(const StoreRequest&);
-std::string encode(const NoteEnds&);
 /// A body with a single name, for queries by job or queue.
 std::string encodeName(const std::string&);
 std::string encodeState(jobs::JobState);
@@ -61,7 +48,6 @@
 Result<Hello> decodeHello(std::string_view);
 Result<jobs::AdviceRequest> decodeQuestion(std::string_view);
 Result<StoreRequest> decodeStoreRequest(std::string_view);
-Result<NoteEnds> decodeNoteEnds(std::string_view);
 Result<jobs::Advice> decodeAdvice(std::string_view);
 Result<std::string> decodeName(std::string_view);
 Result<jobs::JobState> decodeState(std::string_view);
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -29,9 +29,6 @@
     constexpr Duration expiryInterval = std::chrono::seconds(5);
     /// Maximum number of workers whose lease a term record names; some 25 bytes each, in every renewal.
     constexpr std::size_t maxAnnouncedLeases = 64;
-    /// Time that a caller's query waits for the other daemons to note the end of its job; many times their usual
-    /// response time.
-    constexpr Duration notePeriod = std::chrono::milliseconds(150);
     /// Timeout for the removal of old records, on which no request depends.
     constexpr Duration removalTimeout = std::chrono::seconds(2);
     /// A job counts as nonexistent, and tasks start, only while the followers' view of the job topic is at most this
@@ -58,13 +55,11 @@
 std::string cancellationKey(const JobId& job) { return cancellationPrefix + job.value(); }
 
 SchedulerTerm::SchedulerTerm(boost::asio::io_context& context, const SiteSettings& site, const TermSettings& settings,
-    AdviceDispatcher& adviceDispatcher, const NotedCompletions& notes, observability::EventLog& log,
-    TermAuthority authority)
+    AdviceDispatcher& adviceDispatcher, observability::EventLog& log, TermAuthority authority)
     : m_context(context)
     , m_site(site)
     , m_settings(settings)
     , m_adviceDispatcher(adviceDispatcher)
-    , m_notedCompletions(notes)
     , m_log(log)
     , m_authority(std::move(authority))
     , m_writer(std::make_shared<ProgressWriter>(context, site.m_store,
@@ -72,7 +67,6 @@
               m_authority.m_announceProgressPartition, m_authority.m_isProgressPartitionAnnounced }))
     , m_workerObserver(std::make_unique<WorkerObserver>(*this))
     , m_progressObserver(std::make_unique<ProgressObserver>(*this))
-    , m_completionReplicator(context, adviceDispatcher, log, settings.m_term, [this] { answerStateQueries(bootNow()); })
     , m_removalStore(context, site.m_store)
     , m_entryFreshness(maxFreshEntryAge)
     , m_stepTimer(context)
@@ -84,8 +78,6 @@
 {
     *m_isAlive = false;
     m_writer->stop();
-    for (const StateQuery& query : m_stateQueries)
-        query.m_handler(Error { ErrorKind::NotScheduler, "the term of this daemon has ended" });
 }
 
 void SchedulerTerm::start()
@@ -466,8 +458,6 @@
                 { { "job", wait.m_step.m_job.value() }, { "step", std::uint64_t { wait.m_step.m_step } },
                     { "reason", wait.m_reason } });
     }
-    m_completionReplicator.advance(*m_scheduler, m_writer->isFailing());
-    answerStateQueries(now);
     if (m_nextExpiryAt <= now) {
         m_nextExpiryAt = now + expiryInterval;
         removeExpiredJobs(m_scheduler->takeExpired(now));
@@ -572,30 +562,6 @@
     return Error { ErrorKind::NotFound, "no such job" };
 }
 
-void SchedulerTerm::queryState(const JobId& job, StateHandler handler)
-{
-    const bool isUnstored = m_scheduler && m_writer->isFailing() && m_scheduler->unstoredCompletions().contains(job);
-    if (!isUnstored || isFinal(m_scheduler->state(job)))
-        return handler(state(job));
-    m_stateQueries.push_back({ job, bootNow() + notePeriod, std::move(handler) });
-    m_completionReplicator.request(job);
-    m_completionReplicator.advance(*m_scheduler, true);
-}
-
-void SchedulerTerm::answerStateQueries(TimePoint now)
-{
-    std::vector<StateQuery> due;
-    std::erase_if(m_stateQueries, [&](StateQuery& query) {
-        const Result<jobs::JobState> known = state(query.m_job);
-        const bool isDue = query.m_deadline <= now || !succeeded(known) || isFinal(valueOf(known));
-        if (isDue)
-            due.push_back(std::move(query));
-        return isDue;
-    });
-    for (const StateQuery& query : due)
-        query.m_handler(state(query.m_job));
-}
-
 Result<std::uint32_t> SchedulerTerm::pending(const std::string& queue) const
 {
     if (!m_scheduler)
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -3,8 +3,6 @@
 #pragma once
 
 #include "controller/AdviceDispatcher.h"
-#include "controller/CompletionReplicator.h"
-#include "controller/NotedCompletions.h"
 #include "controller/ProgressWriter.h"
 #include "controller/SiteSettings.h"
 #include "controller/TopicFollower.h"
@@ -63,7 +61,7 @@
 class SchedulerTerm {
 public:
     SchedulerTerm(boost::asio::io_context&, const SiteSettings&, const TermSettings&, AdviceDispatcher&,
-        const NotedCompletions&, observability::EventLog&, TermAuthority);
+        observability::EventLog&, TermAuthority);
     ~SchedulerTerm();
     SchedulerTerm(const SchedulerTerm&) = delete;
     SchedulerTerm& operator=(const SchedulerTerm&) = delete;
@@ -73,21 +71,15 @@
     void beginHandover();
     bool isHandedOver() const;
 
-    /// State of a job. Fails with NotReady while the answer is uncertain, and with NotFound when the job does not
-    /// exist.
+    /// State of a job; an end is shown once it is stored. Fails with NotReady while the answer is uncertain, and with
+    /// NotFound when the job does not exist.
     Result<jobs::JobState> state(const JobId&) const;
-    using StateHandler = std::function<void(Result<jobs::JobState>)>;
-    /// The same for a caller. The end of a job that cannot be stored now is shown once other daemons have noted it; the
-    /// handler may then be called later.
-    void queryState(const JobId&, StateHandler);
     Result<std::uint32_t> pending(const std::string& queue) const;
     bool isRecovered() const { return m_scheduler != nullptr; }
     /// Takes up a record that this daemon has just stored in the job topic, without waiting until it is read back.
     void recordStored(const std::string& key, const std::string& value);
     /// Schedules a step, for example after a daemon became available for adviser questions.
     void requestStep() { scheduleStep(); }
-    /// Applies the noted job ends of this daemon after they have changed.
-    void applyNotedEnds();
     std::uint64_t term() const { return m_settings.m_term; }
     const jobs::JobScheduler* scheduler() const { return m_scheduler.get(); }
 
@@ -138,8 +130,6 @@
     /// handover would not end while each report adds changes to store.
     bool usesReports() const { return !m_hasSteppedDown && !m_isHandingOver; }
     void stepDown();
-    /// Answers the callers whose job is shown as ended by now, or who have waited long enough.
-    void answerStateQueries(TimePoint now);
     WorkerLink* link(const WorkerId&);
     /// Connects to a worker that is new or has another address.
     void openLink(const WorkerId&);
@@ -152,7 +142,6 @@
     const SiteSettings& m_site;
     const TermSettings m_settings;
     AdviceDispatcher& m_adviceDispatcher;
-    const NotedCompletions& m_notedCompletions;
     observability::EventLog& m_log;
     const TermAuthority m_authority;
     std::shared_ptr<ProgressWriter> m_writer;
@@ -166,17 +155,10 @@
     std::unique_ptr<TopicFollower> m_progressFollower;
     /// Null until the recovery has read the store.
     std::unique_ptr<jobs::JobScheduler> m_scheduler;
-    CompletionReplicator m_completionReplicator;
     /// Used by the links.
     jobs::CallTiming m_callTiming;
     std::unordered_map<WorkerId, std::unique_ptr<WorkerLink>> m_links;
     jobs::ReportSchedule m_reportSchedule;
-    struct StateQuery {
-        JobId m_job;
-        TimePoint m_deadline {};
-        StateHandler m_handler;
-    };
-    std::vector<StateQuery> m_stateQueries;
     /// Stored progress records to remove.
     ProgressWriter::Records m_removals;
     /// Partitions in which each job was found; several if an append of the job had no answer and was retried.
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -50,7 +50,6 @@
             { "knownLeases", std::uint64_t { m_settings.m_earlierLeases.m_byWorker.size() } },
             { "unlistedPartitions", std::uint64_t { unlistedPartitionCount() } } });
     m_progressFollower.reset();
-    applyNotedEnds();
     finishRestoration();
     superviseWorkers();
     scheduleStep();
@@ -84,20 +83,10 @@
 void SchedulerTerm::restoreLatePartition(JobObserver& observer)
 {
     restorePartition(observer);
-    applyNotedEnds();
     finishRestoration();
     scheduleStep();
 }
 
-void SchedulerTerm::applyNotedEnds()
-{
-    if (!m_scheduler)
-        return;
-    for (const JobId& job : m_notedCompletions.jobs())
-        m_scheduler->restorePublishedCompletion(job, bootNow());
-    scheduleStep();
-}
-
 void SchedulerTerm::finishRestoration()
 {
     if (unlistedPartitionCount() > 0)
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -179,31 +179,12 @@
     job.m_closedAt = now;
     updatePending(job);
     markChanged(job);
-    if (state == JobState::Done)
-        m_unstoredCompletions.insert(job.m_record.m_job);
     for (Step& step : job.m_steps)
         refreshAllWaiting(step, now);
     if (state != JobState::Done)
         stopAllRuns(job, now);
 }
 
-bool JobScheduler::publishCompletion(const JobId& id)
-{
-    return m_unstoredCompletions.contains(id) && !std::exchange(m_jobs.at(id)->m_isEndShown, true);
-}
-
-void JobScheduler::restorePublishedCompletion(const JobId& id, TimePoint now)
-{
-    const auto found = m_jobs.find(id);
-    if (found == m_jobs.end() || !found->second->isOpen())
-        return;
-    Job& job = *found->second;
-    job.m_isEndShown = true;
-    closeJob(job, JobState::Done, now);
-    // Runs that an unreachable worker may have started meanwhile are superfluous.
-    stopAllRuns(job, now);
-}
-
 void JobScheduler::markChanged(Job& job)
 {
     if (!std::exchange(job.m_isDirty, true))
@@ -367,11 +348,10 @@
 JobState JobScheduler::state(const JobId& id) const
 {
     const Job& job = *m_jobs.at(id);
-    if (job.isOpen() || job.m_state == JobState::Cancelled || job.m_isEndShown)
+    if (job.isOpen() || job.m_state == JobState::Cancelled)
         return job.m_state;
-    if (isFinal(job.m_storedState))
-        return job.m_storedState;
-    return JobState::Running;
+    // A successor knows of an end once it is stored.
+    return isFinal(job.m_storedState) ? job.m_storedState : JobState::Running;
 }
 
 std::uint32_t JobScheduler::pending(const std::string& queue) const
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -141,14 +141,6 @@
     void stored(std::uint64_t batch);
     /// Highest end number of the worker that is stored; ends up to it may be acknowledged.
     std::uint64_t storedEnd(const WorkerId&) const;
-    /// Jobs that are done but whose completion is not stored yet.
-    const std::set<JobId>& unstoredCompletions() const { return m_unstoredCompletions; }
-    /// Reports the job as done to its caller from now on. Returns false if the job is not in unstoredCompletions() or
-    /// was published before.
-    bool publishCompletion(const JobId&);
-    /// Closes a job that an earlier term reported as done, perhaps without storing it, so that none of its tasks starts
-    /// again.
-    void restorePublishedCompletion(const JobId&, TimePoint now);
     /// Runs that were given up, and runs that were listed unexpectedly, since the last call.
     std::vector<LostRun> takeLostRuns() { return std::exchange(m_newLostRuns, {}); }
     std::vector<UnexpectedRun> takeUnexpectedRuns() { return std::exchange(m_unexpectedRuns, {}); }
@@ -316,7 +308,6 @@
     /// Jobs with occurrences that are not due yet.
     std::vector<Job*> m_jobsWithFutureOccurrences;
     std::vector<Job*> m_dirty;
-    std::set<JobId> m_unstoredCompletions;
     bool m_hasNewEnds = false;
     /// Workers with reported ends that are not stored.
     std::set<WorkerNumber> m_workersWithNewEnds;
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -163,8 +163,6 @@
     bool m_hasStarted = false;
     /// Counted as a job of its queue that has not started.
     bool m_isPending = false;
-    /// The end was published to the caller before it was stored.
-    bool m_isEndShown = false;
     bool m_isDirty = false;
     /// The job's record is stored beside its progress, or on its way there.
     bool m_isRecordKept = false;
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -104,8 +104,6 @@
             m_ended.push_back(
                 { sent.m_job, sent.m_state, job.m_acceptedAt, job.m_objective, job.m_closedAt, job.m_history });
         job.m_storedState = sent.m_state;
-        if (isFinal(job.m_storedState))
-            m_unstoredCompletions.erase(sent.m_job);
         for (std::size_t i = 0; i < job.m_steps.size(); ++i)
             job.m_steps[i].m_storedPlaces = i < sent.m_places.size() ? std::move(sent.m_places[i]) : PlaceSet();
     }
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -32,8 +32,6 @@
         { AdviceFailed, 3014, Info, "advice-failed", "A question to the adviser was not answered" },
         { StepWaits, 3015, Info, "step-waits", "Tasks of a step have waited for long" },
         { ProgressMoves, 3016, Warning, "progress-moves", "Another partition holds the progress of the jobs" },
-        { EndShown, 3017, Info, "end-shown", "The end of a job is shown before it is stored" },
-        { EndsNoted, 3018, Info, "ends-noted", "Ends of jobs were noted for the next scheduler" },
         { RunLost, 3019, Info, "run-lost", "A run counts as over although its end was not listed" },
         { RunUnexpected, 3020, Warning, "run-unexpected", "A worker lists a run that was not expected there" },
         { CrashUnderRun, 3021, Info, "crash-under-run", "A worker restarted just after it had started a run" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -33,8 +33,6 @@
     AdviceFailed,
     StepWaits,
     ProgressMoves,
-    EndShown,
-    EndsNoted,
     RunLost,
     RunUnexpected,
     CrashUnderRun,
