Remove the progress of an ended job after its records

A term that began before the job topic could be appended to, or read that topic again after a loss of its history, knew the job and not its end, and ran it again. Cause: records of one job in several topics were removed in no order. Change: RecordRemoval removes the job's records from the job topic first, with any that are found meanwhile, and then its record of running jobs with the progress; no job expires while a partition is not listed. A removal that failed is repeated after the other partitions. Before: endIsKnownUntilTheRecordsOfItsJobAreRemoved fails (the progress is gone while partition 1 has the job).

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -402,36 +402,37 @@
 
 void SchedulerTerm::removeExpiredJobs(const std::vector<JobId>& jobs)
 {
-    for (const JobId& job : jobs) {
-        m_removals.emplace_back(job.value(), std::nullopt);
-        const auto partitions = m_jobPartitions.extract(job);
-        if (partitions.empty())
-            continue;
-        for (const std::uint32_t partition : partitions.mapped()) {
-            m_jobRemovals[partition].emplace_back(job.value(), std::nullopt);
-            m_jobRemovals[partition].emplace_back(cancellationKey(job), std::nullopt);
-        }
-    }
+    for (const JobId& job : jobs)
+        m_recordRemoval.begin(job);
     removeStoredJobs();
 }
 
 void SchedulerTerm::removeStoredJobs()
 {
-    if (m_isRemoving || m_jobRemovals.empty())
+    for (const JobId& job : m_recordRemoval.takeFinished()) {
+        m_removals.emplace_back(runningJobPrefix + job.value(), std::nullopt);
+        m_removals.emplace_back(job.value(), std::nullopt);
+    }
+    const std::optional<jobs::RecordRemoval::Batch> batch = m_recordRemoval.nextBatch(m_lastRemovalPartition);
+    if (m_isRemoving || !batch)
         return;
     m_isRemoving = true;
-    const auto batch = m_jobRemovals.extract(m_jobRemovals.begin());
-    const std::uint32_t partition = batch.key();
-    m_removalStore.append({ jobTopic, partition }, batch.mapped(), {}, removalTimeout,
-        [this, alive = m_isAlive, partition, records = batch.mapped()](const userplatform::AppendAnswer& answer) {
+    ProgressWriter::Records records;
+    for (const JobId& job : batch->m_jobs) {
+        records.emplace_back(job.value(), std::nullopt);
+        records.emplace_back(cancellationKey(job), std::nullopt);
+    }
+    m_removalStore.append({ jobTopic, batch->m_partition }, records, {}, removalTimeout,
+        [this, alive = m_isAlive, batch = *batch](const userplatform::AppendAnswer& answer) {
             if (!*alive)
                 return;
             m_isRemoving = false;
-            if (answer.m_kind == userplatform::AppendAnswer::Kind::Appended)
-                return removeStoredJobs();
-            // Removals are idempotent; they are retried with the next expired jobs.
-            ProgressWriter::Records& kept = m_jobRemovals[partition];
-            kept.insert(kept.end(), records.begin(), records.end());
+            m_lastRemovalPartition = batch.m_partition;
+            // Removals are idempotent; a failed one is repeated at the next check for expired jobs.
+            if (answer.m_kind != userplatform::AppendAnswer::Kind::Appended)
+                return;
+            m_recordRemoval.removed(batch);
+            removeStoredJobs();
         });
 }
 
@@ -458,7 +459,8 @@
                 { { "job", wait.m_step.m_job.value() }, { "step", std::uint64_t { wait.m_step.m_step } },
                     { "reason", wait.m_reason } });
     }
-    if (m_nextExpiryAt <= now) {
+    // A partition that is not listed may have records of expired jobs.
+    if (m_nextExpiryAt <= now && unlistedPartitionCount() == 0) {
         m_nextExpiryAt = now + expiryInterval;
         removeExpiredJobs(m_scheduler->takeExpired(now));
     }
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -9,6 +9,7 @@
 #include "controller/WorkerLink.h"
 #include "jobs/EntryFreshness.h"
 #include "jobs/JobScheduler.h"
+#include "jobs/RecordRemoval.h"
 #include "jobs/ReportSchedule.h"
 #include "observability/EventLog.h"
 
@@ -36,6 +37,8 @@
     jobs::LeaseBounds m_earlierLeases;
     /// Lease that is granted to the workers.
     Duration m_lease = std::chrono::seconds(8);
+    /// Time for which the records of an ended job are kept; states are asked for up to 120 s after the end.
+    Duration m_jobRetention = std::chrono::seconds(150);
 };
 
 /// Connection of a term to the election of its daemon.
@@ -161,10 +164,9 @@
     jobs::ReportSchedule m_reportSchedule;
     /// Stored progress records to remove.
     ProgressWriter::Records m_removals;
-    /// Partitions in which each job was found; several if an append of the job had no answer and was retried.
-    std::map<JobId, std::set<std::uint32_t>> m_jobPartitions;
-    /// Stored jobs and cancellations to remove, by partition.
-    std::map<std::uint32_t, ProgressWriter::Records> m_jobRemovals;
+    jobs::RecordRemoval m_recordRemoval;
+    /// Partition of the job topic from which records were removed last.
+    std::uint32_t m_lastRemovalPartition = 0;
     userplatform::StoreConnection m_removalStore;
     bool m_isRemoving = false;
     /// Workers whose entry is missing from the registry, with the time at which they count as removed.
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -25,6 +25,7 @@
     const TimePoint now = bootNow();
     jobs::SchedulerSettings settings;
     settings.m_term = m_settings.m_term;
+    settings.m_retention = m_settings.m_jobRetention;
     settings.m_longestLease = maxLeaseDuration(m_site.m_longestLease);
     m_scheduler = std::make_unique<jobs::JobScheduler>(settings);
     for (const auto& [id, worker] : m_workerObserver->m_entries) {
@@ -162,8 +163,10 @@
     if (record.m_key.empty() || !record.m_value)
         return;
     const bool isCancellation = record.m_key.front() == cancellationPrefix;
-    m_jobPartitions[JobId(isCancellation ? record.m_key.substr(1) : record.m_key)].insert(partition);
-    applyJobRecord(record.m_key, *record.m_value);
+    const JobId job(isCancellation ? record.m_key.substr(1) : record.m_key);
+    m_recordRemoval.recordFound(job, partition);
+    if (!m_recordRemoval.isRemoving(job))
+        applyJobRecord(record.m_key, *record.m_value);
 }
 
 void SchedulerTerm::recordStored(const std::string& key, const std::string& value)
--- a/tests/controller/ShownEndTest.cpp
+++ b/tests/controller/ShownEndTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(ShownEndTest);
     CPPUNIT_TEST(endIsShownOnlyOnceItIsStored);
     CPPUNIT_TEST(shownEndStandsWhenAllDaemonsAndItsWorkerAreLost);
+    CPPUNIT_TEST(endIsKnownUntilTheRecordsOfItsJobAreRemoved);
     CPPUNIT_TEST_SUITE_END();
 
     /// The only worker, which runs the only task of job "j" from the beginning.
@@ -167,6 +168,43 @@
         // The end is lost with the worker and the daemons, so the scenario provokes the fault.
         CPPUNIT_ASSERT_EQUAL(1, cell.m_worker.m_starts);
     }
+
+    // Guards against a job that runs again after its retention time, since its progress is removed while a partition of
+    // the job topic, or a record of running jobs, still has it.
+    void endIsKnownUntilTheRecordsOfItsJobAreRemoved()
+    {
+        boost::asio::io_context context;
+        StoreStandIn store(context);
+        store.put(jobTopic, 1, "j", jobText("j"));
+        store.put(jobTopic, 2, "j", jobText("j"));
+        store.put(progressTopic, 0, "j", jobs::encodeProgress({ jobs::JobState::Done, {}, {}, {}, {} }));
+        store.put(progressTopic, 0, "=j", jobText("j"));
+        store.part(jobTopic, 1).m_fault = Fault::RefusesAppends;
+        {
+            TermFixture first(store, context, 2, Duration::zero());
+            first.m_term->start();
+            runUntil(context, [&] { return !store.newest(jobTopic, 2).contains("j"); });
+            for (const TimePoint end = bootNow() + milliseconds(300); bootNow() < end;)
+                context.run_one_for(milliseconds(5));
+            CPPUNIT_ASSERT(store.newest(jobTopic, 1).contains("j"));
+            CPPUNIT_ASSERT(store.newest(progressTopic).contains("j"));
+            // The job topic is read again, as after a loss of the store's history.
+            store.part(jobTopic, 1).m_isTrimmed = true;
+            const std::uint32_t calls = store.part(jobTopic, 1).m_calls;
+            runUntil(context, [&] { return store.part(jobTopic, 1).m_calls > calls + 2; });
+            CPPUNIT_ASSERT(!first.m_term->scheduler()->knows(JobId("j")));
+        }
+        {
+            TermFixture second(store, context, 3);
+            second.m_term->start();
+            runUntil(context, [&] { return Cell::isShown(*second.m_term); });
+        }
+        store.part(jobTopic, 1).m_fault = Fault::None;
+        TermFixture third(store, context, 4, Duration::zero());
+        third.m_term->start();
+        runUntil(context, [&] { return !store.newest(jobTopic, 1).contains("j"); });
+        runUntil(context, [&] { return store.newest(progressTopic).empty(); });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ShownEndTest);
--- a/tests/controller/StoreStandIn.h
+++ b/tests/controller/StoreStandIn.h
@@ -17,7 +17,7 @@
 
 class StoreStandIn {
 public:
-    enum class Fault : std::uint8_t { None, Refuses, IsSilent, LosesAnswers };
+    enum class Fault : std::uint8_t { None, Refuses, RefusesAppends, IsSilent, LosesAnswers };
     using Value = std::optional<std::string>;
 
     struct Record {
@@ -126,11 +126,12 @@
             static_cast<std::uint32_t>(number(parameter(request.m_target, "part"))) };
         Part& part = m_parts[place];
         ++part.m_calls;
-        if (part.m_fault == Fault::Refuses)
+        const bool isAppend = request.m_method == "POST";
+        if (part.m_fault == Fault::Refuses || (part.m_fault == Fault::RefusesAppends && isAppend))
             return respond({ 503, "{}" });
         if (part.m_fault == Fault::IsSilent)
             return m_silenced.push_back(respond);
-        if (request.m_method == "POST") {
+        if (isAppend) {
             const ServerResponse answer = append(part, request);
             wake();
             return part.m_fault == Fault::LosesAnswers ? m_silenced.push_back(respond) : respond(answer);
