Remove the record of an ended job from a partition that holds the progress again

Before: everythingIsStoredAnewAfterAMove fails with the new check. After: it holds. Open: a job whose retention time ends before the progress moves back.

--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -87,7 +87,8 @@
     m_batchRecords.erase(insteadOf);
     m_batchEnds.erase(insteadOf);
     for (const auto& [id, job] : m_jobs) {
-        job->m_isRecordKept = false;
+        // A partition that held the progress before may have the record of a job that has ended since.
+        job->m_isRecordKept = !job->isOpen();
         markChanged(*job);
     }
     return takeChanges();
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -211,7 +211,8 @@
         CPPUNIT_ASSERT(scheduler.hasChanges());
     }
 
-    // Guards against a new partition that lacks records of the previous one.
+    // Guards against a new partition that lacks records of the previous one, and against one that keeps the record of a
+    // job which has ended since it held the progress before: the job would run again once its progress is removed.
     void everythingIsStoredAnewAfterAMove()
     {
         SimulatedCell cell = startedCell(2);
@@ -229,6 +230,7 @@
             records[record.m_job] = &record;
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), records.size());
         CPPUNIT_ASSERT(records.at(JobId("done"))->m_progress.m_state == JobState::Done);
+        CPPUNIT_ASSERT(records.at(JobId("done"))->m_removesRecord);
         CPPUNIT_ASSERT(records.at(JobId("running"))->m_record.has_value());
         CPPUNIT_ASSERT(records.at(JobId("placed"))->m_record.has_value());
         const auto starts = [&] {
