--- a/tests/controller/ShownEndTest.cpp
+++ b/tests/controller/ShownEndTest.cpp
@@ -60,7 +60,7 @@
         const std::string m_address;
     };
 
-    /// A cell whose job has ended while the store refuses to record it. The second of two daemons answers everything.
+    /// A term whose only job runs. The other daemon answers every message with success.
     struct Cell {
         Cell()
             : m_store(m_context)
