--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -319,10 +319,14 @@
         cell.m_laterProcessesObey = laterProcessesObey;
         cell.m_allowedShare = 0.7;
         for (int round = 0; round < 60; ++round) {
+            // The order in which arguments are evaluated differs between platforms, so each draw is a statement.
+            const auto firstCount = static_cast<std::uint32_t>(1 + random() % 6);
+            const auto cpuMillis = static_cast<std::int64_t>(1000 + random() % 9000);
+            const milliseconds estimate(200 + random() % 3000);
+            const auto secondCount = static_cast<std::uint32_t>(1 + random() % 4);
             JobRecord job = SimulatedCell::job("j" + std::to_string(round),
-                { SimulatedCell::step(1 + random() % 6, 1000 + static_cast<std::int64_t>(random() % 9000),
-                      milliseconds(200 + random() % 3000)),
-                    SimulatedCell::step(1 + random() % 4, 4000, milliseconds(500)) });
+                { SimulatedCell::step(firstCount, cpuMillis, estimate),
+                    SimulatedCell::step(secondCount, 4000, milliseconds(500)) });
             job.m_spec.m_steps[1].m_dependsOn = { 0 };
             if (random() % 2 == 0)
                 job.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(2), seconds(2) };
