Log restarts of workers, and places that a term no longer waits for

worker-restarted names the worker, how long it had been silent, whether the last call to its earlier process had no answer, and how long such calls may let runs of the later process go on. inherited-runs-over names a worker that a term counts as free of earlier runs without a report, and when its leases ended by the term's bound. Both are needed to tell the hypotheses of docs/incidents/leases-of-restarted-workers.md apart; no decision changes.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -152,6 +152,7 @@
     logRuns();
     logCrashes();
     logQuarantines();
+    logWorkers();
     writeProgress();
 }
 
@@ -400,6 +401,20 @@
     }
 }
 
+void SchedulerTerm::logWorkers()
+{
+    for (const jobs::WorkerRestart& restart : m_scheduler->takeRestarts())
+        m_log.write(LogEvent::WorkerRestarted,
+            { { "worker", restart.m_worker.value() }, { "term", m_settings.m_term },
+                { "silentMs", millisecondsOf(restart.m_at - restart.m_lastReportAt) },
+                { "unanswered", restart.m_hasUnanswered },
+                { "leaseMs", millisecondsOf(restart.m_lateLeaseEnd - restart.m_at) } });
+    for (const jobs::ExpiredPlace& place : m_scheduler->takeExpiredPlaces())
+        m_log.write(LogEvent::InheritedRunsOver,
+            { { "worker", place.m_worker.value() }, { "term", m_settings.m_term },
+                { "leaseMs", millisecondsOf(place.m_at - place.m_leaseEnd) } });
+}
+
 void SchedulerTerm::removeExpiredJobs(const std::vector<JobId>& jobs)
 {
     for (const JobId& job : jobs)
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -120,6 +120,8 @@
     /// Logs runs under which a worker crashed.
     void logCrashes();
     void logQuarantines();
+    /// Logs restarts of workers, and workers that the term no longer waits for.
+    void logWorkers();
     void handleWorkerEntry(const userplatform::KeyedRecord&);
     void handleJobRecord(std::uint32_t partition, const userplatform::KeyedRecord&);
     /// Adds or cancels the job that the record names.
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -148,6 +148,10 @@
     std::vector<CrashUnderRun> takeCrashes() { return std::exchange(m_newCrashes, {}); }
     /// Quarantines that have begun, or were ended early, since the last call.
     std::vector<QuarantineChange> takeQuarantineChanges() { return std::exchange(m_quarantineChanges, {}); }
+    /// Restarts of workers, and workers whose runs of earlier terms count as over without a report, since the last
+    /// call.
+    std::vector<WorkerRestart> takeRestarts() { return std::exchange(m_newRestarts, {}); }
+    std::vector<ExpiredPlace> takeExpiredPlaces() { return std::exchange(m_newExpiredPlaces, {}); }
     /// Jobs whose end has been stored since the last call.
     std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
     /// Removes and returns the closed jobs whose retention time is over, and the jobs that were cancelled and never
@@ -348,6 +352,8 @@
     std::vector<UnexpectedRun> m_unexpectedRuns;
     std::vector<CrashUnderRun> m_newCrashes;
     std::vector<QuarantineChange> m_quarantineChanges;
+    std::vector<WorkerRestart> m_newRestarts;
+    std::vector<ExpiredPlace> m_newExpiredPlaces;
     /// Running mean of the share of workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
     SchedulerCounters m_counters;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -290,6 +290,28 @@
     friend bool operator==(const QuarantineChange&, const QuarantineChange&) = default;
 };
 
+/// The restart of a worker under its id.
+struct WorkerRestart {
+    WorkerId m_worker;
+    TimePoint m_at {};
+    TimePoint m_lastReportAt {};
+    /// The last call to the earlier process was not answered, so that it may still be carried out.
+    bool m_hasUnanswered = false;
+    /// Time by which leases that the new process was granted by calls to earlier ones have ended.
+    TimePoint m_lateLeaseEnd {};
+
+    friend bool operator==(const WorkerRestart&, const WorkerRestart&) = default;
+};
+
+/// A worker that has not reported in this term, on which the runs of earlier terms count as over.
+struct ExpiredPlace {
+    WorkerId m_worker;
+    TimePoint m_at {};
+    TimePoint m_leaseEnd {};
+
+    friend bool operator==(const ExpiredPlace&, const ExpiredPlace&) = default;
+};
+
 /// A run that a worker lists although this term did not order it there, or had given it up.
 struct UnexpectedRun {
     WorkerId m_worker;
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -141,6 +141,8 @@
     worker.m_restartedAt = now;
     // An order to an earlier process, carried out late, grants the longest lease.
     worker.m_lateLeaseEnd = now + maxOrderDelay + m_settings.m_longestLease;
+    m_newRestarts.push_back({ worker.m_description.m_worker, now, worker.m_lastReportAt,
+        worker.m_lastReportAt < worker.m_unansweredAt, worker.m_lateLeaseEnd });
     updateRoom(worker, now);
     for (auto& [name, run] : worker.m_runs) {
         // The new process may have carried out a start before its restart was known here: its first report lists its
@@ -220,7 +222,12 @@
 {
     if (!std::exchange(m_areInheritedPlacesChanged, false) && now < m_nextInheritedEnd)
         return;
-    m_inheritedPlaces.clear();
+    for (const WorkerId& place : std::exchange(m_inheritedPlaces, {})) {
+        const Worker* found = worker(place);
+        const bool hasReported = found != nullptr && found->m_hasReported;
+        if (!hasReported && !mayRunInherited(place, now))
+            m_newExpiredPlaces.push_back({ place, now, unreportedLeaseEnd(place) });
+    }
     for (const auto& [id, job] : m_jobs) {
         for (Step& step : job->m_steps) {
             const auto forgotten = std::erase_if(
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -38,6 +38,8 @@
     CrashUnderRun,
     WorkerQuarantined,
     QuarantineWithdrawn,
+    WorkerRestarted,
+    InheritedRunsOver,
     TaskStarted,
     TaskStopped,
     JobAccepted,
