Tests: leases from calls to the earlier process of a restarted worker (failing)

The simulated cell leaves the request for a report that is pending when a worker restarts to the later process, as the platform does.

--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(unansweredRecordIsRetried);
     CPPUNIT_TEST(leaseOfUnresponsiveWorkerIsNotExtended);
     CPPUNIT_TEST(answerOfAnEarlierProcessDoesNotSetTheClock);
+    CPPUNIT_TEST(lateCallsToAnEarlierProcessAreRejectedByTheLaterOne);
     CPPUNIT_TEST(malformedRowFailsTheReport);
     CPPUNIT_TEST(lostOrderDelaysNoOtherOne);
     CPPUNIT_TEST(listenerOpensAfterAddressInUse);
@@ -192,6 +193,34 @@
         CPPUNIT_ASSERT_MESSAGE("until " + std::to_string(runUntilMs), runUntilMs <= mostMs);
     }
 
+    // Guards against a call to a worker's earlier process that the later one carries out after calls that were meant
+    // for it: workers compare the numbers of calls, so those to the later process need a higher one.
+    void lateCallsToAnEarlierProcessAreRejectedByTheLaterOne()
+    {
+        boost::asio::io_context context;
+        int bornMs = 1;
+        std::int64_t number = 0;
+        HttpListener worker(context, "", [&](const ServerRequest& request, const Responder& respond) {
+            number = boost::json::parse(request.m_body).as_object().at("fencing_token").as_int64();
+            respond(
+                { 200, R"({"clock_ms":1000,"born":)" + std::to_string(bornMs) + R"(,"running":[],"finished":[]})" });
+        });
+        jobs::CallTiming timing;
+        WorkerLink workerLink(
+            context, {}, [] { return TimePoint::max(); }, timing, WorkerId("i-1"), openOnFreePort(worker));
+        const auto fetch = [&] {
+            bool hasReported = false;
+            workerLink.fetchReport(0, [&](const Result<jobs::WorkerReport>&) { hasReported = true; });
+            runUntil(context, [&] { return hasReported; });
+        };
+        fetch();
+        const std::int64_t numberOfEarlierProcess = number;
+        bornMs = 2;
+        fetch();
+        fetch();
+        CPPUNIT_ASSERT(number > numberOfEarlierProcess);
+    }
+
     // A row that cannot be read used to be left out, so that a run counted as ended and was started again elsewhere.
     void malformedRowFailsTheReport()
     {
--- a/tests/jobs/LateOrderTest.cpp
+++ b/tests/jobs/LateOrderTest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(lateStartOfALaterProcessIsReported);
     CPPUNIT_TEST(roomOfALateStartIsKeptOnALaterProcess);
     CPPUNIT_TEST(leaseFromALateOrderOutlastsThoseOfTheLaterProcess);
+    CPPUNIT_TEST(lateRequestOfAnEarlierProcessExtendsNoLeaseAfterATakeover);
+    CPPUNIT_TEST(successorAllowsForTheLongestLeaseOfARestartedWorker);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Resources whole { 32000, 131072, 0 };
@@ -33,6 +35,24 @@
         return *cell.m_store.at(job.m_job).m_places.begin()->second.begin();
     }
 
+    /// Starts the only task of a job on a worker that has just restarted, cuts that worker off and replaces the
+    /// scheduler.
+    static void takeOverBesideARestartedWorker(SimulatedCell& cell)
+    {
+        const WorkerId restarted = cell.m_workers.begin()->first;
+        SimulatedWorker& other = std::next(cell.m_workers.begin())->second;
+        other.m_isReachable = false;
+        cell.run(seconds(2));
+        cell.restartWorker(restarted, whole);
+        cell.listAll();
+        cell.accept(singleTask(seconds(60)));
+        cell.run(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.m_workers.at(restarted).m_running.size());
+        cell.m_workers.at(restarted).m_isReachable = false;
+        other.m_isReachable = true;
+        cell.takeOver();
+    }
+
     static JobRecord singleTask(Duration estimate = seconds(3))
     {
         return SimulatedCell::job("j", { SimulatedCell::step(1, 1000, estimate) });
@@ -229,6 +249,30 @@
             assertNoViolation(cell);
         }
     }
+
+    // Guards against a second run of a task on a worker that restarted before a takeover: a request for a report that
+    // was sent to its earlier process extends the lease while the successor waits for the end of it.
+    void lateRequestOfAnEarlierProcessExtendsNoLeaseAfterATakeover()
+    {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            SimulatedCell cell = startedCell(2, seed);
+            takeOverBesideARestartedWorker(cell);
+            cell.run(seconds(30));
+            assertNoViolation(cell);
+            CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+        }
+    }
+
+    // Guards against the same where that request arrived before any call to the later process.
+    void successorAllowsForTheLongestLeaseOfARestartedWorker()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.m_requestDelay = Duration::zero();
+        takeOverBesideARestartedWorker(cell);
+        cell.run(seconds(30));
+        assertNoViolation(cell);
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LateOrderTest);
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -86,6 +87,7 @@
 
     explicit SimulatedCell(std::uint32_t workers, std::uint64_t seed = 1)
         : m_random(seed)
+        , m_requestRandom(seed)
     {
         for (std::uint32_t i = 0; i < workers; ++i) {
             WorkerDescription worker;
@@ -198,8 +200,10 @@
         worker.m_wasCalled = false;
         worker.m_isUp = true;
         // The pending request for a report is aborted.
-        if (m_scheduler)
+        if (m_scheduler) {
             m_scheduler->reportFailed(id, m_now);
+            delayReportRequest(id);
+        }
         ++worker.m_description.m_bornMs;
         worker.m_description.m_capacity = capacity;
     }
@@ -277,9 +281,10 @@
     bool m_isStoreUp = true;
     /// Maximum number of ends that a worker lists in a report.
     std::size_t m_listedEnds = 500;
-    /// A worker carries out delayed starts that were sent to its earlier process: they name the worker, not the
-    /// process.
+    /// A worker carries out delayed calls that were sent to its earlier process: they name the worker, not the process.
     bool m_laterProcessesObey = true;
+    /// Delay of the request for a report that was pending when its worker restarted; drawn if there is none.
+    std::optional<Duration> m_requestDelay;
     /// Real run time as a multiple of the estimate.
     double m_runTimeFactor = 1.0;
     double m_allowedShare = 0.6;
@@ -307,6 +312,12 @@
         /// The worker process that had been ordered.
         std::int64_t m_bornMs = 0;
     };
+    /// A request for a report that extends the lease.
+    struct DelayedRequest {
+        TimePoint m_at {};
+        WorkerId m_worker;
+        std::uint64_t m_term = 0;
+    };
     struct DelayedAnswer {
         TimePoint m_at {};
         std::uint64_t m_term = 0;
@@ -336,6 +347,7 @@
         for (auto& [id, worker] : m_workers)
             work(worker);
         deliverDelayed();
+        deliverDelayedRequests();
         if (!m_scheduler)
             return;
         for (auto& [id, worker] : m_workers)
@@ -639,6 +651,29 @@
             m_storing = std::make_unique<OpenBatch>(OpenBatch { m_now + milliseconds(20), m_scheduler->takeChanges() });
     }
 
+    /// Leaves the pending request for a report to the worker's later process.
+    void delayReportRequest(const WorkerId& id)
+    {
+        if (!m_laterProcessesObey)
+            return;
+        const Duration drawn = minStartDelay + Duration(m_requestRandom() % (maxStartDelay - minStartDelay).count());
+        m_delayedRequests.push_back({ m_now + m_requestDelay.value_or(drawn), id, m_term });
+    }
+
+    /// The end of the lease in a request is a time on the clock of the earlier process.
+    void deliverDelayedRequests()
+    {
+        for (const DelayedRequest& request : std::exchange(m_delayedRequests, {})) {
+            SimulatedWorker& worker = m_workers.at(request.m_worker);
+            if (request.m_at > m_now) {
+                m_delayedRequests.push_back(request);
+            } else if (worker.m_isUp && request.m_term >= worker.m_term) {
+                worker.m_term = request.m_term;
+                worker.m_leaseEnd = std::max(worker.m_leaseEnd, m_now + longestLease);
+            }
+        }
+    }
+
     bool isForThisProcess(const DelayedStart& start) const
     {
         return m_workers.at(start.m_worker).m_description.m_bornMs == start.m_bornMs;
@@ -692,7 +727,10 @@
     }
 
     std::mt19937_64 m_random;
+    /// For the delays of requests, apart from those of starts.
+    std::mt19937_64 m_requestRandom;
     std::vector<DelayedStart> m_delayed;
+    std::vector<DelayedRequest> m_delayedRequests;
     std::vector<DelayedAnswer> m_answers;
     std::vector<OpenAdviceRequest> m_questions;
     std::unique_ptr<OpenBatch> m_storing;
