Allow for the longest lease of workers that a term has not called before

Callers saw two runs of one task. A request that was sent to an earlier process of a worker may reach the later one before any call that bars it, and grants 10 s from then. Successors of a daemon that was restarted or that released its term waited for 8.6 s from its end for workers that they could not reach, and a new term counted only its own leases and the announced ones.

A term now counts the longest lease from its first call to each process of a worker, and successors of an ended holder wait for 10.6 s. A worker gets no task while that lease would outlast what the newest record of the term makes a successor wait for: the last renewal plus 11.1 s, so that this holds tasks back only while renewals fail.

--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -54,6 +54,8 @@
     /// while no lease may be granted.
     std::function<void()> m_grantLeases;
     std::function<TimePoint()> m_leaseLimit;
+    /// The time until which a successor waits for workers that it cannot reach, at least.
+    std::function<TimePoint()> m_successorWaitEnd;
     /// Position after the newest stored record of the term; workers compare it as the number of a call.
     std::function<std::uint64_t()> m_newestNumber;
     /// Announces the ends of the leases of single workers to successors, and tells whether a worker is granted none
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -123,6 +123,9 @@
     /// Whether no task may start now because the view of the workers or of the cancellations is too old. Stops, reports
     /// and leases go on, and placed tasks keep their places.
     void setStartsHeld(bool areHeld) { m_areStartsHeld = areHeld; }
+    /// Sets the time until which a successor waits for workers that it cannot reach. A worker whose lease may last
+    /// longer gets no new work.
+    void setSuccessorWaitEnd(TimePoint end) { m_successorWaitEnd = end; }
     /// Makes all decisions that are possible now and returns the resulting orders and advice requests.
     std::vector<SchedulerAction> step(std::int64_t wallNowMs, TimePoint now, const AdviceCapacity&);
 
@@ -236,6 +239,12 @@
     Worker* findWorker(const WorkerId&);
     /// Whether the worker may get new work of some step.
     bool isAvailable(const Worker&, TimePoint now) const;
+    /// Whether a successor that cannot reach the worker waits for leases from calls to earlier processes and by earlier
+    /// terms.
+    bool isLateLeaseCovered(const Worker& worker, TimePoint now) const
+    {
+        return worker.m_lateLeaseEnd <= std::max(now, m_successorWaitEnd);
+    }
     /// Updates the index of free capacity after a change of the worker.
     void updateRoom(Worker&, TimePoint now);
     PoolNumber poolNumber(const std::string& service);
@@ -317,6 +326,7 @@
     std::set<WorkerNumber> m_workersWithNewEnds;
     bool m_isStoreUnavailable = false;
     bool m_areStartsHeld = false;
+    TimePoint m_successorWaitEnd = TimePoint::max();
     std::uint64_t m_lastBatch = 0;
     /// Highest end that a worker had reported since its start when a batch was taken.
     struct SeenEnd {
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -101,6 +101,8 @@
         return "quarantined";
     if (worker.m_isLeaseWithheld)
         return "leaseWithheld";
+    if (!m_scheduler.isLateLeaseCovered(worker, m_now))
+        return "lateLease";
     if (worker.m_refusalBackoffEnd > m_now)
         return "refused";
     if (m_scheduler.m_isStoreUnavailable && !step.isRecordedPlace(worker.m_number))
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -242,10 +242,10 @@
     /// Starts that a later process of the worker would carry out when they arrive. Runs that were confirmed are not
     /// among them.
     std::map<RunName, UnansweredStart> m_unanswered;
-    /// The present process rejects calls that were sent to earlier ones.
-    bool m_isFenced = true;
+    /// The present process rejects calls that were sent to earlier ones or by earlier terms.
+    bool m_isFenced = false;
     /// When the restart of the worker was noticed, and the time by which leases that its present process was granted by
-    /// calls to earlier ones have ended.
+    /// such calls have ended.
     TimePoint m_restartedAt {};
     TimePoint m_lateLeaseEnd {};
 
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -29,6 +29,8 @@
         m_workersByNumber.push_back(&worker);
         m_workerNumbers[description.m_worker] = worker.m_number;
         worker.m_isLeaseWithheld = m_withheldLeases.contains(description.m_worker);
+        // Earlier terms may have sent calls to an earlier process of the worker.
+        worker.m_lateLeaseEnd = now + maxOrderDelay + m_settings.m_longestLease;
     }
     const std::int64_t born = worker.m_description.m_bornMs;
     const bool wasDraining = worker.m_isListed && worker.m_description.m_isDraining;
@@ -71,7 +73,8 @@
 {
     return worker.m_isListed && !worker.m_isReplaced && worker.m_hasReported && worker.isAnswering()
         && worker.m_isFenced && worker.m_isDescribed && !worker.m_hasUnknownRuns && !worker.m_description.m_isDraining
-        && !worker.m_isLeaseWithheld && !worker.m_health.isQuarantined(now) && worker.m_refusalBackoffEnd <= now;
+        && !worker.m_isLeaseWithheld && isLateLeaseCovered(worker, now) && !worker.m_health.isQuarantined(now)
+        && worker.m_refusalBackoffEnd <= now;
 }
 
 void JobScheduler::updateRoom(Worker& worker, TimePoint now)
--- a/tests/jobs/LateOrderTest.cpp
+++ b/tests/jobs/LateOrderTest.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(leaseFromALateOrderOutlastsThoseOfTheLaterProcess);
     CPPUNIT_TEST(lateRequestOfAnEarlierProcessExtendsNoLeaseAfterATakeover);
     CPPUNIT_TEST(successorAllowsForTheLongestLeaseOfARestartedWorker);
+    CPPUNIT_TEST(termAllowsForTheLongestLeaseBeforeItsFirstCall);
+    CPPUNIT_TEST(workerGetsNoTaskWhileASuccessorWouldNotWaitForItsLease);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Resources whole { 32000, 131072, 0 };
@@ -279,6 +281,52 @@
         assertNoViolation(cell);
         CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
     }
+
+    // Guards against a second run of a task on a worker that restarted beside a takeover, where the new term knows of
+    // no earlier process: a request that was sent to one arrived before the term's first call.
+    void termAllowsForTheLongestLeaseBeforeItsFirstCall()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.m_requestDelay = seconds(1);
+        SimulatedWorker& restarted = cell.m_workers.begin()->second;
+        SimulatedWorker& other = std::next(cell.m_workers.begin())->second;
+        other.m_isReachable = false;
+        cell.run(seconds(2));
+        restarted.m_isReachable = false;
+        cell.restartWorker(cell.m_workers.begin()->first, whole);
+        cell.listAll();
+        cell.takeOver();
+        cell.run(seconds(1));
+        restarted.m_isReachable = true;
+        cell.accept(singleTask(seconds(60)));
+        cell.run(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), restarted.m_running.size());
+        restarted.m_isReachable = false;
+        other.m_isReachable = true;
+        cell.run(seconds(30));
+        assertNoViolation(cell);
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+    }
+
+    // Guards against a task on a restarted worker whose lease may outlast the wait of a successor, as the term has not
+    // been renewed for some time.
+    void workerGetsNoTaskWhileASuccessorWouldNotWaitForItsLease()
+    {
+        SchedulerSettings settings;
+        JobScheduler scheduler(settings);
+        const TimePoint now(seconds(100));
+        SimulatedCell cell(1);
+        const WorkerDescription worker = cell.m_workers.begin()->second.m_description;
+        scheduler.workerListed(worker, now);
+        scheduler.workerReported(worker.m_worker, { 1, now, {}, {} }, now);
+        scheduler.addJob(singleTask(), {}, 0, now);
+        scheduler.setSuccessorWaitEnd(now + settings.m_longestLease - milliseconds(1));
+        scheduler.step(0, now, {});
+        CPPUNIT_ASSERT(!scheduler.hasChanges());
+        scheduler.setSuccessorWaitEnd(now + settings.m_longestLease);
+        scheduler.step(0, now + milliseconds(50), {});
+        CPPUNIT_ASSERT(scheduler.hasChanges());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LateOrderTest);
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -142,7 +142,7 @@
             m_scheduler->addJob(record, progressOf(id), wallMs(), m_now);
         if (!m_isAcceptedTopicUnavailable)
             readAccepted();
-        m_scheduler->setInheritedLeases({ m_now + lease + milliseconds(600), m_storedLeaseEnds }, m_now);
+        m_scheduler->setInheritedLeases({ m_now + longestLease + milliseconds(600), m_storedLeaseEnds }, m_now);
         m_announcedLeaseEnds = m_storedLeaseEnds;
     }
 
