Bound the allowance for late calls by the age of a worker's process

Only a worker whose process is young may hold a lease from a call to an earlier one. Successors wait for 8.6 s again. A restarted worker gets no task until a successor would wait for its lease, 1.7 s after its first answer to a call with the new number. A term that is less than 13 s old, in which calls to earlier processes may still arrive that it knows nothing of, does the same for workers whose process is less than 23.3 s old, by its time of start. The clock in answers cannot serve: it begins at any value.

--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -62,7 +62,6 @@
         election.m_claimDelay = std::chrono::milliseconds(seed % maxClaimDelayMs);
         election.m_weakHostDelay = capacityClaimDelay(settings);
         election.m_workerLease = workerLease(settings);
-        election.m_longestLease = settings.m_longestLease;
         election.m_leaseReach = election.m_workerLease + renewalSlack;
         election.m_leaseMargin = election.m_workerLease / workerDriftDivisor + lateOrderMargin;
         return election;
@@ -253,7 +252,7 @@
     };
     authority.m_grantLeases = [this] { m_election.grantLeases(); };
     authority.m_leaseLimit = [this] { return m_election.election().leaseLimit(); };
-    authority.m_successorWaitEnd = [this] { return m_election.election().successorWaitEnd(); };
+    authority.m_successorWaitEnd = [this] { return m_election.election().successorWaitEnd(bootNow()); };
     authority.m_newestNumber = [this] { return m_election.election().newestNumber(); };
     authority.m_announceLeaseEnds
         = [this](std::map<WorkerId, TimePoint> ends) { m_election.announceLeaseEnds(std::move(ends)); };
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -54,7 +54,7 @@
     /// while no lease may be granted.
     std::function<void()> m_grantLeases;
     std::function<TimePoint()> m_leaseLimit;
-    /// The time until which a successor waits for workers that it cannot reach, at least.
+    /// The time until which a successor waits for workers that it cannot reach, if this term ended now.
     std::function<TimePoint()> m_successorWaitEnd;
     /// Position after the newest stored record of the term; workers compare it as the number of a call.
     std::function<std::uint64_t()> m_newestNumber;
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -28,6 +28,7 @@
     settings.m_retention = m_settings.m_jobRetention;
     settings.m_longestLease = maxLeaseDuration(m_site.m_longestLease);
     m_scheduler = std::make_unique<jobs::JobScheduler>(settings);
+    m_scheduler->setInheritedLeases(m_settings.m_earlierLeases, now);
     for (const auto& [id, worker] : m_workerObserver->m_entries) {
         m_scheduler->workerListed(worker, now);
         openLink(id);
@@ -40,7 +41,6 @@
         if (observer->m_isListed)
             restorePartition(*observer);
     }
-    m_scheduler->setInheritedLeases(m_settings.m_earlierLeases, now);
     m_log.write(LogEvent::RecoveryFinished,
         { { "term", m_settings.m_term }, { "jobs", std::uint64_t { m_scheduler->jobCount() } },
             { "openJobs", std::uint64_t { m_scheduler->openJobCount() } },
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -12,6 +12,8 @@
     constexpr int clockDriftDivisor = 50;
     /// Time between reading the clock here and applying the lease on the worker.
     constexpr Duration leaseMargin = std::chrono::milliseconds(100);
+    /// Maximum difference between the time of day on two hosts.
+    constexpr Duration maxClockDifference = std::chrono::seconds(5);
 
 } // namespace
 
@@ -140,6 +142,8 @@
             return handler(std::move(answer.m_report));
         processListed(answer.m_report.m_bornMs);
         answer.m_report.m_isFenced = !m_needsNumber && number == m_number;
+        const Duration age = std::chrono::milliseconds(wallNowMs() - answer.m_report.m_bornMs);
+        answer.m_report.m_processAge = std::max(age - maxClockDifference, Duration::zero());
         m_isFenced = m_isFenced || answer.m_report.m_isFenced;
         m_bornMs = answer.m_report.m_bornMs;
         m_clockMs = answer.m_clockMs;
--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -161,7 +161,7 @@
     const Duration longest = m_settings.m_termLease + m_settings.m_workerLease + m_settings.m_leaseMargin;
     if (!record.m_leases)
         return { now + longest, {} };
-    const Duration reach = hasEnded ? m_settings.m_longestLease : m_settings.m_leaseReach;
+    const Duration reach = hasEnded ? m_settings.m_workerLease : m_settings.m_leaseReach;
     const Duration ownLeases = record.m_leases->m_isGranting ? reach + m_settings.m_leaseMargin : Duration::zero();
     LeaseBounds bounds { now + std::max(ownLeases, std::min(record.m_leases->m_earlierTerms, longest)), {} };
     for (const auto& [worker, remaining] : record.m_leases->m_byWorker)
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -9,6 +9,7 @@
 #include "model/Result.h"
 #include "model/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -38,8 +39,6 @@
     Duration m_termLease = std::chrono::seconds(7);
     /// Lease of a worker that an order extends.
     Duration m_workerLease = std::chrono::seconds(8);
-    /// Lease that a call grants which another process of the worker carries out than it was sent to.
-    Duration m_longestLease = std::chrono::seconds(10);
     /// Time after the last confirmed renewal by which all leases end that a holder grants to workers. A successor waits
     /// for it where it cannot reach a worker. Leases are shorter in an outage of the store that is longer than the
     /// difference to m_workerLease.
@@ -140,8 +139,12 @@
     /// The time by which leases that are granted now must end. It has passed until the store has a record which
     /// announces leases.
     TimePoint leaseLimit() const { return m_leaseLimit; }
-    /// The time until which a successor waits for workers that it cannot reach, at least.
-    TimePoint successorWaitEnd() const { return m_leaseLimit + m_settings.m_leaseMargin; }
+    /// The time until which a successor waits for workers that it cannot reach, if this daemon gives no more orders
+    /// after `now`.
+    TimePoint successorWaitEnd(TimePoint now) const
+    {
+        return std::min(m_leaseLimit, now + m_settings.m_workerLease) + m_settings.m_leaseMargin;
+    }
     /// Replaces the ends of the leases of single workers that the following records tell successors. The holder grants
     /// these workers no lease from this call on, until isLeaseWithheld() is false.
     void announceLeaseEnds(std::map<WorkerId, TimePoint> ends) { m_announcedEnds = std::move(ends); }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -64,8 +64,8 @@
 
     /// \name Recovery
     /// @{
-    /// Sets the times by which the leases of all earlier terms have ended. Until then, the steps of restored jobs wait
-    /// for the reports of the workers on which they may have tasks.
+    /// Begins the term, before any worker is listed, with the times by which the leases of all earlier terms have
+    /// ended. Until then, the steps of restored jobs wait for the reports of the workers on which they may have tasks.
     void setInheritedLeases(LeaseBounds bounds, TimePoint now)
     {
         m_inheritedLeases = std::move(bounds);
@@ -123,8 +123,8 @@
     /// Whether no task may start now because the view of the workers or of the cancellations is too old. Stops, reports
     /// and leases go on, and placed tasks keep their places.
     void setStartsHeld(bool areHeld) { m_areStartsHeld = areHeld; }
-    /// Sets the time until which a successor waits for workers that it cannot reach. A worker whose lease may last
-    /// longer gets no new work.
+    /// Sets the time until which a successor waits for workers that it cannot reach, if this term ended now. A worker
+    /// whose lease may last longer gets no new work.
     void setSuccessorWaitEnd(TimePoint end) { m_successorWaitEnd = end; }
     /// Makes all decisions that are possible now and returns the resulting orders and advice requests.
     std::vector<SchedulerAction> step(std::int64_t wallNowMs, TimePoint now, const AdviceCapacity&);
@@ -301,6 +301,8 @@
     std::unordered_map<WorkerId, WorkerNumber> m_workerNumbers;
     /// Workers that were forgotten since they were last taken.
     std::vector<WorkerId> m_goneWorkers;
+    /// When workers were forgotten, while calls to them may still be carried out.
+    std::unordered_map<WorkerId, TimePoint> m_recentlyGone;
     /// Null for workers that are gone.
     std::vector<Worker*> m_workersByNumber;
     std::unordered_map<std::string, PoolNumber> m_poolNumbers;
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -89,8 +89,6 @@
         return "notReported";
     if (!worker.isAnswering())
         return "silent";
-    if (!worker.m_isFenced)
-        return "notFenced";
     if (!worker.m_isDescribed)
         return "notDescribed";
     if (worker.m_hasUnknownRuns)
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -30,8 +30,11 @@
     worker.m_lastReportAt = now;
     worker.m_isSilent = false;
     worker.m_isReplaced = false;
-    if (report.m_isFenced && !std::exchange(worker.m_isFenced, true))
-        worker.m_lateLeaseEnd = std::min(worker.m_lateLeaseEnd, now + m_settings.m_longestLease);
+    if (report.m_isFenced && !std::exchange(worker.m_isFenced, true)) {
+        // Calls to earlier processes arrived before this answer, and soon after the start of the present one.
+        const TimePoint lastLateCall = std::min(now, now - report.m_processAge + maxOrderDelay);
+        worker.m_lateLeaseEnd = std::min(worker.m_lateLeaseEnd, lastLateCall + m_settings.m_longestLease);
+    }
     for (const EndReport& end : report.m_ended)
         handleRunEnd(worker, end, now);
     worker.m_hasUnknownRuns = false;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -109,6 +109,8 @@
     bool m_listsAllEnds = true;
     /// Whether the process rejects calls that were sent to earlier ones, since it has answered this request.
     bool m_isFenced = true;
+    /// Time since the start of the process, at least.
+    Duration m_processAge {};
 
     friend bool operator==(const WorkerReport&, const WorkerReport&) = default;
 };
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -29,8 +29,9 @@
         m_workersByNumber.push_back(&worker);
         m_workerNumbers[description.m_worker] = worker.m_number;
         worker.m_isLeaseWithheld = m_withheldLeases.contains(description.m_worker);
-        // Earlier terms may have sent calls to an earlier process of the worker.
-        worker.m_lateLeaseEnd = now + maxOrderDelay + m_settings.m_longestLease;
+        // An earlier term, or this one, may have sent calls to an earlier process of the worker.
+        if (now - m_inheritedAt < maxOrderDelay || m_recentlyGone.contains(description.m_worker))
+            worker.m_lateLeaseEnd = now + maxOrderDelay + m_settings.m_longestLease;
     }
     const std::int64_t born = worker.m_description.m_bornMs;
     const bool wasDraining = worker.m_isListed && worker.m_description.m_isDraining;
@@ -72,7 +73,7 @@
 bool JobScheduler::isAvailable(const Worker& worker, TimePoint now) const
 {
     return worker.m_isListed && !worker.m_isReplaced && worker.m_hasReported && worker.isAnswering()
-        && worker.m_isFenced && worker.m_isDescribed && !worker.m_hasUnknownRuns && !worker.m_description.m_isDraining
+        && worker.m_isDescribed && !worker.m_hasUnknownRuns && !worker.m_description.m_isDraining
         && !worker.m_isLeaseWithheld && isLateLeaseCovered(worker, now) && !worker.m_health.isQuarantined(now)
         && worker.m_refusalBackoffEnd <= now;
 }
@@ -212,12 +213,14 @@
             m_workersByNumber[worker.m_number] = nullptr;
             m_workerNumbers.erase(it->first);
             m_goneWorkers.push_back(it->first);
+            m_recentlyGone[it->first] = now;
             m_poolReservations[worker.m_pool] -= worker.m_reservedFor != nullptr ? 1 : 0;
             --m_poolWorkers[worker.m_pool];
         }
         it = isGone ? m_workers.erase(it) : std::next(it);
     }
     forgetInheritedPlaces(now);
+    std::erase_if(m_recentlyGone, [now](const auto& gone) { return gone.second + maxOrderDelay < now; });
     while (!m_lostRuns.empty() && m_lostRuns.front().m_at + lostRunRetention < now)
         m_lostRuns.pop_front();
 }
