A rejection by another call of the term does not end it

Calls of one term have different numbers now. A worker that takes over the address of another one may have been called with a higher number than the link of the earlier one carries; if it compares numbers before names, its rejection counted as the sign of a later term, and the term ended.

A rejection shows a later term only if the call carried the newest number of the term when it was sent; otherwise the next call carries that. A report without a time of start counts as one of a young process. rejectionByAnotherCallOfTheTermDoesNotEndIt failed before (the start ended the term).

--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -79,6 +79,14 @@
     m_leaseEnd = std::max(m_leaseEnd, bootNow() + maxLeaseDuration(m_settings.m_longestLease));
 }
 
+bool WorkerLink::showsLaterTerm(const SentNumber& sent)
+{
+    if (sent.m_number >= m_number && sent.m_number >= sent.m_newest)
+        return true;
+    m_needsNumber = m_needsNumber || sent.m_number == m_number;
+    return false;
+}
+
 userplatform::OrderHeader WorkerLink::nextHeader()
 {
     userplatform::OrderHeader header = nextHeaderWithoutLease();
@@ -104,7 +112,7 @@
     const Duration wait = m_isFenced ? m_timing.reportWait(bootNow()) : Duration::zero();
     m_connection.awaitReport(header, acknowledged, wait, wait + m_timing.timeout(),
         reportHandler(
-            header.m_number, bootNow(), [this, handler = std::move(handler)](const Result<jobs::WorkerReport>& result) {
+            sentNow(header), bootNow(), [this, handler = std::move(handler)](const Result<jobs::WorkerReport>& result) {
                 // The response time says nothing, since the worker may have waited.
                 if (succeeded(result) && std::exchange(m_hasUnanswered, false))
                     m_timing.answerWasLost(bootNow());
@@ -118,20 +126,20 @@
     const userplatform::OrderHeader header = nextHeader();
     m_connection.fetchReport(header, acknowledged, m_timing.timeout(),
         timed<Result<userplatform::WorkerReportAnswer>>([](const auto& result) { return succeeded(result); },
-            reportHandler(header.m_number, bootNow(), std::move(handler))));
+            reportHandler(sentNow(header), bootNow(), std::move(handler))));
 }
 
 std::function<void(Result<userplatform::WorkerReportAnswer>)> WorkerLink::reportHandler(
-    std::uint64_t number, TimePoint askedAt, std::function<void(Result<jobs::WorkerReport>)> handler)
+    const SentNumber& sent, TimePoint askedAt, std::function<void(Result<jobs::WorkerReport>)> handler)
 {
-    return [this, alive = m_isAlive, number, askedAt, handler = std::move(handler)](
+    return [this, alive = m_isAlive, sent, askedAt, handler = std::move(handler)](
                Result<userplatform::WorkerReportAnswer> result) {
         if (!*alive)
             return;
         if (!succeeded(result)) {
-            const bool isForEarlierProcess = errorOf(result).m_kind == ErrorKind::StaleEpoch && number < m_number;
-            return handler(isForEarlierProcess
-                    ? Error { ErrorKind::NoMinion, "the call was meant for an earlier process of the worker" }
+            const bool isOutranked = errorOf(result).m_kind == ErrorKind::StaleEpoch && !showsLaterTerm(sent);
+            return handler(isOutranked
+                    ? Error { ErrorKind::NoMinion, "the worker's process obeys a later call of the same term" }
                     : errorOf(result));
         }
         userplatform::WorkerReportAnswer answer = valueOf(std::move(result));
@@ -141,9 +149,11 @@
         if (answer.m_report.m_bornMs < m_bornMs)
             return handler(std::move(answer.m_report));
         processListed(answer.m_report.m_bornMs);
-        answer.m_report.m_isFenced = !m_needsNumber && number == m_number;
-        const Duration age = std::chrono::milliseconds(wallNowMs() - answer.m_report.m_bornMs);
-        answer.m_report.m_processAge = std::max(age - maxClockDifference, Duration::zero());
+        answer.m_report.m_isFenced = !m_needsNumber && sent.m_number == m_number;
+        if (answer.m_report.m_bornMs > 0) {
+            const Duration age = std::chrono::milliseconds(wallNowMs() - answer.m_report.m_bornMs);
+            answer.m_report.m_processAge = std::max(age - maxClockDifference, Duration::zero());
+        }
         m_isFenced = m_isFenced || answer.m_report.m_isFenced;
         m_bornMs = answer.m_report.m_bornMs;
         m_clockMs = answer.m_clockMs;
@@ -161,9 +171,9 @@
         return answer.m_outcome != Unknown && answer.m_outcome != NotSent;
     };
     m_connection.start(header, order, m_timing.timeout(),
-        timed<userplatform::StartAnswer>(isAnswered,
-            [this, number = header.m_number, handler = std::move(handler)](userplatform::StartAnswer answer) {
-                if (answer.m_outcome == jobs::StartOutcome::RefusedForTerm && number < m_number)
+        timed<userplatform::StartAnswer>(
+            isAnswered, [this, sent = sentNow(header), handler = std::move(handler)](userplatform::StartAnswer answer) {
+                if (answer.m_outcome == jobs::StartOutcome::RefusedForTerm && !showsLaterTerm(sent))
                     answer.m_outcome = jobs::StartOutcome::Refused;
                 handler(std::move(answer));
             }));
--- a/src/controller/WorkerLink.h
+++ b/src/controller/WorkerLink.h
@@ -58,8 +58,21 @@
     TimePoint leaseEnd() const { return m_leaseEnd; }
 
 private:
+    /// The number of a call, and the newest one of the term when it was sent.
+    struct SentNumber {
+        std::uint64_t m_number = 0;
+        std::uint64_t m_newest = 0;
+    };
+
+    SentNumber sentNow(const userplatform::OrderHeader& header) const
+    {
+        return { header.m_number, m_authority.m_newestNumber() };
+    }
+    /// Whether the rejection of a call for its number shows that a later term has called the worker. If another call of
+    /// this term may explain it, the next call gets the newest number.
+    bool showsLaterTerm(const SentNumber&);
     std::function<void(Result<userplatform::WorkerReportAnswer>)> reportHandler(
-        std::uint64_t number, TimePoint askedAt, std::function<void(Result<jobs::WorkerReport>)>);
+        const SentNumber&, TimePoint askedAt, std::function<void(Result<jobs::WorkerReport>)>);
     /// Returns the header of an order that is sent now, and updates the end of the lease.
     userplatform::OrderHeader nextHeader();
     /// Returns the header of an order that does not extend the lease.
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(leaseOfUnresponsiveWorkerIsNotExtended);
     CPPUNIT_TEST(answerOfAnEarlierProcessDoesNotSetTheClock);
     CPPUNIT_TEST(lateCallsToAnEarlierProcessAreRejectedByTheLaterOne);
+    CPPUNIT_TEST(rejectionByAnotherCallOfTheTermDoesNotEndIt);
     CPPUNIT_TEST(malformedRowFailsTheReport);
     CPPUNIT_TEST(lostOrderDelaysNoOtherOne);
     CPPUNIT_TEST(listenerOpensAfterAddressInUse);
@@ -225,6 +226,41 @@
         CPPUNIT_ASSERT(number > numberOfEarlierProcess);
     }
 
+    // Guards against a term that ends because a worker rejects a call with a lower number than another call of the same
+    // term, for example one to a worker that was at this address before.
+    void rejectionByAnotherCallOfTheTermDoesNotEndIt()
+    {
+        boost::asio::io_context context;
+        std::int64_t highest = 9;
+        std::uint64_t newestNumber = 7;
+        HttpListener worker(context, "", [&](const ServerRequest& request, const Responder& respond) {
+            if (boost::json::parse(request.m_body).as_object().at("fencing_token").as_int64() < highest)
+                return respond({ 409, R"({"clock_ms":1000,"reason":"fence"})" });
+            respond({ 200, R"({"clock_ms":1000,"born":1,"running":[],"finished":[]})" });
+        });
+        jobs::CallTiming timing;
+        WorkerLink workerLink(context, {}, { unlimited.m_leaseLimit, [&] { return newestNumber; } }, timing,
+            WorkerId("i-1"), openOnFreePort(worker));
+        const auto failureOfFetch = [&] {
+            std::optional<std::optional<ErrorKind>> kind;
+            workerLink.fetchReport(0, [&](const Result<jobs::WorkerReport>& report) {
+                kind = succeeded(report) ? std::nullopt : std::optional(errorOf(report).m_kind);
+            });
+            runUntil(context, [&] { return kind.has_value(); });
+            return *kind;
+        };
+        std::optional<jobs::StartOutcome> outcome;
+        newestNumber = 9;
+        sendStart(workerLink, 1, outcome);
+        runUntil(context, [&] { return outcome.has_value(); });
+        CPPUNIT_ASSERT(*outcome == jobs::StartOutcome::Refused);
+        CPPUNIT_ASSERT(!failureOfFetch());
+        highest = 11;
+        newestNumber = 10;
+        CPPUNIT_ASSERT(failureOfFetch() == ErrorKind::NoMinion);
+        CPPUNIT_ASSERT(failureOfFetch() == ErrorKind::StaleEpoch);
+    }
+
     // A row that cannot be read used to be left out, so that a run counted as ended and was started again elsewhere.
     void malformedRowFailsTheReport()
     {
