Announce leases from late calls instead of holding workers back

Cause: a restarted worker, and after a takeover each worker with a young process, got no task for 1.7 s, until a successor would wait for its lease.

The records of a term already tell until when leases of earlier terms last (earlierLeasesMs). They now include leases from calls to earlier processes, and a worker gets tasks once the store has such a record, 0.3 s later at most. Successors wait longer only if they follow within 1.7 s of the worker's first answer.

--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -253,6 +253,7 @@
     authority.m_grantLeases = [this] { m_election.grantLeases(); };
     authority.m_leaseLimit = [this] { return m_election.election().leaseLimit(); };
     authority.m_successorWaitEnd = [this] { return m_election.election().successorWaitEnd(bootNow()); };
+    authority.m_announceLateLeases = [this](TimePoint end) { m_election.announceLateLeases(end); };
     authority.m_newestNumber = [this] { return m_election.election().newestNumber(); };
     authority.m_announceLeaseEnds
         = [this](std::map<WorkerId, TimePoint> ends) { m_election.announceLeaseEnds(std::move(ends)); };
--- a/src/controller/ElectionDriver.h
+++ b/src/controller/ElectionDriver.h
@@ -27,6 +27,8 @@
     void grantLeases();
     /// See Election::announceLeaseEnds().
     void announceLeaseEnds(std::map<WorkerId, TimePoint> ends) { m_election.announceLeaseEnds(std::move(ends)); }
+    /// See Election::announceLateLeases().
+    void announceLateLeases(TimePoint end) { m_election.announceLateLeases(end); }
     /// Releases the term if this daemon holds it.
     void releaseTerm();
 
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -170,6 +170,7 @@
     // A start grants a lease.
     const bool hasNoLease = now >= m_authority.m_leaseLimit();
     m_scheduler->setStartsHeld(isHeld || hasNoLease);
+    m_authority.m_announceLateLeases(m_scheduler->latestLateLease());
     m_scheduler->setSuccessorWaitEnd(m_authority.m_successorWaitEnd());
     const bool isUnread = m_workerFollower->consecutiveFailures() >= jobs::failuresOfUnavailableStore;
     if (std::exchange(m_isRegistryUnread, isUnread) != isUnread)
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -56,6 +56,8 @@
     std::function<TimePoint()> m_leaseLimit;
     /// The time until which a successor waits for workers that it cannot reach, if this term ended now.
     std::function<TimePoint()> m_successorWaitEnd;
+    /// Tells successors until when workers may hold leases from calls to earlier processes.
+    std::function<void(TimePoint)> m_announceLateLeases;
     /// Position after the newest stored record of the term; workers compare it as the number of a call.
     std::function<std::uint64_t()> m_newestNumber;
     /// Announces the ends of the leases of single workers to successors, and tells whether a worker is granted none
--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -188,8 +188,10 @@
     TermRecord record { TermRecord::Kind::Renewal, m_term, m_settings.m_daemon, m_settings.m_address,
         m_progressPartition, m_settings.m_weakHostDelay, std::nullopt };
     if (m_holdsTerm) {
-        record.m_leases = { m_isGranting, remainingMilliseconds(m_earlierLeases.m_end, now),
-            remainingMilliseconds(m_announcedEnds, now) };
+        m_appendedLateEnd = m_announcedLateEnd;
+        record.m_leases
+            = { m_isGranting, remainingMilliseconds(std::max(m_earlierLeases.m_end, m_announcedLateEnd), now),
+                  remainingMilliseconds(m_announcedEnds, now) };
         for (const auto& [worker, end] : m_announcedEnds)
             m_namedWorkers.insert(worker);
         record.m_progressPartition = m_announcedPartition.value_or(m_progressPartition);
@@ -219,6 +221,8 @@
     m_earlierLeases = m_claim->m_earlierLeases;
     m_isGranting = false;
     m_leaseLimit = {};
+    m_announcedLateEnd = {};
+    m_storedLateEnd = {};
     m_announcedEnds = m_earlierLeases.m_byWorker;
     m_namedWorkers.clear();
     for (const auto& [worker, end] : m_announcedEnds)
@@ -244,6 +248,7 @@
 void Election::completeRenewal(std::uint64_t offset, TimePoint sentAt)
 {
     m_newestNumber = offset + 1;
+    m_storedLateEnd = m_appendedLateEnd;
     m_termLeaseEnd = sentAt + m_settings.m_termLease;
     m_progressPartition = m_appended.m_progressPartition;
     m_namedWorkers.clear();
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -64,7 +64,8 @@
     struct Leases {
         /// Whether this term may have granted leases; stored as "grants".
         bool m_isGranting = false;
-        /// Until the end of the leases of all earlier terms; stored as "earlierLeasesMs".
+        /// Until the end of the leases of all earlier terms, and of those from calls to earlier processes of workers;
+        /// stored as "earlierLeasesMs".
         Duration m_earlierTerms {};
         /// Until the end of the leases of single workers, by earlier terms and by this one, which grants them no more
         /// while its newest record names them; stored as "leaseEndsMs".
@@ -143,8 +144,11 @@
     /// after `now`.
     TimePoint successorWaitEnd(TimePoint now) const
     {
-        return std::min(m_leaseLimit, now + m_settings.m_workerLease) + m_settings.m_leaseMargin;
+        const TimePoint ownLeases = std::min(m_leaseLimit, now + m_settings.m_workerLease) + m_settings.m_leaseMargin;
+        return std::max(ownLeases, m_storedLateEnd);
     }
+    /// Tells successors, from the next record on, until when workers may hold leases from calls to earlier processes.
+    void announceLateLeases(TimePoint end) { m_announcedLateEnd = std::max(m_announcedLateEnd, end); }
     /// Replaces the ends of the leases of single workers that the following records tell successors. The holder grants
     /// these workers no lease from this call on, until isLeaseWithheld() is false.
     void announceLeaseEnds(std::map<WorkerId, TimePoint> ends) { m_announcedEnds = std::move(ends); }
@@ -199,6 +203,10 @@
     LeaseBounds m_earlierLeases;
     bool m_isGranting = false;
     TimePoint m_leaseLimit {};
+    /// End of the leases from calls to earlier processes: announced, named by the record in flight, and stored.
+    TimePoint m_announcedLateEnd {};
+    TimePoint m_appendedLateEnd {};
+    TimePoint m_storedLateEnd {};
     std::map<WorkerId, TimePoint> m_announcedEnds;
     /// Workers that are named by the newest record of this term in the store, or by a later one that it may have.
     std::set<WorkerId> m_namedWorkers;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -123,6 +123,8 @@
     /// Whether no task may start now because the view of the workers or of the cancellations is too old. Stops, reports
     /// and leases go on, and placed tasks keep their places.
     void setStartsHeld(bool areHeld) { m_areStartsHeld = areHeld; }
+    /// The time by which leases from calls to earlier processes have ended on all workers that reject such calls now.
+    TimePoint latestLateLease() const { return m_latestLateLease; }
     /// Sets the time until which a successor waits for workers that it cannot reach, if this term ended now. A worker
     /// whose lease may last longer gets no new work.
     void setSuccessorWaitEnd(TimePoint end) { m_successorWaitEnd = end; }
@@ -329,6 +331,7 @@
     bool m_isStoreUnavailable = false;
     bool m_areStartsHeld = false;
     TimePoint m_successorWaitEnd = TimePoint::max();
+    TimePoint m_latestLateLease {};
     std::uint64_t m_lastBatch = 0;
     /// Highest end that a worker had reported since its start when a batch was taken.
     struct SeenEnd {
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -34,6 +34,7 @@
         // Calls to earlier processes arrived before this answer, and soon after the start of the present one.
         const TimePoint lastLateCall = std::min(now, now - report.m_processAge + maxOrderDelay);
         worker.m_lateLeaseEnd = std::min(worker.m_lateLeaseEnd, lastLateCall + m_settings.m_longestLease);
+        m_latestLateLease = std::max(m_latestLateLease, worker.m_lateLeaseEnd);
     }
     for (const EndReport& end : report.m_ended)
         handleRunEnd(worker, end, now);
--- a/tests/controller/TermFixture.h
+++ b/tests/controller/TermFixture.h
@@ -25,6 +25,7 @@
         authority.m_grantLeases = [] {};
         authority.m_leaseLimit = [] { return TimePoint::max(); };
         authority.m_successorWaitEnd = [] { return TimePoint::max(); };
+        authority.m_announceLateLeases = [](TimePoint) {};
         authority.m_newestNumber = [number] { return number; };
         authority.m_announceLeaseEnds = [](const std::map<WorkerId, TimePoint>&) {};
         authority.m_isLeaseWithheld = [](const WorkerId&) { return false; };
--- a/tests/jobs/ElectionTest.cpp
+++ b/tests/jobs/ElectionTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(recordsWithoutLeasesCountAsALease);
     CPPUNIT_TEST(noLeaseIsGrantedBeforeItIsAnnounced);
     CPPUNIT_TEST(termThatGrantedNothingDoesNotLengthenTheWait);
+    CPPUNIT_TEST(lateLeasesCountOnceTheyAreStored);
     CPPUNIT_TEST(endsOfSingleLeasesOutliveTheirTerm);
     CPPUNIT_TEST(namedLeaseIsWithheldUntilARecordWithoutItIsStored);
     CPPUNIT_TEST(authorityEndsWithoutRenewals);
@@ -282,6 +283,27 @@
         CPPUNIT_ASSERT(c.m_election.earlierLeases().m_end <= end + milliseconds(100));
     }
 
+    // Guards against a worker that gets a task before successors know of its lease, and against a successor that does
+    // not wait for it.
+    void lateLeasesCountOnceTheyAreStored()
+    {
+        Topic topic;
+        Daemon a("a", topic);
+        TimePoint now(seconds(100));
+        a.grant(now);
+        const ElectionSettings settings;
+        const TimePoint end = now + milliseconds(10305);
+        a.m_election.announceLateLeases(end);
+        CPPUNIT_ASSERT(a.m_election.successorWaitEnd(now) == now + settings.m_workerLease + settings.m_leaseMargin);
+        now += settings.m_renewInterval;
+        a.step(now);
+        CPPUNIT_ASSERT(a.m_election.successorWaitEnd(now) == end);
+        Daemon restarted("a", topic);
+        restarted.step(now);
+        CPPUNIT_ASSERT(restarted.m_election.holdsTerm(now));
+        CPPUNIT_ASSERT(restarted.m_election.earlierLeases().m_end >= end);
+    }
+
     // Guards against a wait for a worker that was lost in an earlier term which begins anew with each takeover.
     void endsOfSingleLeasesOutliveTheirTerm()
     {
