Tests: a crash counted for a run of the worker's later process (failing)

A task whose run was begun by the process of a worker that follows a crashed one is counted as a suspect of that crash, once the restart is noticed. With a crash counted before, its job is given up.

The simulated cell can restart a worker without a sign of it: the request for a report that was pending then times out.

--- a/tests/jobs/CrashTest.cpp
+++ b/tests/jobs/CrashTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(provenTaskIsNoSuspect);
     CPPUNIT_TEST(startThatWasNotAnsweredIsNoSuspect);
     CPPUNIT_TEST(gangThatLosesTwoWorkersAtOnceIsKept);
+    CPPUNIT_TEST(runOfALaterProcessIsNoSuspect);
+    CPPUNIT_TEST(runThatALaterProcessEndedIsNoSuspect);
     CPPUNIT_TEST_SUITE_END();
 
     static TaskName task(const std::string& job, std::uint32_t index) { return { JobId(job), { 0, 0, index } }; }
@@ -199,6 +201,52 @@
         cell.run(seconds(20));
         CPPUNIT_ASSERT(cell.state("gang") == JobState::Done);
     }
+
+    // Guards against a job that is given up for the crash of a process which ended before its task was ordered: the
+    // restart is noticed once the later process has begun the run.
+    void runOfALaterProcessIsNoSuspect()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(1, 1000, seconds(3)) }));
+        startAgainOnAnUnnoticedProcess(cell);
+        cell.run(SimulatedCell::requestTimeout);
+        CPPUNIT_ASSERT(cell.m_scheduler->takeCrashes().empty());
+        cell.run(seconds(5));
+        CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
+    // The same for a run that has ended in the later process before the restart is noticed.
+    void runThatALaterProcessEndedIsNoSuspect()
+    {
+        SimulatedCell cell = startedCell(2);
+        cell.accept(SimulatedCell::job("j", { SimulatedCell::step(1, 1000, milliseconds(300)) }));
+        startAgainOnAnUnnoticedProcess(cell);
+        cell.run(SimulatedCell::requestTimeout + seconds(1));
+        CPPUNIT_ASSERT(cell.m_scheduler->takeCrashes().empty());
+        CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
+private:
+    /// Crashes the worker of the job's only task; the task starts again on the other worker, which has restarted just
+    /// before, unknown to the scheduler.
+    static void startAgainOnAnUnnoticedProcess(SimulatedCell& cell)
+    {
+        cell.run(milliseconds(200));
+        const WorkerId first = firstWorkerOf(cell);
+        CPPUNIT_ASSERT(!first.empty());
+        cell.crashWorker(first);
+        cell.run(SimulatedCell::crashTime - milliseconds(100));
+        for (const auto& [id, worker] : cell.m_workers) {
+            if (id != first)
+                cell.restartWorkerSilently(id);
+        }
+        cell.run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+        CPPUNIT_ASSERT(firstWorkerOf(cell) != first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.m_scheduler->takeCrashes().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashTest);
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -84,6 +84,8 @@
     static constexpr Duration stopTime = milliseconds(300);
     /// Time from the crash of a worker to its next process.
     static constexpr Duration crashTime = milliseconds(3300);
+    /// Time after which a request for a report counts as unanswered: its wait, and the timeout of a call.
+    static constexpr Duration requestTimeout = milliseconds(1200);
     static constexpr Duration renewalInterval = milliseconds(300);
     static constexpr std::size_t maxAnnouncedLeases = 64;
 
@@ -194,23 +196,21 @@
     /// Restarts a worker, which loses its state, with the given capacity.
     void restartWorker(const WorkerId& id, Resources capacity)
     {
-        SimulatedWorker& worker = m_workers.at(id);
-        worker.m_running.clear();
-        worker.m_ended.clear();
-        worker.m_barred.clear();
-        worker.m_lastEnd = 0;
-        worker.m_lapsedEnd = 0;
-        worker.m_highestNumber = 0;
-        worker.m_wasCalled = false;
-        worker.m_isUp = true;
         // The pending request for a report is aborted.
         if (m_scheduler) {
             m_scheduler->reportFailed(id, m_now);
             delayReportRequest(id);
         }
-        ++worker.m_description.m_bornMs;
-        worker.m_startedAt = m_now;
-        worker.m_description.m_capacity = capacity;
+        beginProcess(m_workers.at(id));
+        m_workers.at(id).m_description.m_capacity = capacity;
+    }
+
+    /// Restarts a worker without a sign of it until the pending request for a report has timed out.
+    void restartWorkerSilently(const WorkerId& id)
+    {
+        SimulatedWorker& worker = m_workers.at(id);
+        beginProcess(worker);
+        worker.m_nextReportAt = m_now + requestTimeout;
     }
 
     /// Changes the capacity of a running worker and lists it anew.
@@ -386,6 +386,21 @@
         m_scheduler->workerListed(description, m_now);
     }
 
+    /// Begins the next process of a worker, which knows nothing of the earlier one.
+    void beginProcess(SimulatedWorker& worker)
+    {
+        worker.m_running.clear();
+        worker.m_ended.clear();
+        worker.m_barred.clear();
+        worker.m_lastEnd = 0;
+        worker.m_lapsedEnd = 0;
+        worker.m_highestNumber = 0;
+        worker.m_wasCalled = false;
+        worker.m_isUp = true;
+        ++worker.m_description.m_bornMs;
+        worker.m_startedAt = m_now;
+    }
+
     void advance()
     {
         m_now += tick;
