Count a crash only against runs of the process that has ended

Cause: a restart under the same id is noticed late, by the registry or the next report, and the crash was counted for all runs that had just been started there, whatever process they began in.

A report lists all runs of its process. The suspects of a crash are now the runs which the later process does not list, so they are known with its first complete report. Until then its tasks were not started elsewhere before either. A run remembers the process whose report has listed it.

runOfALaterProcessIsNoSuspect and runThatALaterProcessEndedIsNoSuspect failed before and pass now; the other tests of the package hold.

--- a/src/jobs/CrashSuspects.cpp
+++ b/src/jobs/CrashSuspects.cpp
@@ -1,7 +1,9 @@
 // Tasks that crash the workers that start them.
 //
 // Answers a cell in which one task takes down worker after worker. When the process of a worker ends, the runs that it
-// has just started are suspects: a run that a report has listed some time after its start is not. A suspect starts
+// has just started are suspects: a run that a report has listed some time after its start is not. The restart of a
+// worker is noticed late, when its later process may have begun runs already; so its suspects are the runs that the
+// first report of the later process does not list. A suspect starts
 // again on a worker that has started nothing else lately, and that gets no other work until the run has proved itself,
 // so that the next crash has one explanation. A task is given up after two crashes, and its job with it; after three
 // where other starts could explain one of them as well, as for gangs, which need several workers at once.
@@ -25,10 +27,11 @@
 
 } // namespace
 
-void JobScheduler::noteCrash(Worker& worker, TimePoint now)
+void JobScheduler::noteCrash(Worker& worker, const std::vector<RunName>& ended, TimePoint now)
 {
     std::vector<std::pair<Task*, const Run*>> suspects;
-    for (const auto& [name, run] : worker.m_runs) {
+    for (const RunName& name : ended) {
+        const Run& run = worker.m_runs.at(name);
         Task& task = countingTaskOf(*run.m_step, name);
         const auto isSame = [&task](const auto& suspect) { return suspect.first == &task; };
         // A start without an answer may have been sent to a worker that had ended already.
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -222,6 +222,7 @@
     Run& addRun(Step&, Task&, Worker&, const RunName&, RunPhase, TimePoint now);
     /// Removes a run from its worker; the task waits again unless it is done.
     void removeRun(Worker&, const RunName&, TimePoint now);
+    static std::vector<RunName> namesOfRuns(const Worker&);
     /// Removes all runs of a worker that has ended.
     void loseAllRuns(Worker&, RunLossReason, TimePoint now);
     /// Removes runs that count as over without a listed end.
@@ -272,8 +273,8 @@
 
     /// \name Tasks that crash their workers; see CrashSuspects.cpp
     /// @{
-    /// Counts the end of the worker's process for the runs that may have caused it, and gives up jobs.
-    void noteCrash(Worker&, TimePoint now);
+    /// Counts the end of the process that had these runs for those of them that may have caused it, and gives up jobs.
+    void noteCrash(Worker&, const std::vector<RunName>& ended, TimePoint now);
     /// Clears the run and its task of suspicion if the report shows that the run has lasted.
     void proveRun(Run&, const WorkerReport&);
     void beginProof(Run&);
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -72,6 +72,7 @@
         const bool isSuperfluous = !step->m_job->isOpen() || task.m_isDone || isSecond;
         Run& run = addRun(*step, task, worker, report.m_run, RunPhase::Running, now);
         run.m_isListed = true;
+        run.m_listedBornMs = workerReport.m_bornMs;
         confirm(run, now);
         run.m_percent = report.m_percent;
         if (!report.m_checkpoint.empty())
@@ -85,6 +86,7 @@
     const bool isLateStart = run.m_confirmedAt == TimePoint::max() && run.m_bornMs < workerReport.m_bornMs;
     if (isLateStart)
         noteUnexpectedRun(worker, report.m_run, taskOf(*run.m_step, report.m_run).m_liveRuns - 1);
+    run.m_listedBornMs = workerReport.m_bornMs;
     proveRun(run, workerReport);
     confirm(run, now);
     if (run.m_phase == RunPhase::Starting || run.m_phase == RunPhase::Unknown) {
@@ -116,6 +118,7 @@
 void JobScheduler::dropMissingRuns(Worker& worker, const WorkerReport& report, TimePoint now)
 {
     std::vector<RunName> missing;
+    std::vector<RunName> endedWithTheirProcess;
     std::vector<RunName> barred;
     for (auto& [name, run] : worker.m_runs) {
         const bool mustBeListed = run.m_confirmedAt < report.m_askedAt;
@@ -123,13 +126,16 @@
         const bool isUnseen = run.m_phase == RunPhase::Unknown && run.m_unknownSince < report.m_askedAt;
         if (std::exchange(run.m_isListed, false) || !report.m_listsAllEnds || (!mustBeListed && !isBarred && !isUnseen))
             continue;
-        if (mustBeListed)
+        if (mustBeListed) {
             missing.push_back(name);
-        else if (isBarred)
+            if (run.earliestBornMs() < report.m_bornMs)
+                endedWithTheirProcess.push_back(name);
+        } else if (isBarred)
             barred.push_back(name);
         else
             requestStop(run, now);
     }
+    noteCrash(worker, endedWithTheirProcess, now);
     loseRuns(worker, missing, RunLossReason::NotListed, now);
     loseRuns(worker, barred, RunLossReason::Barred, now);
 }
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -46,8 +46,10 @@
     /// Processor use of a filling task, which reserves no processor time.
     std::int64_t m_fillingMillis = 0;
     TimePoint m_orderedAt {};
-    /// Start time of the worker process that was ordered to start the run, or listed it first.
+    /// Start time of the worker process that was known when the start was sent. A later one may have carried it out.
     std::int64_t m_bornMs = 0;
+    /// Start time of the worker process whose report has listed the run; 0 before.
+    std::int64_t m_listedBornMs = 0;
     bool m_isActive = true;
     /// The report that is being handled lists the run.
     bool m_isListed = false;
@@ -72,6 +74,9 @@
     bool m_isTrialReportRequested = false;
     /// Since when the tail of a serving task has been over its target; max() while it is not.
     TimePoint m_overTargetSince = TimePoint::max();
+
+    /// Start time of the earliest worker process that may have begun the run.
+    std::int64_t earliestBornMs() const { return m_listedBornMs != 0 ? m_listedBornMs : m_bornMs; }
 };
 
 struct Task {
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -108,13 +108,18 @@
     forgetPlannedPlaces(found->m_number);
 }
 
-void JobScheduler::loseAllRuns(Worker& worker, RunLossReason reason, TimePoint now)
+std::vector<RunName> JobScheduler::namesOfRuns(const Worker& worker)
 {
-    std::vector<RunName> ended;
-    ended.reserve(worker.m_runs.size());
+    std::vector<RunName> names;
+    names.reserve(worker.m_runs.size());
     for (const auto& [name, run] : worker.m_runs)
-        ended.push_back(name);
-    loseRuns(worker, ended, reason, now);
+        names.push_back(name);
+    return names;
+}
+
+void JobScheduler::loseAllRuns(Worker& worker, RunLossReason reason, TimePoint now)
+{
+    loseRuns(worker, namesOfRuns(worker), reason, now);
 }
 
 void JobScheduler::workerReplaced(const WorkerId& id, TimePoint now)
@@ -124,7 +129,7 @@
         return;
     worker->m_isReplaced = true;
     workerDelisted(id, now);
-    noteCrash(*worker, now);
+    noteCrash(*worker, namesOfRuns(*worker), now);
     loseAllRuns(*worker, RunLossReason::WorkerReplaced, now);
     forgetPlannedPlaces(worker->m_number);
     // What earlier terms started there has ended as well.
@@ -135,7 +140,6 @@
 
 void JobScheduler::handleWorkerRestart(Worker& worker, std::int64_t bornMs, TimePoint now)
 {
-    noteCrash(worker, now);
     worker.m_isDescribed = worker.m_isDescribed && worker.m_describedBornMs == bornMs;
     worker.m_description.m_bornMs = bornMs;
     worker.m_hasReported = false;
