Keep a run of a later process until the leases of that process have ended

Cause: a run counted as one of the process that was known when its start was sent. If a later process had carried the start out before its restart was noticed, and the worker then fell silent, the run was given up with the lease of the earlier process; a request to that one, carried out late, lets the run go on for up to 10.3 s from its arrival. Two runs of one task.

Only a report shows which process has a run. A run is given up before the leases from calls to earlier processes have ended only if a report of an earlier process has listed it.

runOfALaterProcessKeepsTheLeaseOfItsProcess failed before ("two runs of j") where the registry shows the restart before any report; where the later process has listed the run, the next call fences it at once, and the test held. The other tests of the package hold.

--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -304,7 +304,8 @@
     // A process that has begun unnoticed counts the lease from the arrival of the start.
     if (run.m_mayBeginUntil > run.m_orderedAt)
         end = std::max(end, run.m_mayBeginUntil + m_settings.m_longestLease);
-    if (run.m_bornMs == worker.m_description.m_bornMs)
+    const bool hasEndedWithItsProcess = run.m_listedBornMs != 0 && run.m_listedBornMs < worker.m_description.m_bornMs;
+    if (!hasEndedWithItsProcess)
         end = std::max(end, worker.m_lateLeaseEnd);
     return end;
 }
--- a/tests/jobs/LateOrderTest.cpp
+++ b/tests/jobs/LateOrderTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(termAllowsForTheLongestLeaseBeforeItsFirstCall);
     CPPUNIT_TEST(workerGetsNoTaskWhileASuccessorWouldNotWaitForItsLease);
     CPPUNIT_TEST(onlyKnownWorkersMayHaveHadEarlierProcesses);
+    CPPUNIT_TEST(runOfALaterProcessKeepsTheLeaseOfItsProcess);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Resources whole { 32000, 131072, 0 };
@@ -354,6 +355,33 @@
         scheduler.workerListed(worker, now);
         CPPUNIT_ASSERT(lateLease());
     }
+
+    // Guards against a second run of a task that the later process of a worker began before its restart was noticed:
+    // the run counted as one of the earlier process, whose lease ends sooner.
+    void runOfALaterProcessKeepsTheLeaseOfItsProcess()
+    {
+        for (const bool isListed : { false, true }) {
+            SimulatedCell cell = startedCell(2);
+            cell.m_requestDelay = seconds(6);
+            const WorkerId restarted = cell.m_workers.begin()->first;
+            SimulatedWorker& other = std::next(cell.m_workers.begin())->second;
+            other.m_isReachable = false;
+            cell.run(seconds(2));
+            cell.restartWorkerSilently(restarted);
+            cell.accept(singleTask(seconds(60)));
+            runUntilStarted(cell, cell.m_workers.at(restarted));
+            if (isListed)
+                cell.run(SimulatedCell::requestTimeout);
+            else
+                cell.listAll();
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.m_scheduler->takeRestarts().size());
+            cell.m_workers.at(restarted).m_isReachable = false;
+            other.m_isReachable = true;
+            cell.run(seconds(30));
+            assertNoViolation(cell);
+            CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LateOrderTest);
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -208,6 +208,7 @@
     /// Restarts a worker without a sign of it until the pending request for a report has timed out.
     void restartWorkerSilently(const WorkerId& id)
     {
+        delayReportRequest(id);
         SimulatedWorker& worker = m_workers.at(id);
         beginProcess(worker);
         worker.m_nextReportAt = m_now + requestTimeout;
