A removed entry of an earlier process ends no run of the present one

Cause: a draining worker whose entry is removed just after it was written counts as gone, and its runs with it. The description that says so may be that of an earlier process: a report of a later one under the same id arrives first, and runs which that one has begun were given up although they go on.

The description has to belong to the present process of the worker. removalOfTheEntryOfAnEarlierProcessEndsNoRun failed before (run given up); the other tests of the package hold.

--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -102,7 +102,8 @@
 {
     workerDelisted(id, now);
     Worker* found = findWorker(id);
-    if (found == nullptr || !found->m_description.m_isDraining)
+    // The entry of an earlier process says nothing about the runs of the present one.
+    if (found == nullptr || !found->m_isDescribed || !found->m_description.m_isDraining)
         return;
     loseAllRuns(*found, RunLossReason::WorkerLeft, now);
     forgetPlannedPlaces(found->m_number);
--- a/tests/jobs/LateOrderTest.cpp
+++ b/tests/jobs/LateOrderTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(workerGetsNoTaskWhileASuccessorWouldNotWaitForItsLease);
     CPPUNIT_TEST(onlyKnownWorkersMayHaveHadEarlierProcesses);
     CPPUNIT_TEST(runOfALaterProcessKeepsTheLeaseOfItsProcess);
+    CPPUNIT_TEST(removalOfTheEntryOfAnEarlierProcessEndsNoRun);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Resources whole { 32000, 131072, 0 };
@@ -382,6 +383,24 @@
             CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
         }
     }
+
+    // Guards against a second run of a task that a later process has begun: the registry entry of the earlier process,
+    // which was draining, is removed after the first report of the later one.
+    void removalOfTheEntryOfAnEarlierProcessEndsNoRun()
+    {
+        JobScheduler scheduler({});
+        const TimePoint now(seconds(100));
+        SimulatedCell cell(1);
+        WorkerDescription worker = cell.m_workers.begin()->second.m_description;
+        scheduler.addJob(singleTask(), {}, 0, now);
+        worker.m_isDraining = true;
+        scheduler.workerListed(worker, now);
+        scheduler.workerReported(worker.m_worker, { 1, now, {}, {} }, now);
+        const RunReport late { { { JobId("j"), {} }, 1 }, {}, 50, 0 };
+        scheduler.workerReported(worker.m_worker, { 2, now, { late }, {} }, now);
+        scheduler.workerLeft(worker.m_worker, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler.worker(worker.m_worker)->m_runs.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LateOrderTest);
