A call after an unanswered one acknowledges no ends

Cause: ends are acknowledged by number, and each process of a worker counts its own from 1. The first call that reaches a later process, before its restart is known, carried the number of the earlier one, so that the later process could forget ends that no report had listed; their tasks would run again.

A process that ends leaves a call unanswered or breaks its connection. The next call now acknowledges nothing, and the one after its answer does again. callAfterAnUnansweredOneAcknowledgesNothing failed before (57 in place of 0). Calls that are carried out late by a later process can still acknowledge ends until it has seen a higher number.

--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -106,7 +106,7 @@
 {
     const userplatform::OrderHeader header = nextHeader();
     const Duration wait = m_isFenced ? m_timing.reportWait(bootNow()) : Duration::zero();
-    m_connection.awaitReport(header, acknowledged, wait, wait + m_timing.timeout(),
+    m_connection.awaitReport(header, acknowledgedNow(acknowledged), wait, wait + m_timing.timeout(),
         reportHandler(
             sentNow(header), bootNow(), [this, handler = std::move(handler)](const Result<jobs::WorkerReport>& result) {
                 // The response time says nothing, since the worker may have waited.
@@ -120,7 +120,7 @@
 void WorkerLink::fetchReport(std::uint64_t acknowledged, std::function<void(Result<jobs::WorkerReport>)> handler)
 {
     const userplatform::OrderHeader header = nextHeader();
-    m_connection.fetchReport(header, acknowledged, m_timing.timeout(),
+    m_connection.fetchReport(header, acknowledgedNow(acknowledged), m_timing.timeout(),
         timed<Result<userplatform::WorkerReportAnswer>>([](const auto& result) { return succeeded(result); },
             reportHandler(sentNow(header), bootNow(), std::move(handler))));
 }
--- a/src/controller/WorkerLink.h
+++ b/src/controller/WorkerLink.h
@@ -79,6 +79,10 @@
     /// Returns the header of an order that does not extend the lease.
     userplatform::OrderHeader nextHeaderWithoutLease();
 
+    /// The ends to acknowledge in a call that is sent now. After an unanswered call the worker may have restarted, and
+    /// the same numbers would be those of ends that no report has listed.
+    std::uint64_t acknowledgedNow(std::uint64_t acknowledged) const { return m_hasUnanswered ? 0 : acknowledged; }
+
     /// Notes the outcome of a call that is answered at once, and whether an earlier answer of this worker was lost.
     void noteOutcome(bool isAnswered, TimePoint askedAt);
     /// The handler, preceded by noteOutcome() and called only while the link exists.
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(answerOfAnEarlierProcessDoesNotSetTheClock);
     CPPUNIT_TEST(lateCallsToAnEarlierProcessAreRejectedByTheLaterOne);
     CPPUNIT_TEST(rejectionByAnotherCallOfTheTermDoesNotEndIt);
+    CPPUNIT_TEST(callAfterAnUnansweredOneAcknowledgesNothing);
     CPPUNIT_TEST(malformedRowFailsTheReport);
     CPPUNIT_TEST(lostOrderDelaysNoOtherOne);
     CPPUNIT_TEST(listenerOpensAfterAddressInUse);
@@ -226,6 +227,39 @@
         CPPUNIT_ASSERT(number > numberOfEarlierProcess);
     }
 
+    // Guards against a worker that restarted and forgets the ends of its later process, which no report has listed,
+    // because a call acknowledges as many ends of the earlier one: their tasks would run again.
+    void callAfterAnUnansweredOneAcknowledgesNothing()
+    {
+        boost::asio::io_context context;
+        bool answers = true;
+        std::int64_t acknowledged = -1;
+        std::vector<Responder> held;
+        HttpListener worker(context, "", [&](const ServerRequest& request, const Responder& respond) {
+            if (!answers)
+                return held.push_back(respond);
+            acknowledged = boost::json::parse(request.m_body).as_object().at("ack_cursor").as_int64();
+            respond({ 200, R"({"clock_ms":1000,"born":1,"running":[],"finished":[]})" });
+        });
+        jobs::CallTiming timing;
+        WorkerLink workerLink(context, {}, unlimited, timing, WorkerId("i-1"), openOnFreePort(worker));
+        const auto fetch = [&] {
+            bool hasEnded = false;
+            workerLink.fetchReport(57, [&](const Result<jobs::WorkerReport>&) { hasEnded = true; });
+            runUntil(context, [&] { return hasEnded; });
+        };
+        fetch();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(57), acknowledged);
+        answers = false;
+        fetch();
+        answers = true;
+        fetch();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), acknowledged);
+        fetch();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(57), acknowledged);
+        held.clear();
+    }
+
     // Guards against a term that ends because a worker rejects a call with a lower number than another call of the same
     // term, for example one to a worker that was at this address before.
     void rejectionByAnotherCallOfTheTermDoesNotEndIt()
