--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -229,19 +229,29 @@
     WorkerLink* target = link(order.m_worker);
     if (target == nullptr)
         return m_scheduler->startAnswered(order.m_worker, order.m_run, jobs::StartOutcome::Refused, bootNow());
-    target->start(order, [this, worker = order.m_worker, run = order.m_run](const userplatform::StartAnswer& answer) {
-        if (answer.m_outcome != jobs::StartOutcome::Started)
-            m_log.write(LogEvent::OrderNotObeyed,
-                { { "worker", worker.value() }, { "job", run.m_task.m_job.value() },
-                    { "step", std::uint64_t { run.m_task.m_index.m_step } },
-                    { "task", std::uint64_t { run.m_task.m_index.m_task } }, { "run", std::uint64_t { run.m_run } },
-                    { "detail", answer.m_detail } });
-        if (answer.m_outcome == jobs::StartOutcome::RefusedForTerm)
-            return stepDown();
-        m_scheduler->startAnswered(worker, run, answer.m_outcome, bootNow());
-        if (answer.m_outcome != jobs::StartOutcome::Started)
-            scheduleStep();
-    });
+    const std::int64_t bornMs = m_scheduler->worker(order.m_worker)->m_description.m_bornMs;
+    target->start(order,
+        [this, worker = order.m_worker, run = order.m_run, bornMs, sentAt = bootNow()](
+            const userplatform::StartAnswer& answer) {
+            if (answer.m_outcome == jobs::StartOutcome::Started)
+                m_log.write(LogEvent::RunStarted,
+                    { { "worker", worker.value() }, { "job", run.m_task.m_job.value() },
+                        { "step", std::uint64_t { run.m_task.m_index.m_step } },
+                        { "task", std::uint64_t { run.m_task.m_index.m_task } }, { "run", std::uint64_t { run.m_run } },
+                        { "term", m_settings.m_term }, { "process", bornMs },
+                        { "answerMs", millisecondsOf(bootNow() - sentAt) } });
+            else
+                m_log.write(LogEvent::OrderNotObeyed,
+                    { { "worker", worker.value() }, { "job", run.m_task.m_job.value() },
+                        { "step", std::uint64_t { run.m_task.m_index.m_step } },
+                        { "task", std::uint64_t { run.m_task.m_index.m_task } }, { "run", std::uint64_t { run.m_run } },
+                        { "detail", answer.m_detail } });
+            if (answer.m_outcome == jobs::StartOutcome::RefusedForTerm)
+                return stepDown();
+            m_scheduler->startAnswered(worker, run, answer.m_outcome, bootNow());
+            if (answer.m_outcome != jobs::StartOutcome::Started)
+                scheduleStep();
+        });
     m_scheduler->leaseExtended(order.m_worker, target->leaseEnd());
 }
 
@@ -366,7 +376,8 @@
                 { "task", std::uint64_t { lost.m_run.m_task.m_index.m_task } },
                 { "run", std::uint64_t { lost.m_run.m_run } }, { "reason", jobs::nameOf(lost.m_reason) },
                 { "orderedMs", millisecondsOf(lost.m_at - lost.m_orderedAt) }, { "unanswered", lost.m_isUnanswered },
-                { "leaseMs", millisecondsOf(lost.m_leaseEnd - lost.m_at) } });
+                { "leaseMs", millisecondsOf(lost.m_leaseEnd - lost.m_at) }, { "process", lost.m_bornMs },
+                { "listedBy", lost.m_listedBornMs } });
     for (const jobs::UnexpectedRun& listed : m_scheduler->takeUnexpectedRuns()) {
         const Duration sinceLoss = listed.m_loss ? m_lastStepAt - listed.m_loss->m_at : Duration::zero();
         const Duration sinceOrder = listed.m_loss ? m_lastStepAt - listed.m_loss->m_orderedAt : Duration::zero();
@@ -378,8 +389,16 @@
                 { "lost", listed.m_loss ? jobs::nameOf(listed.m_loss->m_reason) : "not ordered in this term" },
                 { "lostMs", millisecondsOf(sinceLoss) }, { "orderedMs", millisecondsOf(sinceOrder) },
                 { "unanswered", listed.m_loss && listed.m_loss->m_isUnanswered },
-                { "laterProcess", listed.m_loss && listed.m_loss->m_bornMs < listed.m_bornMs } });
+                { "laterProcess", listed.m_loss && listed.m_loss->m_bornMs < listed.m_bornMs },
+                { "process", listed.m_bornMs } });
     }
+    for (const jobs::RunOfLaterProcess& begun : m_scheduler->takeRunsOfLaterProcesses())
+        m_log.write(LogEvent::RunInLaterProcess,
+            { { "worker", begun.m_worker.value() }, { "job", begun.m_run.m_task.m_job.value() },
+                { "step", std::uint64_t { begun.m_run.m_task.m_index.m_step } },
+                { "task", std::uint64_t { begun.m_run.m_task.m_index.m_task } },
+                { "run", std::uint64_t { begun.m_run.m_run } }, { "orderedTo", begun.m_orderedBornMs },
+                { "process", begun.m_bornMs }, { "answered", begun.m_wasAnswered } });
 }
 
 void SchedulerTerm::logCrashes()
@@ -389,8 +408,8 @@
             { { "worker", crash.m_worker.value() }, { "job", crash.m_run.m_task.m_job.value() },
                 { "step", std::uint64_t { crash.m_run.m_task.m_index.m_step } },
                 { "task", std::uint64_t { crash.m_run.m_task.m_index.m_task } },
-                { "run", std::uint64_t { crash.m_run.m_run } }, { "crashes", std::uint64_t { crash.m_crashes } },
-                { "jobGivenUp", crash.m_isGivenUp } });
+                { "run", std::uint64_t { crash.m_run.m_run } }, { "process", crash.m_bornMs },
+                { "crashes", std::uint64_t { crash.m_crashes } }, { "jobGivenUp", crash.m_isGivenUp } });
 }
 
 void SchedulerTerm::logQuarantines()
@@ -411,7 +430,8 @@
             { { "worker", restart.m_worker.value() }, { "term", m_settings.m_term },
                 { "silentMs", millisecondsOf(restart.m_at - restart.m_lastReportAt) },
                 { "unanswered", restart.m_hasUnanswered },
-                { "leaseMs", millisecondsOf(restart.m_lateLeaseEnd - restart.m_at) } });
+                { "leaseMs", millisecondsOf(restart.m_lateLeaseEnd - restart.m_at) },
+                { "earlierProcess", restart.m_earlierBornMs }, { "process", restart.m_bornMs } });
     for (const jobs::ExpiredPlace& place : m_scheduler->takeExpiredPlaces())
         m_log.write(LogEvent::InheritedRunsOver,
             { { "worker", place.m_worker.value() }, { "term", m_settings.m_term },
--- a/src/jobs/CrashSuspects.cpp
+++ b/src/jobs/CrashSuspects.cpp
@@ -55,7 +55,8 @@
         markChanged(job);
         const bool isExplained = suspects.size() == 1 && !run->m_step->m_spec->m_isGang;
         const bool isGivenUp = task->m_crashes >= (isExplained ? maxExplainedCrashes : maxCrashes);
-        m_newCrashes.push_back({ worker.m_description.m_worker, run->m_name, task->m_crashes, isGivenUp });
+        m_newCrashes.push_back(
+            { worker.m_description.m_worker, run->m_name, run->earliestBornMs(), task->m_crashes, isGivenUp });
         if (isGivenUp && job.isOpen())
             closeJob(job, JobState::Failed, now);
     }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -153,8 +153,9 @@
     std::vector<CrashUnderRun> takeCrashes() { return std::exchange(m_newCrashes, {}); }
     /// Quarantines that have begun, or were ended early, since the last call.
     std::vector<QuarantineChange> takeQuarantineChanges() { return std::exchange(m_quarantineChanges, {}); }
-    /// Restarts of workers, and workers whose runs of earlier terms count as over without a report, since the last
-    /// call.
+    /// Runs that later processes of their workers have begun, restarts of workers, and workers whose runs of earlier
+    /// terms count as over without a report, since the last call.
+    std::vector<RunOfLaterProcess> takeRunsOfLaterProcesses() { return std::exchange(m_newRunsOfLaterProcesses, {}); }
     std::vector<WorkerRestart> takeRestarts() { return std::exchange(m_newRestarts, {}); }
     std::vector<ExpiredPlace> takeExpiredPlaces() { return std::exchange(m_newExpiredPlaces, {}); }
     /// Jobs whose end has been stored since the last call.
@@ -368,6 +369,7 @@
     std::vector<UnexpectedRun> m_unexpectedRuns;
     std::vector<CrashUnderRun> m_newCrashes;
     std::vector<QuarantineChange> m_quarantineChanges;
+    std::vector<RunOfLaterProcess> m_newRunsOfLaterProcesses;
     std::vector<WorkerRestart> m_newRestarts;
     std::vector<ExpiredPlace> m_newExpiredPlaces;
     /// Running mean of the share of workers that the adviser allows, by queue.
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -86,6 +86,9 @@
     const bool isLateStart = run.m_confirmedAt == TimePoint::max() && run.m_bornMs < workerReport.m_bornMs;
     if (isLateStart)
         noteUnexpectedRun(worker, report.m_run, taskOf(*run.m_step, report.m_run).m_liveRuns - 1);
+    if (run.earliestBornMs() < workerReport.m_bornMs)
+        m_newRunsOfLaterProcesses.push_back({ worker.m_description.m_worker, report.m_run, run.m_bornMs,
+            workerReport.m_bornMs, run.m_confirmedAt != TimePoint::max() });
     run.m_listedBornMs = workerReport.m_bornMs;
     proveRun(run, workerReport);
     confirm(run, now);
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -132,7 +132,7 @@
     const bool isUnanswered = reason != RunLossReason::Refused && run.m_phase != RunPhase::Recording
         && run.m_confirmedAt == TimePoint::max();
     m_lostRuns.push_back({ worker.m_description.m_worker, run.m_name, reason, now, run.m_orderedAt, run.m_bornMs,
-        isUnanswered, worker.m_leaseEnd });
+        run.m_listedBornMs, isUnanswered, worker.m_leaseEnd });
     m_newLostRuns.push_back(m_lostRuns.back());
 }
 
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -262,9 +262,11 @@
     RunName m_run;
     RunLossReason m_reason = RunLossReason::LeaseEnded;
     TimePoint m_at {};
-    /// When the run was ordered, or first listed, and the start time of the worker process at that time.
+    /// When the run was ordered, or first listed, and the start time of the worker process that was known at that time.
     TimePoint m_orderedAt {};
     std::int64_t m_bornMs = 0;
+    /// Start time of the worker process whose report has listed the run; 0 if none has.
+    std::int64_t m_listedBornMs = 0;
     /// The start was neither answered nor listed, so that it may still be carried out.
     bool m_isUnanswered = false;
     /// Time until which orders allowed the worker to go on.
@@ -277,6 +279,8 @@
 struct CrashUnderRun {
     WorkerId m_worker;
     RunName m_run;
+    /// Start time of the worker process that had the run.
+    std::int64_t m_bornMs = 0;
     /// Crashes of workers that are counted for the task, and whether its job was given up for them.
     std::uint32_t m_crashes = 0;
     bool m_isGivenUp = false;
@@ -303,6 +307,9 @@
     bool m_hasUnanswered = false;
     /// Time by which leases that the new process was granted by calls to earlier ones have ended.
     TimePoint m_lateLeaseEnd {};
+    /// Start times of the two processes.
+    std::int64_t m_earlierBornMs = 0;
+    std::int64_t m_bornMs = 0;
 
     friend bool operator==(const WorkerRestart&, const WorkerRestart&) = default;
 };
@@ -316,6 +323,17 @@
     friend bool operator==(const ExpiredPlace&, const ExpiredPlace&) = default;
 };
 
+/// A run that a later process of the worker lists than the one that was known when its start was sent.
+struct RunOfLaterProcess {
+    WorkerId m_worker;
+    RunName m_run;
+    std::int64_t m_orderedBornMs = 0;
+    std::int64_t m_bornMs = 0;
+    bool m_wasAnswered = false;
+
+    friend bool operator==(const RunOfLaterProcess&, const RunOfLaterProcess&) = default;
+};
+
 /// A run that a worker lists although this term did not order it there, or had given it up.
 struct UnexpectedRun {
     WorkerId m_worker;
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -142,7 +142,7 @@
 void JobScheduler::handleWorkerRestart(Worker& worker, std::int64_t bornMs, TimePoint now)
 {
     worker.m_isDescribed = worker.m_isDescribed && worker.m_describedBornMs == bornMs;
-    worker.m_description.m_bornMs = bornMs;
+    const std::int64_t earlierBornMs = std::exchange(worker.m_description.m_bornMs, bornMs);
     worker.m_hasReported = false;
     worker.m_seenEnd = 0;
     worker.m_storedEnd = 0;
@@ -152,7 +152,7 @@
     // A call to an earlier process, carried out late, grants the longest lease.
     worker.m_lateLeaseEnd = now + maxOrderDelay + m_settings.m_longestLease;
     m_newRestarts.push_back({ worker.m_description.m_worker, now, worker.m_lastReportAt,
-        worker.m_lastReportAt < worker.m_unansweredAt, worker.m_lateLeaseEnd });
+        worker.m_lastReportAt < worker.m_unansweredAt, worker.m_lateLeaseEnd, earlierBornMs, bornMs });
     updateRoom(worker, now);
     for (auto& [name, run] : worker.m_runs) {
         // The new process may have carried out a start before its restart was known here: its first report lists its
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -40,6 +40,8 @@
     QuarantineWithdrawn,
     WorkerRestarted,
     InheritedRunsOver,
+    RunStarted,
+    RunInLaterProcess,
     TaskStarted,
     TaskStopped,
     JobAccepted,
