--- a/tests/processes/RestartedWorkersPlay.cpp
+++ b/tests/processes/RestartedWorkersPlay.cpp
@@ -31,7 +31,7 @@
     constexpr const char* longQueue = "long";
     // Times in seconds.
     constexpr double readyTimeout = 20;
-    constexpr double settleTime = 2;
+    constexpr double settleTime = 4;
     constexpr double advanceInterval = 0.005;
     constexpr double submitInterval = 0.2;
     constexpr double restartDelay = 0.4;
@@ -114,7 +114,8 @@
             review::sleepFor(settleTime);
             for (int cycle = 0; cycle < cycles; ++cycle) {
                 const double endsAt = review::now() + cycleTime;
-                restartAndCutOff();
+                // The holder ends after it has told its successors of the restarts, or before it has noticed them.
+                restartAndCutOff(cycle == 0 ? draw(0.6, 2.5) : draw(0, 0.6));
                 review::sleepFor(endsAt - review::now());
             }
             review::sleepFor(endTime);
@@ -133,12 +134,11 @@
         double draw(double from, double to) { return std::uniform_real_distribution<double>(from, to)(m_random); }
 
         /// The workers of a zone restart, the daemon that holds the term is killed, and the workers are cut off.
-        void restartAndCutOff()
+        void restartAndCutOff(double takeoverDelay)
         {
             const auto zone = static_cast<std::size_t>(draw(0, zoneCount));
             const double downTime = draw(0.3, 1.0);
-            const double takeoverDelay = draw(0.1, 2.5);
-            const double cutDelay = draw(0.1, 1.0);
+            const double cutDelay = draw(0, 1.0);
             const double cutTime = draw(9, 12);
             const auto forZone = [this, zone](auto act) {
                 for (std::size_t i = zone; i < m_workers.size(); i += zoneCount)
@@ -170,7 +170,7 @@
                 char id[20];
                 std::snprintf(id, sizeof id, "%016x", i + 1);
                 const std::string path = std::string("/") + (isLong ? longQueue : shortQueue) + '/' + id;
-                const std::string body = isLong ? jobBody(4, 2000, 12000) : jobBody(6, 2500, 1000);
+                const std::string body = isLong ? jobBody(4, 7000, 12000) : jobBody(6, 4000, 1000);
                 for (int attempt = 0; attempt < daemonCount; ++attempt) {
                     if (m_daemons->ask((i + attempt) % daemonCount, "POST", path, body).m_status == 200)
                         break;
