Test: a start that the successor of its term does not know (failing)

Hypothesis 2 of the incident, shown in the simulated cell: a start has no answer when the holder of the term ends, its worker has restarted and carries the start out on its own clock, and the successor cannot reach the worker.

--- a/tests/jobs/LateOrderTest.cpp
+++ b/tests/jobs/LateOrderTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(onlyKnownWorkersMayHaveHadEarlierProcesses);
     CPPUNIT_TEST(runOfALaterProcessKeepsTheLeaseOfItsProcess);
     CPPUNIT_TEST(removalOfTheEntryOfAnEarlierProcessEndsNoRun);
+    CPPUNIT_TEST(startThatItsSuccessorDoesNotKnowRunsAlone);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Resources whole { 32000, 131072, 0 };
@@ -401,6 +402,26 @@
         scheduler.workerLeft(worker.m_worker, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler.worker(worker.m_worker)->m_runs.size());
     }
+
+    // Guards against a second run of a task whose start had no answer when the holder of the term ended: its worker has
+    // restarted unnoticed, carries the start out on its new clock, and cannot be reached by the successor, which counts
+    // only the leases that the earlier term granted on the old clock.
+    void startThatItsSuccessorDoesNotKnowRunsAlone()
+    {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            SimulatedCell cell = startedCell(3, seed);
+            const WorkerId first = orderLateStart(cell, singleTask(seconds(60)));
+            cell.restartWorkerSilently(first);
+            cell.listAll();
+            cell.m_workers.at(first).m_isReachable = false;
+            cell.takeOver();
+            cell.run(seconds(40));
+            assertNoViolation(cell);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + ": "
+                    + (cell.m_unbarredViolations.empty() ? "" : *cell.m_unbarredViolations.begin()),
+                std::size_t(0), cell.m_unbarredViolations.size());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LateOrderTest);
