Recognize a start by a later process of its worker by its clock

Cause: an answered start counted as one by the process that was known, and its lease as one on that process's clock. If the worker had restarted unnoticed and was cut off before its next report, the run was given up with the lease of the earlier process, up to 2 s before the real one ended, without any takeover; a request that the later process carries out late makes it more. Two runs of one task.

The answer to a start has the clock of its process, which was ignored. A time that does not fit the clock of the known process shows a restart: a report is requested, leases from calls to earlier processes are allowed for as after any restart, and the worker gets no work before the report. run-started tells it. A report is now also the only answer after which ends are acknowledged again, as other answers do not name their process. An unanswered start to a worker that restarts keeps the bound of its own, as before.

startAnsweredByAnUnknownProcessKeepsTheLeaseOfThatProcess (two runs), clockOfAStartTellsThatTheWorkerHasRestarted and callAfterAnUnansweredOneAcknowledgesNothing (with an answered stop between) failed without the change and pass with it; the other tests of both packages hold.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -233,12 +233,14 @@
     target->start(order,
         [this, worker = order.m_worker, run = order.m_run, bornMs, sentAt = bootNow()](
             const userplatform::StartAnswer& answer) {
-            if (answer.m_outcome == jobs::StartOutcome::Started)
+            const bool isFromUnknownProcess = answer.m_outcome == jobs::StartOutcome::StartedInUnknownProcess;
+            const bool isConfirmed = answer.m_outcome == jobs::StartOutcome::Started || isFromUnknownProcess;
+            if (isConfirmed)
                 m_log.write(LogEvent::RunStarted,
                     { { "worker", worker.value() }, { "job", run.m_task.m_job.value() },
                         { "step", std::uint64_t { run.m_task.m_index.m_step } },
                         { "task", std::uint64_t { run.m_task.m_index.m_task } }, { "run", std::uint64_t { run.m_run } },
-                        { "term", m_settings.m_term }, { "process", bornMs },
+                        { "term", m_settings.m_term }, { "process", bornMs }, { "restarted", isFromUnknownProcess },
                         { "answerMs", millisecondsOf(bootNow() - sentAt) } });
             else
                 m_log.write(LogEvent::OrderNotObeyed,
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -12,6 +12,9 @@
     constexpr int clockDriftDivisor = 50;
     /// Time between reading the clock here and applying the lease on the worker.
     constexpr Duration leaseMargin = std::chrono::milliseconds(100);
+    /// Difference up to which a time fits a worker's clock, beside its drift: that clock was read before its report
+    /// arrived here, and the clocks of two processes of a worker differ by any amount.
+    constexpr Duration clockTolerance = std::chrono::milliseconds(1000);
     /// Maximum difference between the time of day on two hosts.
     constexpr Duration maxClockDifference = std::chrono::seconds(5);
 
@@ -41,6 +44,16 @@
         m_timing.unanswered();
     }
     m_hasUnanswered = !isAnswered;
+    m_mayHaveRestarted = m_mayHaveRestarted || !isAnswered;
+}
+
+bool WorkerLink::fitsClock(std::int64_t clockMs) const
+{
+    if (!m_hasClock)
+        return true;
+    const Duration age = bootNow() - m_clockAt;
+    const Duration difference = std::chrono::milliseconds(clockMs - m_clockMs) - age;
+    return std::chrono::abs(difference) <= clockTolerance + age / (clockDriftDivisor - 1);
 }
 
 template <typename Answer, typename IsAnswered>
@@ -113,6 +126,7 @@
                 if (succeeded(result) && std::exchange(m_hasUnanswered, false))
                     m_timing.answerWasLost(bootNow());
                 m_hasUnanswered = !succeeded(result);
+                m_mayHaveRestarted = m_mayHaveRestarted || !succeeded(result);
                 handler(result);
             }));
 }
@@ -145,6 +159,7 @@
         if (answer.m_report.m_bornMs < m_bornMs)
             return handler(std::move(answer.m_report));
         noteProcess(answer.m_report.m_bornMs);
+        m_mayHaveRestarted = false;
         answer.m_report.m_isFenced = !m_needsNumber && sent.m_number == m_number;
         if (answer.m_report.m_bornMs > 0) {
             const Duration age = std::chrono::milliseconds(wallNowMs() - answer.m_report.m_bornMs);
@@ -171,6 +186,11 @@
             isAnswered, [this, sent = sentNow(header), handler = std::move(handler)](userplatform::StartAnswer answer) {
                 if (answer.m_outcome == jobs::StartOutcome::RefusedForTerm && !showsLaterTerm(sent))
                     answer.m_outcome = jobs::StartOutcome::Refused;
+                if (answer.m_clockMs && !fitsClock(*answer.m_clockMs)) {
+                    m_mayHaveRestarted = true;
+                    if (answer.m_outcome == jobs::StartOutcome::Started)
+                        answer.m_outcome = jobs::StartOutcome::StartedInUnknownProcess;
+                }
                 handler(std::move(answer));
             }));
 }
--- a/src/controller/WorkerLink.h
+++ b/src/controller/WorkerLink.h
@@ -79,9 +79,11 @@
     /// Returns the header of an order that does not extend the lease.
     userplatform::OrderHeader nextHeaderWithoutLease();
 
-    /// The ends to acknowledge in a call that is sent now. After an unanswered call the worker may have restarted, and
-    /// the same numbers would be those of ends that no report has listed.
-    std::uint64_t acknowledgedNow(std::uint64_t acknowledged) const { return m_hasUnanswered ? 0 : acknowledged; }
+    /// The ends to acknowledge in a call that is sent now. If the worker may have restarted, the same numbers could be
+    /// those of ends that no report has listed.
+    std::uint64_t acknowledgedNow(std::uint64_t acknowledged) const { return m_mayHaveRestarted ? 0 : acknowledged; }
+    /// Whether the time may have been read from the clock of the known process of the worker.
+    bool fitsClock(std::int64_t clockMs) const;
 
     /// Notes the outcome of a call that is answered at once, and whether an earlier answer of this worker was lost.
     void noteOutcome(bool isAnswered, TimePoint askedAt);
@@ -100,6 +102,8 @@
     jobs::CallTiming& m_timing;
     /// The last call was left unanswered.
     bool m_hasUnanswered = false;
+    /// Since the last report a call was left unanswered, or answered by a process that is not the known one.
+    bool m_mayHaveRestarted = false;
     const std::string m_address;
     userplatform::WorkerConnection m_connection;
     /// The worker's clock in its last report, and when that arrived; valid once m_hasClock is set.
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -216,6 +216,14 @@
     Worker& worker = *found;
     Run& run = worker.m_runs.at(name);
     switch (outcome) {
+    case StartOutcome::StartedInUnknownProcess:
+        // As for a restart that is noticed, which follows with the report.
+        worker.m_isFenced = false;
+        worker.m_lateLeaseEnd = now + maxOrderDelay + m_settings.m_longestLease;
+        worker.m_unansweredAt = now;
+        updateRoom(worker, now);
+        m_actions.emplace_back(ReportOrder { id });
+        [[fallthrough]];
     case StartOutcome::Started:
         confirm(run, now);
         if (run.m_phase == RunPhase::Starting)
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -118,6 +118,8 @@
 /// Result of an order to start a run.
 enum class StartOutcome : std::uint8_t {
     Started,
+    /// A process of the worker has started the run that is not the known one: the worker has restarted.
+    StartedInUnknownProcess,
     /// The worker has not started the run and never will.
     Refused,
     /// The order has not left this host, for example because earlier ones to the worker were not answered.
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -305,8 +305,10 @@
     // A process that has begun unnoticed counts the lease from the arrival of the start.
     if (run.m_mayBeginUntil > run.m_orderedAt)
         end = std::max(end, run.m_mayBeginUntil + m_settings.m_longestLease);
-    const bool hasEndedWithItsProcess = run.m_listedBornMs != 0 && run.m_listedBornMs < worker.m_description.m_bornMs;
-    if (!hasEndedWithItsProcess)
+    // A start that was answered may have been by any process since; for one without an answer see above.
+    const bool isOfPresentProcess = run.earliestBornMs() == worker.m_description.m_bornMs;
+    const bool isOfAnyProcess = run.m_listedBornMs == 0 && run.m_confirmedAt != TimePoint::max();
+    if (isOfPresentProcess || isOfAnyProcess)
         end = std::max(end, worker.m_lateLeaseEnd);
     return end;
 }
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(lateCallsToAnEarlierProcessAreRejectedByTheLaterOne);
     CPPUNIT_TEST(rejectionByAnotherCallOfTheTermDoesNotEndIt);
     CPPUNIT_TEST(callAfterAnUnansweredOneAcknowledgesNothing);
+    CPPUNIT_TEST(clockOfAStartTellsThatTheWorkerHasRestarted);
     CPPUNIT_TEST(malformedRowFailsTheReport);
     CPPUNIT_TEST(lostOrderDelaysNoOtherOne);
     CPPUNIT_TEST(listenerOpensAfterAddressInUse);
@@ -238,7 +239,9 @@
         HttpListener worker(context, "", [&](const ServerRequest& request, const Responder& respond) {
             if (!answers)
                 return held.push_back(respond);
-            acknowledged = boost::json::parse(request.m_body).as_object().at("ack_cursor").as_int64();
+            const boost::json::value body = boost::json::parse(request.m_body);
+            if (const boost::json::value* cursor = body.as_object().if_contains("ack_cursor"))
+                acknowledged = cursor->as_int64();
             respond({ 200, R"({"clock_ms":1000,"born":1,"running":[],"finished":[]})" });
         });
         jobs::CallTiming timing;
@@ -253,6 +256,10 @@
         answers = false;
         fetch();
         answers = true;
+        // An answer to another call does not name the process.
+        bool hasStopped = false;
+        workerLink.stop({ WorkerId("i-1"), {} }, [&](bool) { hasStopped = true; });
+        runUntil(context, [&] { return hasStopped; });
         fetch();
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), acknowledged);
         fetch();
@@ -260,6 +267,42 @@
         held.clear();
     }
 
+    // Guards against a start by a later process of its worker that counts as one by the earlier process: the lease and
+    // the numbers of its ends are others.
+    void clockOfAStartTellsThatTheWorkerHasRestarted()
+    {
+        boost::asio::io_context context;
+        std::int64_t clockMs = 500000;
+        std::int64_t acknowledged = -1;
+        HttpListener worker(context, "", [&](const ServerRequest& request, const Responder& respond) {
+            const boost::json::value body = boost::json::parse(request.m_body);
+            if (const boost::json::value* cursor = body.as_object().if_contains("ack_cursor"))
+                acknowledged = cursor->as_int64();
+            respond({ 200, R"({"clock_ms":)" + std::to_string(clockMs) + R"(,"born":1,"running":[],"finished":[]})" });
+        });
+        jobs::CallTiming timing;
+        WorkerLink workerLink(context, {}, unlimited, timing, WorkerId("i-1"), openOnFreePort(worker));
+        const auto fetch = [&] {
+            bool hasEnded = false;
+            workerLink.fetchReport(57, [&](const Result<jobs::WorkerReport>&) { hasEnded = true; });
+            runUntil(context, [&] { return hasEnded; });
+        };
+        const auto start = [&] {
+            std::optional<jobs::StartOutcome> outcome;
+            workerLink.start({ WorkerId("i-1"), {}, {}, {}, {} },
+                [&](const userplatform::StartAnswer& answer) { outcome = answer.m_outcome; });
+            runUntil(context, [&] { return outcome.has_value(); });
+            return *outcome;
+        };
+        fetch();
+        CPPUNIT_ASSERT(start() == jobs::StartOutcome::Started);
+        clockMs = 700;
+        CPPUNIT_ASSERT(start() == jobs::StartOutcome::StartedInUnknownProcess);
+        fetch();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), acknowledged);
+        CPPUNIT_ASSERT(start() == jobs::StartOutcome::Started);
+    }
+
     // Guards against a term that ends because a worker rejects a call with a lower number than another call of the same
     // term, for example one to a worker that was at this address before.
     void rejectionByAnotherCallOfTheTermDoesNotEndIt()
--- a/tests/jobs/LateOrderTest.cpp
+++ b/tests/jobs/LateOrderTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(workerGetsNoTaskWhileASuccessorWouldNotWaitForItsLease);
     CPPUNIT_TEST(onlyKnownWorkersMayHaveHadEarlierProcesses);
     CPPUNIT_TEST(runOfALaterProcessKeepsTheLeaseOfItsProcess);
+    CPPUNIT_TEST(startAnsweredByAnUnknownProcessKeepsTheLeaseOfThatProcess);
     CPPUNIT_TEST(removalOfTheEntryOfAnEarlierProcessEndsNoRun);
     CPPUNIT_TEST(startThatItsSuccessorDoesNotKnowRunsAlone);
     CPPUNIT_TEST_SUITE_END();
@@ -41,6 +42,29 @@
         return *cell.m_store.at(job.m_job).m_places.begin()->second.begin();
     }
 
+    /// Restarts the only worker that can be reached without a sign of it, and starts the only task of a job there.
+    static void startOnAnUnnoticedProcess(SimulatedCell& cell)
+    {
+        cell.m_requestDelay = seconds(6);
+        const WorkerId restarted = cell.m_workers.begin()->first;
+        std::next(cell.m_workers.begin())->second.m_isReachable = false;
+        cell.run(seconds(2));
+        cell.restartWorkerSilently(restarted);
+        cell.accept(singleTask(seconds(60)));
+        runUntilStarted(cell, cell.m_workers.at(restarted));
+    }
+
+    /// Cuts the first of two workers off, while the second one can be reached again. Fails unless the task that runs on
+    /// the first one goes on in one run.
+    static void verifyCutOff(SimulatedCell& cell)
+    {
+        cell.m_workers.begin()->second.m_isReachable = false;
+        std::next(cell.m_workers.begin())->second.m_isReachable = true;
+        cell.run(seconds(30));
+        assertNoViolation(cell);
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+    }
+
     /// Starts the only task of a job on a worker that has just restarted, as soon as the worker gets it, cuts the
     /// worker off and replaces the scheduler. Fails unless the task goes on in one run.
     static void verifyTakeoverBesideARestartedWorker(SimulatedCell& cell)
@@ -364,27 +388,26 @@
     {
         for (const bool isListed : { false, true }) {
             SimulatedCell cell = startedCell(2);
-            cell.m_requestDelay = seconds(6);
-            const WorkerId restarted = cell.m_workers.begin()->first;
-            SimulatedWorker& other = std::next(cell.m_workers.begin())->second;
-            other.m_isReachable = false;
-            cell.run(seconds(2));
-            cell.restartWorkerSilently(restarted);
-            cell.accept(singleTask(seconds(60)));
-            runUntilStarted(cell, cell.m_workers.at(restarted));
+            startOnAnUnnoticedProcess(cell);
             if (isListed)
                 cell.run(SimulatedCell::requestTimeout);
             else
                 cell.listAll();
             CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.m_scheduler->takeRestarts().size());
-            cell.m_workers.at(restarted).m_isReachable = false;
-            other.m_isReachable = true;
-            cell.run(seconds(30));
-            assertNoViolation(cell);
-            CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+            verifyCutOff(cell);
         }
     }
 
+    // Guards against the same where the worker is cut off before its restart is noticed: the end of the lease in the
+    // start was a time on the clock of the earlier process.
+    void startAnsweredByAnUnknownProcessKeepsTheLeaseOfThatProcess()
+    {
+        SimulatedCell cell = startedCell(2);
+        startOnAnUnnoticedProcess(cell);
+        CPPUNIT_ASSERT(cell.m_scheduler->takeRestarts().empty());
+        verifyCutOff(cell);
+    }
+
     // Guards against a second run of a task that a later process has begun: the registry entry of the earlier process,
     // which was draining, is removed after the first report of the later one.
     void removalOfTheEntryOfAnEarlierProcessEndsNoRun()
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -646,15 +646,20 @@
     void carryOut(const StartOrder& order)
     {
         SimulatedWorker& worker = m_workers.at(order.m_worker);
-        const TimePoint leaseEnd = m_now + lease;
-        m_scheduler->leaseExtended(order.m_worker, leaseEnd + milliseconds(300));
+        // The order names the end of the lease on the clock of the process that the term knows.
+        const std::int64_t known = linkOf(order.m_worker).m_bornMs;
+        const bool isKnownProcess = known == 0 || known == worker.m_description.m_bornMs;
+        const TimePoint leaseEnd = m_now + (isKnownProcess ? lease : longestLease);
+        m_scheduler->leaseExtended(order.m_worker, m_now + lease + milliseconds(300));
         if (worker.m_isUp && worker.m_isReachable && worker.m_delaysStarts) {
             m_delayed.push_back(
                 { m_now + minStartDelay + Duration(m_random() % (maxStartDelay - minStartDelay).count()),
                     order.m_worker, numberOf(order.m_worker), order, leaseEnd, worker.m_description.m_bornMs });
         } else if (worker.m_isUp && worker.m_isReachable) {
             worker.m_wasCalled = true;
-            const StartOutcome outcome = begin(order.m_worker, numberOf(order.m_worker), order, leaseEnd);
+            StartOutcome outcome = begin(order.m_worker, numberOf(order.m_worker), order, leaseEnd);
+            if (outcome == StartOutcome::Started && !isKnownProcess)
+                outcome = StartOutcome::StartedInUnknownProcess;
             if (!worker.m_losesAnswers)
                 return m_scheduler->startAnswered(order.m_worker, order.m_run, outcome, m_now);
         }
--- a/tests/processes/DaemonProcesses.cpp
+++ b/tests/processes/DaemonProcesses.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-DaemonProcesses::DaemonProcesses(review::Store& store, std::string program, std::string folder, int count)
+DaemonProcesses::DaemonProcesses(review::Store& store, std::string program, const std::string& folder, int count)
     : m_program(std::move(program))
 {
     for (int i = 0; i < count; ++i) {
--- a/tests/processes/DaemonProcesses.h
+++ b/tests/processes/DaemonProcesses.h
@@ -14,7 +14,7 @@
 class DaemonProcesses {
 public:
     /// `program` is the path of sapphired; logs and settings go to `folder`.
-    DaemonProcesses(review::Store&, std::string program, std::string folder, int count);
+    DaemonProcesses(review::Store&, std::string program, const std::string& folder, int count);
     ~DaemonProcesses();
     DaemonProcesses(const DaemonProcesses&) = delete;
     DaemonProcesses& operator=(const DaemonProcesses&) = delete;
