--- a/tests/processes/RestartedWorkersPlay.cpp
+++ b/tests/processes/RestartedWorkersPlay.cpp
@@ -64,12 +64,14 @@
                         { "idle_timeout_ms", 15000 } } } });
     }
 
+    /// A job of one step whose tasks are spread over the workers, so that each zone has a third of them, and room for
+    /// those of another one.
     std::string jobBody(int tasks, int cpuMillis, int workMs)
     {
         return json::serialize(json::object { { "spec", std::to_string(workMs) },
             { "steps",
-                json::array { json::object {
-                    { "count", tasks }, { "cpu", cpuMillis }, { "mem_mb", 256 }, { "estimate_ms", workMs } } } } });
+                json::array { json::object { { "count", tasks }, { "cpu", cpuMillis }, { "mem_mb", 256 },
+                    { "estimate_ms", workMs }, { "anti_affinity", 1 } } } } });
     }
 
     /// The stand-ins and daemons of a play.
@@ -170,7 +172,7 @@
                 char id[20];
                 std::snprintf(id, sizeof id, "%016x", i + 1);
                 const std::string path = std::string("/") + (isLong ? longQueue : shortQueue) + '/' + id;
-                const std::string body = isLong ? jobBody(4, 7000, 12000) : jobBody(6, 4000, 1000);
+                const std::string body = isLong ? jobBody(8, 2000, 12000) : jobBody(6, 2000, 1000);
                 for (int attempt = 0; attempt < daemonCount; ++attempt) {
                     if (m_daemons->ask((i + attempt) % daemonCount, "POST", path, body).m_status == 200)
                         break;
