--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -134,7 +134,8 @@
         ++m_newestNumber;
         m_links.clear();
         SchedulerSettings settings;
-        settings.m_term = m_term;
+        // The number of a term is that of its claim, so that renewals leave numbers for the runs of the earlier term.
+        settings.m_term = m_newestNumber;
         m_scheduler = std::make_unique<JobScheduler>(settings);
         m_scheduler->setInheritedLeases({ successorWaitEnd(), m_storedLeaseEnds }, m_now);
         m_storing.reset();
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -371,6 +371,9 @@
         for (const auto& [id, record] : cell.m_accepted)
             CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": " + id.value() + " has not ended",
                 isFinal(cell.m_scheduler->state(id)));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed)
+                + ", after the faults: " + (cell.m_violations.empty() ? "" : *cell.m_violations.begin()),
+            std::size_t(0), cell.m_violations.size());
         return cell.m_unbarredViolations;
     }
 };
