Allow for starts that a worker's new process has read before a takeover

Cause: a start that is sent while its worker is down waits in the connection until the next process reads it. That process counts the end of the lease on its own clock and runs the task for 10 s. If the holder of the term ends before it has noticed the restart, its successor counts only the leases on the clock of the earlier process, 8.6 s from the end of the holder. Two runs of one task.

A successor allows the longest lease and a second for processes that the registry shows for the first time and that are at most 3 s old, with 5 s for the difference of clocks. The end is kept apart from the worker, which is forgotten when its entry expires.

startReadByANewProcessRunsAloneAfterATakeover failed before (two runs) and passes; the other tests of jobs and controller hold. Processes of the simulated cell have their time of day as time of start, as workers do.

--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -28,7 +28,7 @@
     settings.m_retention = m_settings.m_jobRetention;
     settings.m_longestLease = maxLeaseDuration(m_site.m_longestLease);
     m_scheduler = std::make_unique<jobs::JobScheduler>(settings);
-    m_scheduler->setInheritedLeases(m_settings.m_earlierLeases, now);
+    m_scheduler->setInheritedLeases(m_settings.m_earlierLeases, wallNowMs(), now);
     for (const auto& [id, worker] : m_workerObserver->m_entries) {
         m_scheduler->workerListed(worker, now);
         openLink(id);
--- a/src/controller/WorkerLink.cpp
+++ b/src/controller/WorkerLink.cpp
@@ -15,8 +15,6 @@
     /// Difference up to which a time fits a worker's clock, beside its drift: that clock was read before its report
     /// arrived here, and the clocks of two processes of a worker differ by any amount.
     constexpr Duration clockTolerance = std::chrono::milliseconds(1000);
-    /// Maximum difference between the time of day on two hosts.
-    constexpr Duration maxClockDifference = std::chrono::seconds(5);
 
 } // namespace
 
@@ -163,7 +161,7 @@
         answer.m_report.m_isFenced = !m_needsNumber && sent.m_number == m_number;
         if (answer.m_report.m_bornMs > 0) {
             const Duration age = std::chrono::milliseconds(wallNowMs() - answer.m_report.m_bornMs);
-            answer.m_report.m_processAge = std::max(age - maxClockDifference, Duration::zero());
+            answer.m_report.m_processAge = std::max(age - jobs::maxClockDifference, Duration::zero());
         }
         m_isFenced = m_isFenced || answer.m_report.m_isFenced;
         m_bornMs = answer.m_report.m_bornMs;
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -288,6 +288,12 @@
 }
 
 TimePoint JobScheduler::unreportedLeaseEnd(const WorkerId& id) const
+{
+    const auto late = m_inheritedLateLeases.find(id);
+    return std::max(inheritedLeaseEnd(id), late == m_inheritedLateLeases.end() ? TimePoint() : late->second);
+}
+
+TimePoint JobScheduler::inheritedLeaseEnd(const WorkerId& id) const
 {
     const Worker* found = worker(id);
     // This term extends the lease of a worker whose reports do not list all ends yet.
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -66,9 +66,10 @@
     /// @{
     /// Begins the term, before any worker is listed, with the times by which the leases of all earlier terms have
     /// ended. Until then, the steps of restored jobs wait for the reports of the workers on which they may have tasks.
-    void setInheritedLeases(LeaseBounds bounds, TimePoint now)
+    void setInheritedLeases(LeaseBounds bounds, std::int64_t wallNowMs, TimePoint now)
     {
         m_inheritedLeases = std::move(bounds);
+        m_inheritedWallMs = wallNowMs;
         m_inheritedAt = now;
     }
     /// Whether a task of the step may still run on a worker that has not reported in this term.
@@ -290,6 +291,11 @@
     void forgetInheritedPlaces(TimePoint now);
     /// Time by which the runs of a worker that does not report have ended.
     TimePoint unreportedLeaseEnd(const WorkerId&) const;
+    /// The time by which leases have ended that earlier terms granted the worker on the clock of a known process.
+    TimePoint inheritedLeaseEnd(const WorkerId&) const;
+    /// Notes a process of a worker that the registry shows for the first time. An earlier term may have ended before it
+    /// has noticed the restart.
+    void noteInheritedProcess(const WorkerDescription&, TimePoint now);
     /// Forgets a worker that has left as a planned place of later steps.
     void forgetPlannedPlaces(WorkerNumber);
     void evacuate(Worker&, TimePoint now);
@@ -353,6 +359,12 @@
     TimePoint m_nextSupervision {};
     LeaseBounds m_inheritedLeases;
     TimePoint m_inheritedAt {};
+    /// Time of day at m_inheritedAt, in milliseconds since 1970.
+    std::int64_t m_inheritedWallMs = 0;
+    /// Ends of the leases that new processes of workers may have been granted by calls of earlier terms to the
+    /// processes before them. Kept apart from the workers, as a worker that is cut off is forgotten when its entry
+    /// expires.
+    std::map<WorkerId, TimePoint> m_inheritedLateLeases;
     /// The inherited places of all steps, and the earliest end of a lease among them.
     std::set<WorkerId> m_inheritedPlaces;
     TimePoint m_nextInheritedEnd = TimePoint::max();
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -46,7 +46,7 @@
     // Runs of an earlier term whose ends are not listed yet are known once those before them have been acknowledged.
     // Runs ordered by an earlier term may continue until the end of its leases, whatever this term orders.
     if (report.m_listsAllEnds && !std::exchange(worker.m_hasReported, true)) {
-        worker.m_leaseEnd = unreportedLeaseEnd(id);
+        worker.m_leaseEnd = inheritedLeaseEnd(id);
         m_areInheritedPlacesChanged = true;
     }
     updateRoom(worker, now);
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -144,6 +144,8 @@
 
 /// Latest time after which an unanswered order may still be carried out.
 inline constexpr Duration maxOrderDelay = std::chrono::seconds(13);
+/// Maximum difference between the time of day on two hosts.
+inline constexpr Duration maxClockDifference = std::chrono::seconds(5);
 
 // Orders, in the order in which they are to be carried out.
 
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -17,6 +17,11 @@
     constexpr Duration unreportedPeriod = std::chrono::milliseconds(800);
     /// Time for which a lost run is remembered, so that the log tells why a run that appears again was given up.
     constexpr Duration lostRunRetention = std::chrono::seconds(30);
+    /// Age of a process up to which the term before may have ended without a notice of it, beside the difference of
+    /// clocks: its entry and its first answer are read within a second.
+    constexpr Duration maxUnnoticedAge = std::chrono::seconds(3);
+    /// Time for which a call may wait in the connections of a worker that is down, until its next process reads it.
+    constexpr Duration maxConnectionDelay = std::chrono::seconds(1);
 
 } // namespace
 
@@ -34,6 +39,8 @@
             worker.m_lateLeaseEnd = now + maxOrderDelay + m_settings.m_longestLease;
     }
     const std::int64_t born = worker.m_description.m_bornMs;
+    if (isNew || description.m_bornMs > born)
+        noteInheritedProcess(description, now);
     const bool wasDraining = worker.m_isListed && worker.m_description.m_isDraining;
     if (born != 0 && description.m_bornMs < born)
         return;
@@ -57,6 +64,16 @@
         evacuate(worker, now);
 }
 
+void JobScheduler::noteInheritedProcess(const WorkerDescription& description, TimePoint now)
+{
+    if (now - m_inheritedAt > maxOrderDelay)
+        return;
+    const Duration bornAfter = std::chrono::milliseconds(description.m_bornMs - m_inheritedWallMs);
+    if (now - (m_inheritedAt + bornAfter) > maxUnnoticedAge + maxClockDifference)
+        return;
+    m_inheritedLateLeases[description.m_worker] = now + maxConnectionDelay + m_settings.m_longestLease;
+}
+
 void JobScheduler::moveToPool(Worker& worker, PoolNumber pool)
 {
     if (worker.m_pool == pool)
@@ -249,6 +266,7 @@
                 markChanged(*job);
         }
     }
+    std::erase_if(m_inheritedLateLeases, [now](const auto& late) { return late.second < now; });
     m_nextInheritedEnd = TimePoint::max();
     for (const WorkerId& place : m_inheritedPlaces)
         m_nextInheritedEnd = std::min(m_nextInheritedEnd, unreportedLeaseEnd(place));
@@ -267,7 +285,7 @@
     for (const auto& [id, worker] : m_workers) {
         if (ends.size() >= most || !worker.m_isSilent || !worker.m_hasReportedInTerm || worker.m_runs.empty())
             continue;
-        TimePoint& end = ends.emplace(id, unreportedLeaseEnd(id)).first->second;
+        TimePoint& end = ends.emplace(id, inheritedLeaseEnd(id)).first->second;
         for (const auto& [name, run] : worker.m_runs)
             end = std::max(end, endOfSilentRun(worker, run));
     }
--- a/tests/jobs/LateOrderTest.cpp
+++ b/tests/jobs/LateOrderTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(startAnsweredByAnUnknownProcessKeepsTheLeaseOfThatProcess);
     CPPUNIT_TEST(removalOfTheEntryOfAnEarlierProcessEndsNoRun);
     CPPUNIT_TEST(startThatItsSuccessorDoesNotKnowRunsAlone);
+    CPPUNIT_TEST(startReadByANewProcessRunsAloneAfterATakeover);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Resources whole { 32000, 131072, 0 };
@@ -348,7 +349,7 @@
             const TimePoint now(seconds(100));
             SimulatedCell cell(1);
             const WorkerDescription worker = cell.m_workers.begin()->second.m_description;
-            scheduler.setInheritedLeases({}, now);
+            scheduler.setInheritedLeases({}, 0, now);
             scheduler.workerListed(worker, now);
             scheduler.workerReported(worker.m_worker, { 1, now, {}, {}, true, true, age }, now);
             scheduler.addJob(singleTask(), {}, 0, now);
@@ -370,7 +371,7 @@
         SimulatedCell cell(1);
         const WorkerDescription worker = cell.m_workers.begin()->second.m_description;
         const auto lateLease = [&] { return scheduler.worker(worker.m_worker)->m_lateLeaseEnd > now; };
-        scheduler.setInheritedLeases({}, now);
+        scheduler.setInheritedLeases({}, 0, now);
         now += maxOrderDelay;
         scheduler.workerListed(worker, now);
         CPPUNIT_ASSERT(!lateLease());
@@ -445,6 +446,27 @@
                 std::size_t(0), cell.m_unbarredViolations.size());
         }
     }
+
+    // Guards against the same where the start waited in a connection while the worker was down: the holder ends and the
+    // worker is cut off just after its next process has read the start. Its entry expires while the successor waits.
+    void startReadByANewProcessRunsAloneAfterATakeover()
+    {
+        SimulatedCell cell = startedCell(3);
+        cell.m_startDelay = milliseconds(300);
+        const WorkerId first = orderLateStart(cell, singleTask(seconds(60)));
+        cell.m_workers.at(first).m_isReachable = false;
+        cell.restartWorkerSilently(first);
+        cell.listAll();
+        runUntilStarted(cell, cell.m_workers.at(first));
+        cell.takeOver();
+        cell.run(seconds(5));
+        cell.m_registry.erase(first);
+        cell.m_scheduler->workerDelisted(first, cell.m_now);
+        cell.run(seconds(25));
+        assertNoViolation(cell);
+        CPPUNIT_ASSERT(cell.m_unbarredViolations.empty());
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LateOrderTest);
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -137,7 +137,7 @@
         // The number of a term is that of its claim, so that renewals leave numbers for the runs of the earlier term.
         settings.m_term = m_newestNumber;
         m_scheduler = std::make_unique<JobScheduler>(settings);
-        m_scheduler->setInheritedLeases({ successorWaitEnd(), m_storedLeaseEnds }, m_now);
+        m_scheduler->setInheritedLeases({ successorWaitEnd(), m_storedLeaseEnds }, wallMs(), m_now);
         m_storing.reset();
         m_questions.clear();
         for (auto& [id, worker] : m_workers) {
@@ -290,6 +290,8 @@
     std::size_t m_listedEnds = 500;
     /// A worker carries out delayed calls that were sent to its earlier process: they name the worker, not the process.
     bool m_laterProcessesObey = true;
+    /// Delay of starts that are left unanswered; drawn if there is none.
+    std::optional<Duration> m_startDelay;
     /// Delay of the request for a report that was pending when its worker restarted; drawn if there is none.
     std::optional<Duration> m_requestDelay;
     /// Real run time as a multiple of the estimate.
@@ -399,7 +401,7 @@
         worker.m_highestNumber = 0;
         worker.m_wasCalled = false;
         worker.m_isUp = true;
-        ++worker.m_description.m_bornMs;
+        worker.m_description.m_bornMs = std::max(worker.m_description.m_bornMs + 1, wallMs());
         worker.m_startedAt = m_now;
     }
 
@@ -653,9 +655,9 @@
         const TimePoint leaseEnd = m_now + (isKnownProcess ? lease : longestLease);
         m_scheduler->leaseExtended(order.m_worker, m_now + lease + milliseconds(300));
         if (worker.m_isUp && worker.m_isReachable && worker.m_delaysStarts) {
-            m_delayed.push_back(
-                { m_now + minStartDelay + Duration(m_random() % (maxStartDelay - minStartDelay).count()),
-                    order.m_worker, numberOf(order.m_worker), order, leaseEnd, worker.m_description.m_bornMs });
+            const Duration drawn = minStartDelay + Duration(m_random() % (maxStartDelay - minStartDelay).count());
+            m_delayed.push_back({ m_now + m_startDelay.value_or(drawn), order.m_worker, numberOf(order.m_worker), order,
+                leaseEnd, worker.m_description.m_bornMs });
         } else if (worker.m_isUp && worker.m_isReachable) {
             worker.m_wasCalled = true;
             StartOutcome outcome = begin(order.m_worker, numberOf(order.m_worker), order, leaseEnd);
