--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -176,7 +176,8 @@
         ++m_counters.m_invalid;
         return refuse(call, ErrorKind::InvalidRequest, errorOf(spec).m_detail);
     }
-    const jobs::JobRecord record { call->m_job, call->m_route->m_policy, valueOf(std::move(spec)), wallNowMs() };
+    const jobs::JobRecord record { call->m_job, call->m_route->m_policy, valueOf(std::move(spec)), wallNowMs(), {},
+        {} };
     store(call->m_job.value(), jobs::encodeJobRecord(record), call->m_deadline, [this, call](StoreOutcome outcome) {
         switch (outcome) {
         case StoreOutcome::Stored:
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -360,6 +360,12 @@
     return isFinal(job.m_storedState) ? job.m_storedState : JobState::Running;
 }
 
+void JobScheduler::setTeams(std::vector<TeamPolicy> teams, TimePoint) { m_teams = std::move(teams); }
+
+std::vector<TeamRefusal> JobScheduler::refusedTeams(TimePoint) const { return {}; }
+
+const TeamId& JobScheduler::teamOf(const JobId& id) const { return m_jobs.at(id)->m_record.m_team; }
+
 std::uint32_t JobScheduler::pending(const std::string& queue) const
 {
     const auto found = m_pending.find(queue);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -4,6 +4,7 @@
 
 #include "jobs/LeaseBounds.h"
 #include "jobs/SchedulerState.h"
+#include "jobs/TeamPolicy.h"
 
 #include <functional>
 #include <string>
@@ -78,6 +79,16 @@
     bool mayRunInherited(const WorkerId&, TimePoint now) const;
     /// @}
 
+    /// \name Teams
+    /// @{
+    /// Replaces the policies of the teams by those of the configuration in force.
+    void setTeams(std::vector<TeamPolicy> teams, TimePoint now);
+    /// Teams whose new jobs are to be refused now.
+    std::vector<TeamRefusal> refusedTeams(TimePoint now) const;
+    /// Team of a known job; empty if it has none.
+    const TeamId& teamOf(const JobId&) const;
+    /// @}
+
     /// \name Leases of workers that cannot be reached
     /// @{
     /// Ends of the leases of workers on which tasks may run and that have not reported for long; at most `most`. A
@@ -386,6 +397,7 @@
     std::vector<ExpiredPlace> m_newExpiredPlaces;
     /// Running mean of the share of workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
+    std::vector<TeamPolicy> m_teams;
     SchedulerCounters m_counters;
 };
 
--- a/src/jobs/JobSpec.cpp
+++ b/src/jobs/JobSpec.cpp
@@ -168,6 +168,11 @@
     put(object, "occurrences", record.m_spec.m_occurrences);
     put(object, "firstDueMs", record.m_spec.m_firstDueMs);
     put(object, "intervalMs", record.m_spec.m_intervalMs);
+    if (!record.m_team.value().empty()) {
+        object["team"] = record.m_team.value();
+        object["teamLimit"] = { { "cpuMillis", record.m_teamLimit.m_cpuMillis },
+            { "memoryMiB", record.m_teamLimit.m_memoryMiB }, { "accelerators", record.m_teamLimit.m_accelerators } };
+    }
     if (policy.m_advice) {
         object["advice"] = { { "baseMicros", policy.m_advice->m_base.count() },
             { "perWorkerMicros", policy.m_advice->m_perWorker.count() },
@@ -196,6 +201,11 @@
         record.m_policy.m_advice = AdvicePolicy { Duration(advice.number("baseMicros")),
             Duration(advice.number("perWorkerMicros")), Duration(advice.number("validityMicros")) };
     }
+    record.m_team = TeamId(reader.text("team"));
+    if (const json::object* object = reader.object("teamLimit")) {
+        const Reader limit(*object);
+        record.m_teamLimit = { limit.number("cpuMillis"), limit.number("memoryMiB"), limit.number("accelerators") };
+    }
     record.m_spec.m_payload = reader.text("payload");
     record.m_spec.m_occurrences = reader.count("occurrences");
     record.m_spec.m_firstDueMs = reader.number("firstDueMs");
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -104,6 +104,9 @@
     JobSpec m_spec;
     /// Wall-clock time of the acceptance in milliseconds since 1970.
     std::int64_t m_acceptedMs = 0;
+    /// Team that submitted the job, and its limit at that time; empty for a job without a team.
+    TeamId m_team;
+    Resources m_teamLimit;
 
     friend bool operator==(const JobRecord&, const JobRecord&) = default;
 };
