Limits of teams on what they have running on all workers

Cause: a team's limit (section 2 of docs/design/contended-capacity.md) was stored with its jobs and had no effect. A run is charged from its placement until its end is proven, a start that was given up until it can no longer be carried out, and after a takeover what earlier terms may have started at workers that have not reported. Placement skips steps of teams at their limit in constant time; a placed run that was not sent is taken back after a lower limit. Jobs of teams keep their places in the store after they have ended, while tasks are being stopped, so that a successor counts them. The simulated cell checks the limit at each start, also a late one.

--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -75,7 +75,8 @@
 {
     const std::vector<Step*> steps = m_scheduler.m_reservingSteps;
     for (Step* step : steps) {
-        const bool isNeeded = step->m_job->isOpen() && step->m_waitingTasks == step->m_tasks.size();
+        const bool isNeeded
+            = step->m_job->isOpen() && step->m_waitingTasks == step->m_tasks.size() && m_scheduler.hasTeamRoom(*step);
         if (!isNeeded || m_now >= step->m_reservationEnd)
             endReservation(*step);
     }
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -48,6 +48,7 @@
     job.m_record = record;
     job.m_number = ++m_lastJobNumber;
     job.m_pool = poolNumber(record.m_policy.m_service);
+    job.m_team = m_teamLimits.numberOf(record.m_team);
     const Duration age = std::chrono::milliseconds(std::max<std::int64_t>(0, wallNowMs - record.m_acceptedMs));
     job.m_acceptedAt = now - age;
     const Duration objective = scaled(criticalPathLength(withAdviceTime(record)), record.m_policy.m_slackFactor)
@@ -67,10 +68,12 @@
     if (isFinal(stored.m_state)) {
         job.m_state = stored.m_state;
         job.m_closedAt = now;
-        return;
+        return restorePlacesOfEndedJob(job, stored, now);
+    }
+    if (m_cancelledEarly.erase(record.m_job) > 0) {
+        closeJob(job, JobState::Cancelled, now);
+        return restorePlacesOfEndedJob(job, stored, now);
     }
-    if (m_cancelledEarly.erase(record.m_job) > 0)
-        return closeJob(job, JobState::Cancelled, now);
     job.m_isRecordKept = stored.m_state == JobState::Running || !stored.m_places.empty();
     openDueOccurrences(job, wallNowMs, now);
     restoreTasks(job, stored, now);
@@ -131,6 +134,44 @@
         if (const auto [step, task] = find(index); task != nullptr)
             finishTask(*step, *task, now);
     }
+    for (const auto& [index, workers] : progress.m_places) {
+        if (const auto [step, task] = find({ index.m_occurrence, index.m_step, 0 }); step != nullptr)
+            updateInheritedCharge(*step);
+    }
+}
+
+void JobScheduler::restorePlacesOfEndedJob(Job& job, const JobProgress& progress, TimePoint now)
+{
+    if (job.m_team == noTeam || progress.m_places.empty())
+        return;
+    job.m_isRecordKept = true;
+    m_areInheritedPlacesChanged = true;
+    for (const auto& [index, workers] : progress.m_places) {
+        Step* step = stepOf({ job.m_record.m_job, { index.m_occurrence, index.m_step, 0 } }, now);
+        if (step == nullptr)
+            continue;
+        step->m_inheritedPlaces = workers;
+        updateInheritedCharge(*step);
+    }
+}
+
+void JobScheduler::updateInheritedCharge(Step& step)
+{
+    const Job& job = *step.m_job;
+    if (job.m_team == noTeam || (step.m_inheritedPlaces.empty() && step.m_inheritedCharge.isZero()))
+        return;
+    std::int64_t runs = 0;
+    if (!step.m_inheritedPlaces.empty() && step.m_spec->m_allowsCopies) {
+        // A copy may run beside a known run or after the end of the task, and two of them at two places.
+        const auto perTask = std::min<std::size_t>(step.m_inheritedPlaces.size(), maxUnresolvedCopies);
+        runs = static_cast<std::int64_t>(step.m_tasks.size() * perTask);
+    } else if (!step.m_inheritedPlaces.empty()) {
+        runs = std::count_if(step.m_tasks.begin(), step.m_tasks.end(),
+            [](const Task& task) { return !task.m_isDone && task.m_liveRuns == 0; });
+    }
+    m_teamLimits.refund(job.m_team, step.m_inheritedCharge);
+    step.m_inheritedCharge = step.m_spec->m_need * runs;
+    m_teamLimits.charge(job.m_team, step.m_inheritedCharge);
 }
 
 void JobScheduler::openDueOccurrences(Job& job, std::int64_t wallNowMs, TimePoint now)
@@ -236,6 +277,7 @@
         return;
     task.m_isDone = true;
     ++step.m_doneTasks;
+    noteKnownTask(step);
     refreshWaiting(step, task, now);
     markChanged(*step.m_job);
     if (step.isFinished())
@@ -258,6 +300,12 @@
         closeJob(job, JobState::Done, now);
 }
 
+void JobScheduler::noteKnownTask(const Step& step)
+{
+    const bool isCounted = !step.m_inheritedCharge.isZero() && !step.m_spec->m_allowsCopies;
+    m_areInheritedPlacesChanged = m_areInheritedPlacesChanged || isCounted;
+}
+
 std::vector<SchedulerAction> JobScheduler::step(std::int64_t wallNowMs, TimePoint now, const AdviceCapacity& advice)
 {
     for (Job* job : m_jobsWithFutureOccurrences) {
@@ -360,7 +408,22 @@
     return isFinal(job.m_storedState) ? job.m_storedState : JobState::Running;
 }
 
-void JobScheduler::setTeams(std::vector<TeamPolicy> teams, TimePoint) { m_teams = std::move(teams); }
+void JobScheduler::setTeams(std::vector<TeamPolicy> teams, TimePoint) { m_teamLimits.setTeams(teams); }
+
+std::vector<TeamUse> JobScheduler::teamUses() const
+{
+    std::vector<TeamUse> uses = m_teamLimits.uses();
+    if (uses.empty())
+        return uses;
+    std::unordered_map<TeamId, std::uint64_t> waitingTasks;
+    for (const auto& [rank, step] : m_waitingSteps)
+        waitingTasks[step->m_job->m_record.m_team] += step->m_waitingTasks;
+    for (TeamUse& use : uses) {
+        if (const auto found = waitingTasks.find(use.m_team); found != waitingTasks.end())
+            use.m_waitingTasks = found->second;
+    }
+    return uses;
+}
 
 std::vector<TeamRefusal> JobScheduler::refusedTeams(TimePoint) const { return {}; }
 
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -87,6 +87,8 @@
     std::vector<TeamRefusal> refusedTeams(TimePoint now) const;
     /// Team of a known job; empty if it has none.
     const TeamId& teamOf(const JobId&) const;
+    /// Use, limit and waiting tasks of the teams that the configuration names.
+    std::vector<TeamUse> teamUses() const;
     /// @}
 
     /// \name Leases of workers that cannot be reached
@@ -210,6 +212,8 @@
     /// Workers that the next record of the step's job names as its places.
     PlaceSet placesOf(const Step&) const;
     void restoreTasks(Job&, const JobProgress&, TimePoint now);
+    /// Restores the places of a job that has ended while its tasks may go on, for the limit of its team.
+    void restorePlacesOfEndedJob(Job&, const JobProgress&, TimePoint now);
     Step* stepOf(const TaskName&, TimePoint now);
     static Task& taskOf(Step& step, const RunName& run) { return step.m_tasks[run.m_task.m_index.m_task]; }
     /// The task that counts the failures and crashes of the run. The members of a gang start and fail together: the
@@ -296,6 +300,28 @@
     void requestTrialReports(Worker&, TimePoint now);
     /// @}
 
+    /// \name Limits of teams; see TeamLimits.h
+    /// @{
+    /// Whether the limit of the step's team leaves room for a task, or for all tasks of a gang.
+    bool hasTeamRoom(const Step& step) const
+    {
+        const Job& job = *step.m_job;
+        return job.m_team == noTeam || m_teamLimits.allows(job.m_team, job.m_record.m_teamLimit, step.neededAtOnce());
+    }
+    /// Whether the use of the step's team, with that of its placed tasks, is within the limit.
+    bool isWithinTeamLimit(const Step& step) const
+    {
+        const Job& job = *step.m_job;
+        return job.m_team == noTeam || m_teamLimits.allows(job.m_team, job.m_record.m_teamLimit, {});
+    }
+    /// Charges what may run of the step on workers that have not reported in this term.
+    void updateInheritedCharge(Step&);
+    /// Notes that a task of the step no longer counts as one that may run at an inherited place.
+    void noteKnownTask(const Step&);
+    /// Forgets unanswered starts that can no longer lead to a run.
+    void forgetUnansweredStarts(Worker&, TimePoint now);
+    /// @}
+
     void superviseWorkers(TimePoint now);
     void superviseRuns(Worker&, TimePoint now);
     /// Forgets inherited places whose runs are known from a report or whose lease has ended.
@@ -397,7 +423,7 @@
     std::vector<ExpiredPlace> m_newExpiredPlaces;
     /// Running mean of the share of workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
-    std::vector<TeamPolicy> m_teams;
+    TeamLimits m_teamLimits;
     SchedulerCounters m_counters;
 };
 
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -53,6 +53,8 @@
             continue;
         }
         ++it;
+        if (!m_scheduler.hasTeamRoom(step))
+            continue;
         // A gang looks ahead: it reserves workers that have no room yet.
         const bool isGang = step.m_spec->m_isGang;
         if (!isGang && !m_scheduler.m_freeRoom.mayFit(step.m_job->m_pool, step.m_spec->reserved().m_cpuMillis))
@@ -68,7 +70,7 @@
         if (isGang && step.m_waitingTasks == step.m_tasks.size())
             reserveWorkers(step);
         const bool needsTickets = step.m_job->m_record.m_policy.m_advice && step.m_waitingTasks > 0;
-        if (!needsTickets || step.m_isAdvicePending || step.m_nextAdviceAt > m_now)
+        if (!needsTickets || step.m_isAdvicePending || step.m_nextAdviceAt > m_now || !m_scheduler.hasTeamRoom(step))
             continue;
         const bool isLong = step.m_job->m_record.m_policy.m_advice->m_base > longAdviceTime;
         if (advice.m_idle <= (isLong ? reserve : 0))
@@ -298,6 +300,8 @@
         Task& task = step.m_tasks[i];
         if (!task.m_isWaiting)
             continue;
+        if (!m_scheduler.hasTeamRoom(step))
+            return;
         if (task.m_crashes > 0) {
             Worker* trial = takeTrialWorker(candidates);
             std::make_heap(candidates.begin(), candidates.end(), isWorse);
@@ -399,7 +403,10 @@
     chooseDomain(step);
     const double share
         = m_scheduler.m_allowedShare.try_emplace(step.m_job->m_record.m_policy.m_queue, 0.5).first->second;
-    const double wanted = step.m_waitingTasks * adviceRequestMargin;
+    const Job& job = *step.m_job;
+    const std::uint64_t startable = std::min<std::uint64_t>(
+        step.m_waitingTasks, m_scheduler.m_teamLimits.slots(job.m_team, job.m_record.m_teamLimit, step.m_spec->m_need));
+    const double wanted = static_cast<double>(startable) * adviceRequestMargin;
     AdviceRequest question { step.m_name, {}, {} };
     double expected = 0;
     std::set<WorkerNumber> named;
@@ -481,6 +488,8 @@
         ++reasons[reason];
     }
     std::string text = "waiting " + std::to_string(step.m_waitingTasks) + " of " + std::to_string(step.m_tasks.size());
+    if (!m_scheduler.hasTeamRoom(step))
+        text += m_scheduler.m_teamLimits.isConfigured() ? ", teamLimit" : ", teamLimit unknown";
     if (!step.m_reservedWorkers.empty())
         text += ", keeps free " + std::to_string(step.m_reservedWorkers.size());
     if (step.m_isAdvicePending)
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -30,11 +30,12 @@
     void releaseTentativeReservations(Step&);
     /// Ends the reservation of workers for the gang, if it has one.
     void endReservation(Step&);
-    /// Whether the tasks of the step that were placed on the worker may still start there. Its capacity may have shrunk
-    /// since.
+    /// Whether the tasks of the step that were placed on the worker may still start there. Its capacity and the limit
+    /// of the team may have shrunk since.
     bool mayStart(const Worker& worker, const Step& step) const
     {
         return isEligible(worker, step) && worker.m_reserved.fitsIn(worker.m_description.m_capacity)
+            && m_scheduler.isWithinTeamLimit(step)
             && (!step.m_job->m_record.m_policy.m_advice || hasTicket(worker, step));
     }
 
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -175,7 +175,10 @@
         ++step->m_job->m_history.m_lostRuns;
     }
     removeRun(worker, end.m_run, now);
-    worker.m_unanswered.erase(end.m_run);
+    if (const auto start = worker.m_unanswered.find(end.m_run); start != worker.m_unanswered.end()) {
+        m_teamLimits.refund(start->second.m_team, start->second.m_charge);
+        worker.m_unanswered.erase(start);
+    }
     // Other copies of a task that has its result are superfluous.
     if (task.m_isDone && task.m_liveRuns > 0 && !step->m_spec->m_isGang)
         stopOtherRuns(*step, end.m_run.m_task, now);
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -35,6 +35,10 @@
     run.m_progressAt = now;
     worker.m_reserved += run.m_reserved;
     worker.m_fillingMillis += run.m_fillingMillis;
+    // A start that was given up under this name is charged already.
+    if (!worker.m_unanswered.contains(name))
+        m_teamLimits.charge(step.m_job->m_team, step.m_spec->m_need);
+    noteKnownTask(step);
     worker.m_servingRuns += step.m_spec->isServing() ? 1 : 0;
     worker.m_fillingRuns += step.m_spec->m_isFilling ? 1 : 0;
     ++step.m_places[worker.m_number];
@@ -98,7 +102,10 @@
     Run& run = found->second;
     Step& step = *run.m_step;
     if (run.m_mayBeginUntil > now)
-        worker.m_unanswered.try_emplace(name, run.m_mayBeginUntil, run.m_orderedAt, run.m_bornMs);
+        worker.m_unanswered.try_emplace(
+            name, run.m_mayBeginUntil, run.m_orderedAt, run.m_bornMs, step.m_job->m_team, step.m_spec->m_need);
+    if (!worker.m_unanswered.contains(name))
+        m_teamLimits.refund(step.m_job->m_team, step.m_spec->m_need);
     setActive(run, false, now);
     setPhase(run, RunPhase::Running);
     endProof(run);
@@ -110,7 +117,7 @@
     if (--place->second == 0) {
         step.m_places.erase(place);
         // A successor waits for all places that the stored record names, including those of workers that have left.
-        if (step.m_job->isOpen())
+        if (step.m_job->needsPlaces())
             markChanged(*step.m_job);
     }
     Task& task = taskOf(step, name);
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -4,6 +4,7 @@
 #include "jobs/RoomIndex.h"
 #include "jobs/SchedulerTypes.h"
 #include "jobs/StepQueue.h"
+#include "jobs/TeamLimits.h"
 #include "jobs/WorkerHealth.h"
 
 #include <boost/container/flat_map.hpp>
@@ -134,6 +135,8 @@
     PlaceSet m_plannedPlaces;
     /// Places at which an earlier term may have started tasks.
     std::set<WorkerId> m_inheritedPlaces;
+    /// What is charged to the team for tasks that may run there without being known.
+    Resources m_inheritedCharge;
     /// Workers that are kept free for the tasks of this gang until m_reservationEnd, and when they should have room.
     std::vector<WorkerNumber> m_reservedWorkers;
     TimePoint m_reservationReadyAt {};
@@ -154,10 +157,17 @@
         return m_storedPlaces.contains(worker) && m_sentPlaces.contains(worker);
     }
     bool isFinished() const { return m_doneTasks == m_tasks.size(); }
+    /// What starts at once: a task, or all tasks of a gang.
+    Resources neededAtOnce() const
+    {
+        return m_spec->m_need * (m_spec->m_isGang ? static_cast<std::int64_t>(m_tasks.size()) : 1);
+    }
 };
 
 struct Job {
     JobRecord m_record;
+    /// Team that is charged for the runs.
+    TeamNumber m_team = noTeam;
     /// Position in the order in which the jobs were added.
     std::uint64_t m_number = 0;
     /// Pool of the workers that run the tasks.
@@ -185,6 +195,9 @@
     JobHistory m_history;
 
     bool isOpen() const { return !isFinal(m_state); }
+    /// Whether a successor must know the places of the job's runs: as long as they may start again, or count against
+    /// the limit of a team.
+    bool needsPlaces() const { return isOpen() || m_team != noTeam; }
     std::uint32_t stepsPerOccurrence() const { return static_cast<std::uint32_t>(m_record.m_spec.m_steps.size()); }
     Step* step(std::uint32_t occurrence, std::uint32_t step)
     {
@@ -199,6 +212,9 @@
     TimePoint m_orderedAt {};
     /// Start time of the worker process that was ordered.
     std::int64_t m_bornMs = 0;
+    /// What is charged for the start, unless a run of its name is known, which then holds the charge.
+    TeamNumber m_team = noTeam;
+    Resources m_charge;
 };
 
 struct Worker {
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -13,11 +13,11 @@
 {
     ProgressRecord record { job.m_record.m_job, {}, std::nullopt, false };
     record.m_progress.m_state = job.m_state;
-    if (!job.isOpen())
+    if (!job.needsPlaces())
         return record;
     for (const Step& step : job.m_steps) {
         const StepIndex place { step.m_name.m_occurrence, step.m_name.m_step };
-        for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i) {
+        for (std::uint32_t i = 0; job.isOpen() && i < step.m_tasks.size(); ++i) {
             const TaskIndex index { step.m_name.m_occurrence, step.m_name.m_step, i };
             if (step.m_tasks[i].m_isDone)
                 record.m_progress.m_done.push_back(index);
@@ -26,11 +26,14 @@
             if (!step.m_tasks[i].m_isDone && step.m_tasks[i].m_crashes > 0)
                 record.m_progress.m_crashes[index] = step.m_tasks[i].m_crashes;
         }
-        if (step.isFinished())
+        const bool isOver = step.isFinished() || !job.isOpen();
+        if (isOver && job.m_team == noTeam)
             continue;
         std::set<WorkerId> places = step.m_inheritedPlaces;
-        for (const WorkerNumber worker : step.m_plannedPlaces)
-            places.insert(m_workersByNumber[worker]->m_description.m_worker);
+        if (!isOver) {
+            for (const WorkerNumber worker : step.m_plannedPlaces)
+                places.insert(m_workersByNumber[worker]->m_description.m_worker);
+        }
         for (const auto& [worker, runs] : step.m_places)
             places.insert(m_workersByNumber[worker]->m_description.m_worker);
         if (!places.empty())
@@ -61,10 +64,10 @@
         job->m_isDirty = false;
         batch.m_records.push_back(progressOf(*job));
         const auto& places = batch.m_records.back().m_progress.m_places;
-        if (job->isOpen() && !job->m_isRecordKept && !places.empty()) {
+        if (job->needsPlaces() && !job->m_isRecordKept && !places.empty()) {
             batch.m_records.back().m_record = job->m_record;
             job->m_isRecordKept = true;
-        } else if (!job->isOpen()) {
+        } else if (!job->isOpen() && places.empty()) {
             batch.m_records.back().m_removesRecord = std::exchange(job->m_isRecordKept, false);
         }
         SentProgress& sent = sentProgress.emplace_back(SentProgress { job->m_record.m_job, job->m_state, {} });
@@ -88,7 +91,8 @@
     m_batchEnds.erase(insteadOf);
     for (const auto& [id, job] : m_jobs) {
         // A partition that held the progress before may have the record of a job that has ended since.
-        job->m_isRecordKept = !job->isOpen();
+        // That of a job whose places are still needed is written anew.
+        job->m_isRecordKept = !job->isOpen() && progressOf(*job).m_progress.m_places.empty();
         markChanged(*job);
     }
     return takeChanges();
@@ -138,7 +142,8 @@
     }
     const auto hasRuns = [this](const JobId& id) {
         const auto& steps = m_jobs.at(id)->m_steps;
-        return std::any_of(steps.begin(), steps.end(), [](const Step& step) { return !step.m_places.empty(); });
+        return std::any_of(steps.begin(), steps.end(),
+            [](const Step& step) { return !step.m_places.empty() || !step.m_inheritedCharge.isZero(); });
     };
     std::erase_if(expired, hasRuns);
     for (const JobId& id : expired) {
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -201,7 +201,7 @@
     run.m_bornMs = start.m_bornMs;
     requestStop(run, now);
     // A successor has to know the place again.
-    if (step->m_job->isOpen())
+    if (step->m_job->needsPlaces())
         markChanged(*step->m_job);
 }
 
@@ -225,7 +225,7 @@
             superviseRuns(worker, now);
         if (worker.m_trials > 0)
             requestTrialReports(worker, now);
-        std::erase_if(worker.m_unanswered, [now](const auto& start) { return start.second.m_mayBeginUntil < now; });
+        forgetUnansweredStarts(worker, now);
         const bool isGone
             = !worker.m_isListed && worker.m_runs.empty() && worker.m_unanswered.empty() && worker.m_leaseEnd < now;
         if (isGone) {
@@ -247,6 +247,24 @@
         m_lostRuns.pop_front();
 }
 
+void JobScheduler::forgetUnansweredStarts(Worker& worker, TimePoint now)
+{
+    std::erase_if(worker.m_unanswered, [&](const auto& entry) {
+        const auto& [name, start] = entry;
+        if (start.m_mayBeginUntil >= now)
+            return false;
+        // A later process that nobody has seen may have begun it just before, and counts its lease from there.
+        const bool mayRunUnseen = start.m_team != noTeam && !worker.m_isReplaced
+            && worker.m_lastReportAt <= start.m_mayBeginUntil
+            && now <= start.m_mayBeginUntil + m_settings.m_longestLease;
+        if (mayRunUnseen)
+            return false;
+        if (!worker.m_runs.contains(name))
+            m_teamLimits.refund(start.m_team, start.m_charge);
+        return true;
+    });
+}
+
 void JobScheduler::forgetInheritedPlaces(TimePoint now)
 {
     if (!std::exchange(m_areInheritedPlacesChanged, false) && now < m_nextInheritedEnd)
@@ -262,7 +280,8 @@
             const auto forgotten = std::erase_if(
                 step.m_inheritedPlaces, [&](const WorkerId& place) { return !mayRunInherited(place, now); });
             m_inheritedPlaces.insert(step.m_inheritedPlaces.begin(), step.m_inheritedPlaces.end());
-            if (forgotten > 0 && job->isOpen())
+            updateInheritedCharge(step);
+            if (forgotten > 0 && job->needsPlaces())
                 markChanged(*job);
         }
     }
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -138,6 +138,8 @@
         settings.m_term = m_newestNumber;
         m_scheduler = std::make_unique<JobScheduler>(settings);
         m_scheduler->setInheritedLeases({ successorWaitEnd(), m_storedLeaseEnds }, wallMs(), m_now);
+        if (!m_policies.empty())
+            m_scheduler->setTeams(m_policies.back().second, m_now);
         m_storing.reset();
         m_questions.clear();
         for (auto& [id, worker] : m_workers) {
@@ -194,6 +196,27 @@
             m_scheduler->cancelJob(id, m_now);
     }
 
+    /// Puts policies of teams into force.
+    void setTeams(const std::vector<TeamPolicy>& policies)
+    {
+        m_policies.emplace_back(m_now, policies);
+        if (m_scheduler)
+            m_scheduler->setTeams(policies, m_now);
+    }
+
+    /// What the team has running on all workers, reachable or not.
+    Resources usedBy(const TeamId& team) const
+    {
+        Resources sum;
+        for (const auto& [id, worker] : m_workers) {
+            for (const auto& [name, run] : worker.m_running) {
+                if (worker.m_isUp && m_accepted.at(name.m_task.m_job).m_team == team)
+                    sum += specOf(name).m_need;
+            }
+        }
+        return sum;
+    }
+
     /// Restarts a worker, which loses its state, with the given capacity.
     void restartWorker(const WorkerId& id, Resources capacity)
     {
@@ -592,6 +615,7 @@
         worker.m_leaseEnd = std::max(worker.m_leaseEnd, leaseEnd);
         worker.m_running[order.m_run]
             = { ++m_starts, spec.m_isLongRunning ? TimePoint::max() : m_now + work, m_now, spec.reserved() };
+        verifyTeamLimit(order.m_run);
         if (m_crashingTasks.contains(order.m_run.m_task))
             worker.m_crashesAt = m_now + tick;
         if (!worker.used().fitsIn(worker.m_description.m_capacity)) {
@@ -756,6 +780,42 @@
         }
     }
 
+    /// The highest limit of the job's team that was in force since an order that arrives now may have been sent.
+    Resources highestLimitFor(const JobRecord& record) const
+    {
+        constexpr std::int64_t none = 1'000'000'000'000;
+        const auto effective = [](std::int64_t amount) { return amount == 0 ? none : amount; };
+        Resources highest;
+        TimePoint replacedAt = TimePoint::max();
+        for (auto it = m_policies.rbegin(); it != m_policies.rend() && replacedAt >= m_now - maxOrderDelay; ++it) {
+            Resources limit = record.m_teamLimit;
+            for (const TeamPolicy& policy : it->second) {
+                if (policy.m_team == record.m_team)
+                    limit = policy.m_limit;
+            }
+            highest = Resources::max(highest,
+                { effective(limit.m_cpuMillis), effective(limit.m_memoryMiB), effective(limit.m_accelerators) });
+            replacedAt = it->first;
+        }
+        return highest;
+    }
+
+    /// Verifies that what the team of the started run has running is within its limit.
+    void verifyTeamLimit(const RunName& run)
+    {
+        const JobRecord& record = m_accepted.at(run.m_task.m_job);
+        if (record.m_team.empty() || usedBy(record.m_team).fitsIn(highestLimitFor(record)))
+            return;
+        bool runsUnbarred = false;
+        for (const auto& [id, worker] : m_workers) {
+            for (const auto& [name, other] : worker.m_running)
+                runsUnbarred = runsUnbarred
+                    || (m_unbarredTasks.contains(name.m_task)
+                        && m_accepted.at(name.m_task.m_job).m_team == record.m_team);
+        }
+        (runsUnbarred ? m_unbarredViolations : m_violations).insert("limit of team " + record.m_team.value());
+    }
+
     bool isForThisProcess(const DelayedStart& start) const
     {
         return m_workers.at(start.m_worker).m_description.m_bornMs == start.m_bornMs;
@@ -808,6 +868,8 @@
         }
     }
 
+    /// Policies of teams, with the times from which they were in force.
+    std::vector<std::pair<TimePoint, std::vector<TeamPolicy>>> m_policies;
     std::mt19937_64 m_random;
     /// For the delays of requests, apart from those of starts.
     std::mt19937_64 m_requestRandom;
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -283,31 +283,51 @@
     // Takeovers, partitions, lost and late orders, worker restarts and store outages, in any combination.
     void promisesHoldUnderRandomFaults()
     {
-        for (std::uint64_t seed = 1; seed <= 40; ++seed)
-            CPPUNIT_ASSERT(verifyRandomFaults(seed, false).empty());
+        for (const bool hasTeams : { false, true }) {
+            for (std::uint64_t seed = 1; seed <= 40; ++seed)
+                CPPUNIT_ASSERT(verifyRandomFaults(seed, false, hasTeams).empty());
+        }
     }
 
     // Guards against runs that begin beside others because a worker's later process carries out a start that was sent
     // to an earlier one.
     void promisesHoldWhenLaterProcessesObeyLateStarts()
     {
-        for (std::uint64_t seed = 1; seed <= 40; ++seed)
-            verifyRandomFaults(seed, true);
+        for (const bool hasTeams : { false, true }) {
+            for (std::uint64_t seed = 1; seed <= 40; ++seed)
+                verifyRandomFaults(seed, true, hasTeams);
+        }
     }
 
     // Starts that arrive at a later process before any call of the scheduler has reached it.
     void promisesHoldWhenLateStartsArriveBeforeAnyCall()
     {
         for (std::uint64_t seed = 1; seed <= 40; ++seed) {
-            const std::set<std::string> unbarred = verifyRandomFaults(seed, true);
+            const std::set<std::string> unbarred = verifyRandomFaults(seed, true, false);
             CPPUNIT_ASSERT_MESSAGE(
                 "seed " + std::to_string(seed) + ": " + (unbarred.empty() ? "" : *unbarred.begin()), unbarred.empty());
         }
     }
 
 private:
+    /// Teams with a tight limit of processor time, with one of memory that changes, without a limit, and one that the
+    /// configuration does not name; and none.
+    static void giveTeam(JobRecord& job, int round)
+    {
+        static constexpr const char* teams[] = { "", "cpu", "memory", "unlimited", "unnamed" };
+        job.m_team = TeamId(teams[round % std::size(teams)]);
+        if (job.m_team.value() == "unnamed")
+            job.m_teamLimit = { 30000, 0, 0 };
+    }
+    static std::vector<TeamPolicy> policies(int round)
+    {
+        const std::int64_t memoryMiB = round < 10 ? 8192 : 4096;
+        return { { TeamId("cpu"), 1, { 24000, 0, 0 } }, { TeamId("memory"), 1, { 0, memoryMiB, 0 } },
+            { TeamId("unlimited"), 1, {} } };
+    }
+
     /// Returns the violations that starts which cannot be barred explain; fails on any other one.
-    static std::set<std::string> verifyRandomFaults(std::uint64_t seed, bool laterProcessesObey)
+    static std::set<std::string> verifyRandomFaults(std::uint64_t seed, bool laterProcessesObey, bool hasTeams)
     {
         std::mt19937_64 random(seed);
         SimulatedCell cell = startedCell(6, seed);
@@ -323,6 +343,12 @@
                 { SimulatedCell::step(firstCount, cpuMillis, estimate),
                     SimulatedCell::step(secondCount, 4000, milliseconds(500)) });
             job.m_spec.m_steps[1].m_dependsOn = { 0 };
+            if (hasTeams) {
+                giveTeam(job, round);
+                if (round % 10 == 0)
+                    cell.setTeams(policies(round));
+                job.m_spec.m_steps[1].m_allowsCopies = round % 3 == 0;
+            }
             if (random() % 2 == 0)
                 job.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(2), seconds(2) };
             cell.accept(job);
