--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -5,6 +5,7 @@
 #include "controller/Clock.h"
 #include "controller/GuardedLoop.h"
 #include "controller/PeerCall.h"
+#include "controller/TeamMetrics.h"
 
 #include <algorithm>
 #include <csignal>
@@ -391,6 +392,7 @@
         put("lost_runs_total", counters.m_lostRuns);
         put("stalled_runs_total", counters.m_stalledRuns);
         put("crash_suspects_total", counters.m_crashSuspects);
+        text += teamMetricsText(m_term->scheduler()->teamUses());
     }
     respond({ 200, text, 0, "text/plain" });
 }
