Order waiting steps by the shares of the teams

A team that sends ten times its usual rate into a full cell delayed the jobs of all other teams. Jobs are marked within or beyond the share of their team by the generic cell rate algorithm on their acceptance times, whatever the order in which they are read, so that a successor derives the same marks. Useful steps within the shares go first, work beyond them leaves a tenth of a pool free, and a team that is well beyond its share while its steps wait for room is named as refused.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -54,6 +54,8 @@
         + record.m_policy.m_latencyTarget;
     job.m_objective = job.m_acceptedAt + objective;
     job.m_usefulUntil = job.m_acceptedAt + objective * usefulObjectives;
+    if (!record.m_team.value().empty())
+        job.m_teamNumber = m_shares.add(record.m_job, record.m_team, record.m_acceptedMs);
     m_jobs.emplace(record.m_job, std::move(owned));
     return job;
 }
@@ -86,6 +88,7 @@
     if (number >= m_poolWorkers.size()) {
         m_poolWorkers.resize(number + 1);
         m_poolReservations.resize(number + 1);
+        m_poolBeyondShare.resize(number + 1);
     }
     return number;
 }
@@ -268,13 +271,27 @@
         return !job->isOpen() || job->m_openedOccurrences == job->m_record.m_spec.occurrenceCount();
     });
     superviseWorkers(now);
+    applyShareMarks(now);
     if (!m_areStartsHeld) {
         startRecordedRuns(now);
         PlacementPass(*this, now).run(advice);
     }
+    m_shares.updateRefusals(wallNowMs, now);
     return std::exchange(m_actions, {});
 }
 
+void JobScheduler::applyShareMarks(TimePoint now)
+{
+    for (const auto& [id, mark] : m_shares.takeMarkChanges()) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end())
+            continue;
+        found->second->m_share = mark;
+        for (Step& step : found->second->m_steps)
+            m_waitingSteps.refresh(step, now);
+    }
+}
+
 bool JobScheduler::mayRunOnUnreportedWorker(const Step& step, TimePoint now) const
 {
     return std::any_of(step.m_inheritedPlaces.begin(), step.m_inheritedPlaces.end(),
@@ -360,9 +377,13 @@
     return isFinal(job.m_storedState) ? job.m_storedState : JobState::Running;
 }
 
-void JobScheduler::setTeams(std::vector<TeamPolicy> teams, TimePoint) { m_teams = std::move(teams); }
+void JobScheduler::setTeams(std::vector<TeamPolicy> teams, TimePoint)
+{
+    m_teams = std::move(teams);
+    m_shares.setTeams(m_teams);
+}
 
-std::vector<TeamRefusal> JobScheduler::refusedTeams(TimePoint) const { return {}; }
+std::vector<TeamRefusal> JobScheduler::refusedTeams(TimePoint now) const { return m_shares.refusedTeams(now); }
 
 const TeamId& JobScheduler::teamOf(const JobId& id) const { return m_jobs.at(id)->m_record.m_team; }
 
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -53,6 +53,9 @@
     std::uint64_t m_stalledRuns = 0;
     /// Runs that count as a possible cause of a crash of their worker.
     std::uint64_t m_crashSuspects = 0;
+    /// Placement passes in which work beyond the share of its team waited although there was room, since it leaves a
+    /// part of the pool free.
+    std::uint64_t m_headroomPasses = 0;
 };
 
 /// See the head of the file. Functions that take `now` are called with times that do not decrease.
@@ -87,6 +90,10 @@
     std::vector<TeamRefusal> refusedTeams(TimePoint now) const;
     /// Team of a known job; empty if it has none.
     const TeamId& teamOf(const JobId&) const;
+    /// Jobs accepted within and beyond the shares of the teams.
+    std::vector<TeamJobs> jobsByTeam() const { return m_shares.jobCounts(); }
+    /// Teams that began or ceased to be refused since the last call.
+    std::vector<TeamRefusalChange> takeRefusalChanges() { return m_shares.takeRefusalChanges(); }
     /// @}
 
     /// \name Leases of workers that cannot be reached
@@ -231,6 +238,8 @@
     void finishStep(Step&, TimePoint now);
     void closeJob(Job&, JobState, TimePoint now);
     void markChanged(Job&);
+    /// Applies the marks of jobs that have changed.
+    void applyShareMarks(TimePoint now);
 
     Run& addRun(Step&, Task&, Worker&, const RunName&, RunPhase, TimePoint now);
     /// Removes a run from its worker; the task waits again unless it is done.
@@ -398,6 +407,9 @@
     /// Running mean of the share of workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
     std::vector<TeamPolicy> m_teams;
+    TeamShares m_shares;
+    /// What runs of jobs beyond the share of their team have reserved, by the pool of the job.
+    std::vector<Resources> m_poolBeyondShare;
     SchedulerCounters m_counters;
 };
 
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -37,6 +37,10 @@
     constexpr std::uint64_t candidateMargin = 2;
     constexpr std::uint64_t minCandidateSlots = 32;
 
+    /// Work beyond the share of its team leaves one part in this many of a pool free: tasks last seconds and are not
+    /// preempted, so that work within the shares would find no room when it arrives.
+    constexpr std::int64_t headroomDivisor = 10;
+
 } // namespace
 
 void PlacementPass::run(AdviceCapacity advice)
@@ -55,8 +59,15 @@
         ++it;
         // A gang looks ahead: it reserves workers that have no room yet.
         const bool isGang = step.m_spec->m_isGang;
-        if (!isGang && !m_scheduler.m_freeRoom.mayFit(step.m_job->m_pool, step.m_spec->reserved().m_cpuMillis))
+        if (!isGang && !m_scheduler.m_freeRoom.mayFit(step.m_job->m_pool, step.m_spec->reserved().m_cpuMillis)) {
+            noteRoomWait(step);
+            continue;
+        }
+        if (isHeldByHeadroom(step)) {
+            noteRoomWait(step);
+            m_hasHeldForHeadroom = true;
             continue;
+        }
         if (!step.m_spec->m_allowsCopies && m_scheduler.mayRunOnUnreportedWorker(step, m_now))
             continue;
         if (++looked > m_scheduler.m_settings.m_maxStepsPerPass)
@@ -78,6 +89,51 @@
         else
             step.m_nextAdviceAt = m_now + noCandidateBackoff;
     }
+    m_scheduler.m_counters.m_headroomPasses += m_hasHeldForHeadroom ? 1 : 0;
+}
+
+PlacementPass::PoolRoom& PlacementPass::roomOf(PoolNumber pool)
+{
+    const auto [found, isNew] = m_poolRoom.try_emplace(pool);
+    if (!isNew)
+        return found->second;
+    Resources capacity;
+    for (const auto& [id, worker] : m_scheduler.m_workers) {
+        if (worker.m_pool != pool || !m_scheduler.isAvailable(worker, m_now))
+            continue;
+        capacity += worker.m_description.m_capacity;
+        found->second.m_free += worker.free();
+    }
+    found->second.m_headroom = { capacity.m_cpuMillis / headroomDivisor, capacity.m_memoryMiB / headroomDivisor,
+        capacity.m_accelerators / headroomDivisor };
+    return found->second;
+}
+
+bool PlacementPass::respectsHeadroom(const Step& step, std::uint32_t tasks)
+{
+    const PoolRoom& room = roomOf(step.m_job->m_pool);
+    const Resources& used = m_scheduler.m_poolBeyondShare[step.m_job->m_pool];
+    const Resources need = step.m_spec->reserved();
+    bool leavesRoom = true;
+    bool isSmall = true;
+    const auto consider = [&](std::int64_t amount, std::int64_t free, std::int64_t headroom, std::int64_t beyond) {
+        if (amount <= 0)
+            return;
+        leavesRoom = leavesRoom && amount * tasks + headroom <= free;
+        isSmall = isSmall && (beyond == 0 || amount * tasks + beyond <= headroom);
+    };
+    consider(need.m_cpuMillis, room.m_free.m_cpuMillis, room.m_headroom.m_cpuMillis, used.m_cpuMillis);
+    consider(need.m_memoryMiB, room.m_free.m_memoryMiB, room.m_headroom.m_memoryMiB, used.m_memoryMiB);
+    consider(need.m_accelerators, room.m_free.m_accelerators, room.m_headroom.m_accelerators, used.m_accelerators);
+    // Accepted work ends although the cell stays full: what is beyond the shares may always use some of the pool.
+    return leavesRoom || isSmall;
+}
+
+void PlacementPass::noteRoomWait(const Step& step)
+{
+    // A step that can never run, or waits for a rare worker, must not have a team refused for long.
+    if (step.m_job->m_share.m_isBeyond && !step.m_spec->m_isLongRunning && step.m_queueRank.m_lateness < 2)
+        m_scheduler.m_shares.noteRoomWait(step.m_job->m_teamNumber, m_now);
 }
 
 const char* PlacementPass::ineligibilityReason(const Worker& worker, const Step& step) const
@@ -298,6 +354,8 @@
         Task& task = step.m_tasks[i];
         if (!task.m_isWaiting)
             continue;
+        if (step.m_job->m_share.m_isBeyond && !respectsHeadroom(step, 1))
+            return;
         if (task.m_crashes > 0) {
             Worker* trial = takeTrialWorker(candidates);
             std::make_heap(candidates.begin(), candidates.end(), isWorse);
@@ -367,6 +425,8 @@
     Task& task = step.m_tasks[index];
     const RunName name { { step.m_name.m_job, { step.m_name.m_occurrence, step.m_name.m_step, index } }, number };
     m_scheduler.addRun(step, task, worker, name, RunPhase::Recording, m_now);
+    if (const auto room = m_poolRoom.find(step.m_job->m_pool); room != m_poolRoom.end())
+        room->second.m_free -= step.m_spec->reserved();
     m_scheduler.m_recordingRuns.emplace_back(worker.m_number, name);
     for (std::uint32_t i = step.m_name.m_step + 1; i < step.m_job->stepsPerOccurrence(); ++i) {
         Step& later = *step.m_job->step(step.m_name.m_occurrence, i);
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -99,8 +99,31 @@
     void sendAdviceRequest(Step&, AdviceRequest);
     /// @}
 
+    /// \name Headroom that work beyond the share of its team leaves free
+    /// @{
+    /// Room of a pool during the pass.
+    struct PoolRoom {
+        Resources m_free;
+        Resources m_headroom;
+    };
+    PoolRoom& roomOf(PoolNumber);
+    /// Whether this many tasks of the step may start without using the headroom.
+    bool respectsHeadroom(const Step&, std::uint32_t tasks);
+    /// Whether the step waits since it is beyond the share of its team.
+    bool isHeldByHeadroom(const Step& step)
+    {
+        return step.m_job->m_share.m_isBeyond
+            && !respectsHeadroom(step, step.m_spec->m_isGang ? static_cast<std::uint32_t>(step.m_tasks.size()) : 1);
+    }
+    /// Notes that the step waits for room.
+    void noteRoomWait(const Step&);
+    /// @}
+
     JobScheduler& m_scheduler;
     const TimePoint m_now;
+    /// Pools whose room has been needed, in this pass.
+    std::map<PoolNumber, PoolRoom> m_poolRoom;
+    bool m_hasHeldForHeadroom = false;
 };
 
 } // namespace sapphiredale::jobs
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -33,6 +33,9 @@
     run.m_orderedAt = now;
     run.m_bornMs = worker.m_description.m_bornMs;
     run.m_progressAt = now;
+    run.m_isBeyondShare = step.m_job->m_share.m_isBeyond;
+    if (run.m_isBeyondShare)
+        m_poolBeyondShare[step.m_job->m_pool] += run.m_reserved;
     worker.m_reserved += run.m_reserved;
     worker.m_fillingMillis += run.m_fillingMillis;
     worker.m_servingRuns += step.m_spec->isServing() ? 1 : 0;
@@ -102,6 +105,8 @@
     setActive(run, false, now);
     setPhase(run, RunPhase::Running);
     endProof(run);
+    if (run.m_isBeyondShare)
+        m_poolBeyondShare[step.m_job->m_pool] -= run.m_reserved;
     worker.m_reserved -= run.m_reserved;
     worker.m_fillingMillis -= run.m_fillingMillis;
     worker.m_servingRuns -= step.m_spec->isServing() ? 1 : 0;
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -4,6 +4,7 @@
 #include "jobs/RoomIndex.h"
 #include "jobs/SchedulerTypes.h"
 #include "jobs/StepQueue.h"
+#include "jobs/TeamShares.h"
 #include "jobs/WorkerHealth.h"
 
 #include <boost/container/flat_map.hpp>
@@ -51,6 +52,8 @@
     /// Start time of the worker process whose report has listed the run; 0 before.
     std::int64_t m_listedBornMs = 0;
     bool m_isActive = true;
+    /// The job was beyond the share of its team when the run was added.
+    bool m_isBeyondShare = false;
     /// The report that is being handled lists the run.
     bool m_isListed = false;
     /// When the worker's confirmation arrived; max() before. A report that was requested later must list the run.
@@ -162,6 +165,9 @@
     std::uint64_t m_number = 0;
     /// Pool of the workers that run the tasks.
     PoolNumber m_pool = 0;
+    /// Number of the team in TeamShares, if the job has one, and the mark of the job.
+    TeamNumber m_teamNumber = 0;
+    ShareMark m_share;
     JobState m_state = JobState::Queued;
     /// State in the store; what callers see once the job has ended.
     JobState m_storedState = JobState::Queued;
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -147,6 +147,8 @@
             m_waitingSteps.erase(step);
             PlacementPass(*this, now).endReservation(step);
         }
+        if (!job->m_record.m_team.value().empty())
+            m_shares.remove(id, job->m_teamNumber, job->m_record.m_acceptedMs);
         std::erase(m_dirty, job);
         std::erase(m_jobsWithFutureOccurrences, job);
         m_jobs.erase(id);
--- a/src/jobs/StepQueue.cpp
+++ b/src/jobs/StepQueue.cpp
@@ -11,8 +11,9 @@
     StepRank rankOf(const Step& step, TimePoint now)
     {
         const Job& job = *step.m_job;
-        StepRank rank { 0, job.m_record.m_policy.m_priority, job.m_objective, job.m_number, step.m_name.m_occurrence,
-            step.m_name.m_step };
+        const std::uint32_t usefulGroup = job.m_share.m_isBeyond ? 1 : 0;
+        StepRank rank { usefulGroup, job.m_share.m_excessLevel, 0, job.m_record.m_policy.m_priority, job.m_objective,
+            job.m_number, step.m_name.m_occurrence, step.m_name.m_step };
         if (step.m_spec->m_isLongRunning) {
             // Each second of downtime of a long-running task counts the same, however late it is.
             rank.m_priority = 0;
@@ -20,6 +21,10 @@
             return rank;
         }
         rank.m_lateness = now + step.m_criticalPath <= job.m_objective ? 0 : now <= job.m_usefulUntil ? 1 : 2;
+        if (rank.m_lateness == 2) {
+            rank.m_group = 2;
+            rank.m_excessLevel = 0;
+        }
         return rank;
     }
 
@@ -67,6 +72,14 @@
     return m_entries.erase(at);
 }
 
+void StepQueue::refresh(Step& step, TimePoint now)
+{
+    if (!step.m_isQueued)
+        return;
+    erase(step);
+    insert(step, now);
+}
+
 void StepQueue::update(TimePoint now)
 {
     while (!m_latenessChanges.empty() && m_latenessChanges.begin()->first < now) {
--- a/src/jobs/StepQueue.h
+++ b/src/jobs/StepQueue.h
@@ -2,8 +2,9 @@
 //
 // Answers demand above the capacity of the cell for seconds: then the order decides which jobs are late. Steps that can
 // still meet the objective of their job go first, then those whose late result is worth something, then the rest;
-// within these by priority and objective. A step moves only when one of its own two times passes, so that thousands of
-// waiting steps cost nothing while nothing changes for them.
+// within these by priority and objective. Jobs within the share of their team go before those beyond it, as long as
+// their results are worth something, so that a team which sends too much does not delay the others. A step moves only
+// when one of its own two times passes, so that thousands of waiting steps cost nothing while nothing changes for them.
 #pragma once
 
 #include "model/Time.h"
@@ -19,6 +20,11 @@
 
 /// Sort key of a waiting step; smaller ranks go first.
 struct StepRank {
+    /// 0 for steps whose result is worth something and whose job is within the share of its team, 1 for those beyond
+    /// it, 2 for the rest.
+    std::uint32_t m_group = 0;
+    /// In group 1, how far beyond its share the team was when the job was accepted.
+    std::uint32_t m_excessLevel = 0;
     /// 0 while the objective can be met, 1 while a late result is worth something, 2 afterwards.
     int m_lateness = 0;
     std::uint32_t m_priority = 0;
@@ -43,6 +49,8 @@
     void erase(Step&);
     /// Erases the step at the iterator and returns the next one.
     Iterator erase(Iterator);
+    /// Moves a step in the queue after a change of the mark of its job.
+    void refresh(Step&, TimePoint now);
     /// Moves the steps whose lateness has changed.
     void update(TimePoint now);
 
--- a/tests/jobs/StepQueueTest.cpp
+++ b/tests/jobs/StepQueueTest.cpp
@@ -14,6 +14,9 @@
     CPPUNIT_TEST(stepsThatAreLateMoveBack);
     CPPUNIT_TEST(longRunningStepsKeepTheirPlace);
     CPPUNIT_TEST(erasedStepsDoNotReturn);
+    CPPUNIT_TEST(stepsBeyondTheShareFollowUsefulOnesWithin);
+    CPPUNIT_TEST(teamWithTheLeastExcessGoesFirst);
+    CPPUNIT_TEST(markChangesMoveQueuedSteps);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -77,6 +80,55 @@
         CPPUNIT_ASSERT(!m_steps[1].m_isQueued);
     }
 
+    // A job that is urgent but beyond the share of its team delayed late jobs of the others that were still worth
+    // something; jobs without worth must not delay it in turn.
+    void stepsBeyondTheShareFollowUsefulOnesWithin()
+    {
+        m_jobs[0].m_share = { true, 1 };
+        m_jobs[0].m_usefulUntil = start + seconds(60);
+        m_jobs[1].m_record.m_policy.m_priority = 7;
+        insertAll(start);
+        CPPUNIT_ASSERT((std::vector<std::uint64_t> { 2, 1, 0 }) == order());
+        // Job 1 has become late, and its result still has worth.
+        m_queue.update(start + seconds(9));
+        CPPUNIT_ASSERT((std::vector<std::uint64_t> { 2, 1, 0 }) == order());
+        m_queue.update(start + seconds(31));
+        CPPUNIT_ASSERT((std::vector<std::uint64_t> { 0, 2, 1 }) == order());
+        // Without worth the mark has no meaning.
+        m_queue.update(start + seconds(61));
+        CPPUNIT_ASSERT((std::vector<std::uint64_t> { 0, 2, 1 }) == order());
+        CPPUNIT_ASSERT_EQUAL(2U, m_steps[0].m_queueRank.m_group);
+        CPPUNIT_ASSERT_EQUAL(0U, m_steps[0].m_queueRank.m_excessLevel);
+    }
+
+    // A small team that was just beyond its share waited behind the burst of a large one, by priority and objective.
+    void teamWithTheLeastExcessGoesFirst()
+    {
+        m_jobs[0].m_share = { true, 5 };
+        m_jobs[1].m_share = { true, 1 };
+        m_jobs[2].m_share = { true, 1 };
+        insertAll(start);
+        CPPUNIT_ASSERT((std::vector<std::uint64_t> { 1, 2, 0 }) == order());
+    }
+
+    // Marks change after steps were queued, when a job that was accepted earlier arrives later; an entry under the old
+    // rank would point to a step that is gone.
+    void markChangesMoveQueuedSteps()
+    {
+        insertAll(start);
+        m_jobs[0].m_share = { true, 1 };
+        m_queue.refresh(m_steps[0], start);
+        CPPUNIT_ASSERT((std::vector<std::uint64_t> { 1, 2, 0 }) == order());
+        m_jobs[0].m_share = {};
+        m_queue.refresh(m_steps[0], start);
+        CPPUNIT_ASSERT((std::vector<std::uint64_t> { 0, 1, 2 }) == order());
+        m_queue.erase(m_steps[1]);
+        m_queue.refresh(m_steps[1], start);
+        CPPUNIT_ASSERT((std::vector<std::uint64_t> { 0, 2 }) == order());
+        m_queue.update(start + seconds(60));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_queue.size());
+    }
+
 private:
     static constexpr TimePoint start = TimePoint(seconds(100));
 
