--- a/tests/jobs/TeamBurstTest.cpp
+++ b/tests/jobs/TeamBurstTest.cpp
@@ -79,7 +79,7 @@
         }
 
     private:
-        static constexpr std::uint32_t workerCount = 12;
+        static constexpr std::uint32_t workerCount = 9;
         static constexpr int teamCount = 20;
         static constexpr int largeTeams = 3;
         static constexpr std::size_t burster = 0;
@@ -90,8 +90,10 @@
 
         void setTeams()
         {
-            if (m_load.m_hasShares)
-                m_cell.m_scheduler->setTeams(m_teams, m_cell.m_now);
+            std::vector<TeamPolicy> teams = m_teams;
+            for (TeamPolicy& team : teams)
+                team.m_weight = m_load.m_hasShares ? team.m_weight : 0;
+            m_cell.setTeams(teams);
         }
 
         double rateOf(std::size_t team) const
@@ -185,7 +187,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Load: 12 workers, 0.54 of their processor time used by jobs of 20 teams and an eighth by services; one large team
+    // Load: 9 workers, 0.72 of their processor time used by jobs of 20 teams and an eighth by services; one large team
     // sends ten times its usual rate for 7 s. Guards against jobs of the other teams that wait behind the burst, and
     // against accepted work that never ends. Without shares the same load makes many of them late.
     void othersAreServedAsBefore()
@@ -223,7 +225,7 @@
     void workBeyondTheShareLeavesHeadroom()
     {
         SimulatedCell cell = startedCell(10);
-        cell.m_scheduler->setTeams({ { TeamId("a"), 0.001, {} }, { TeamId("b"), 1.0, {} } }, cell.m_now);
+        cell.setTeams({ { TeamId("a"), 0.001, {} }, { TeamId("b"), 1.0, {} } });
         acceptBurst(cell, 200, SimulatedCell::step(1, 4000, seconds(4)));
         cell.run(seconds(1));
         // 80 tasks fit; eight would use the headroom of a tenth.
@@ -246,7 +248,7 @@
     void largeWorkBeyondTheShareStarts()
     {
         SimulatedCell cell = startedCell(4);
-        cell.m_scheduler->setTeams({ { TeamId("a"), 0.001, {} }, { TeamId("b"), 1.0, {} } }, cell.m_now);
+        cell.setTeams({ { TeamId("a"), 0.001, {} }, { TeamId("b"), 1.0, {} } });
         StepSpec gang = SimulatedCell::step(4, 32000, seconds(1));
         gang.m_isGang = true;
         acceptBurst(cell, 3, gang);
@@ -268,7 +270,7 @@
     void stepThatCanNeverRunRefusesNobody()
     {
         SimulatedCell cell = startedCell(4);
-        cell.m_scheduler->setTeams({ { TeamId("a"), 1.0, {} } }, cell.m_now);
+        cell.setTeams({ { TeamId("a"), 1.0, {} } });
         acceptBurst(cell, 30, SimulatedCell::step(1, 100, milliseconds(200)));
         acceptBurst(cell, 1, SimulatedCell::step(1, 64000, milliseconds(200)));
         cell.run(seconds(3));
