Learn the speeds of workers and place by them

SpeedModel learns a duration factor per machine type and worker from the progress and the ends of runs. Placement, gang choice and advice requests prefer the workers that are fast enough and no faster than needed; an urgent step waits for a fast worker for at most half of the time that it saves. Ranks and the expected ends of runs use the factors.

--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -32,7 +32,7 @@
     /// Workers that may run the gang which should be known, as a multiple of its need, so that some of them have room.
     constexpr double permittedMargin = 2.5;
 
-    TimePoint expectedEnd(const Run& run, TimePoint now)
+    TimePoint expectedEnd(const Run& run, double speedFactor, TimePoint now)
     {
         const StepSpec& spec = *run.m_step->m_spec;
         if (spec.m_isLongRunning || spec.m_isFilling)
@@ -40,11 +40,12 @@
         if (run.m_phase == RunPhase::Stopping)
             return now + minRemaining;
         if (run.m_confirmedAt == TimePoint::max())
-            return now + spec.m_estimate;
+            return now + scaled(spec.m_estimate, speedFactor);
         // Estimates are off by half; reported progress tells the true duration.
         const Duration reported = run.m_progressAt - run.m_confirmedAt;
         const bool isMeasured = run.m_percent > 0 && reported.count() > 0;
-        const Duration whole = isMeasured ? scaled(reported, 100.0 / run.m_percent) : spec.m_estimate;
+        const Duration whole
+            = isMeasured ? scaled(reported, 100.0 / run.m_percent) : scaled(spec.m_estimate, speedFactor);
         return std::max(run.m_confirmedAt + whole, now + minRemaining);
     }
 
@@ -59,7 +60,7 @@
     std::vector<std::pair<TimePoint, const Run*>> ends;
     ends.reserve(worker.m_runs.size());
     for (const auto& [name, run] : worker.m_runs)
-        ends.emplace_back(expectedEnd(run, m_now), &run);
+        ends.emplace_back(expectedEnd(run, m_scheduler.m_speeds.factor(worker.m_number), m_now), &run);
     std::sort(ends.begin(), ends.end());
     for (const auto& [end, run] : ends) {
         if (end == TimePoint::max())
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -52,6 +52,7 @@
     job.m_acceptedAt = now - age;
     const Duration objective = scaled(criticalPathLength(withAdviceTime(record)), record.m_policy.m_slackFactor)
         + record.m_policy.m_latencyTarget;
+    job.m_chain = criticalPathLength(record.m_spec);
     job.m_objective = job.m_acceptedAt + objective;
     job.m_usefulUntil = job.m_acceptedAt + objective * usefulObjectives;
     m_jobs.emplace(record.m_job, std::move(owned));
@@ -220,8 +221,10 @@
     }
     task.m_waitingSince = now;
     ++step.m_waitingTasks;
-    if (!step.m_isQueued)
+    if (!step.m_isQueued) {
+        step.m_queuedFactor = m_speeds.fastestFactor(step.m_job->m_pool);
         m_waitingSteps.insert(step, now);
+    }
 }
 
 void JobScheduler::refreshAllWaiting(Step& step, TimePoint now)
@@ -268,6 +271,7 @@
         return !job->isOpen() || job->m_openedOccurrences == job->m_record.m_spec.occurrenceCount();
     });
     superviseWorkers(now);
+    m_speeds.update(now);
     if (!m_areStartsHeld) {
         startRecordedRuns(now);
         PlacementPass(*this, now).run(advice);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -4,6 +4,7 @@
 
 #include "jobs/LeaseBounds.h"
 #include "jobs/SchedulerState.h"
+#include "jobs/SpeedModel.h"
 #include "jobs/TeamPolicy.h"
 
 #include <functional>
@@ -194,6 +195,7 @@
     /// those that were returned longest ago first. A step is returned again after twice the time.
     std::vector<Wait> takeLongWaits(Duration age, std::size_t most, TimePoint now);
     const std::map<WorkerId, Worker>& workers() const { return m_workers; }
+    const SpeedModel& speeds() const { return m_speeds; }
     const SchedulerCounters& counters() const { return m_counters; }
     std::size_t jobCount() const { return m_jobs.size(); }
     /// Number of jobs that have not ended.
@@ -267,6 +269,8 @@
     static std::uint32_t nextRun(const SchedulerSettings&, const Task&);
     void handleRunEnd(Worker&, const EndReport&, TimePoint now);
     void handleRunReport(Worker&, const WorkerReport&, const RunReport&, TimePoint now);
+    /// Compares the progress since the last measurement of the run with its estimate.
+    void measureSpeed(Run&, double percent, TimePoint now);
     bool isStalled(const Run&, TimePoint now) const;
     void handleStall(Worker&, Run&, TimePoint now);
     /// Counts a failed or stalled run against its worker, or against its task if that has failed on another worker too.
@@ -397,6 +401,7 @@
     std::vector<ExpiredPlace> m_newExpiredPlaces;
     /// Running mean of the share of workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
+    SpeedModel m_speeds;
     std::vector<TeamPolicy> m_teams;
     SchedulerCounters m_counters;
 };
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -13,6 +13,23 @@
     constexpr double otherRackCost = 4.0;
     constexpr double otherDomainCost = 1.5;
     constexpr double interferenceCost = 2.0;
+    /// A step with slack leaves fast workers to others within its domain; an urgent one leaves its domain, but not its
+    /// rack, for a worker that is fast enough.
+    constexpr double fasterThanNeededCost = 1.2;
+    constexpr double tooSlowCost = 2.0;
+    /// A job counts as late on workers that leave less than this margin: tasks of a step differ by 15 %.
+    constexpr double speedMargin = 1.12;
+    /// Time for the record, the start and the reports of a task.
+    constexpr Duration startOverhead = std::chrono::milliseconds(100);
+    /// Factors within a tenth count as alike, and a worker that is slower than the slowest type by a quarter is
+    /// disturbed.
+    constexpr double alikeFactors = 1.1;
+    constexpr double disturbedFactor = 1.25;
+    /// Longest wait for a fast worker, as a part of the time that it saves. The wait may be in vain, and then costs as
+    /// much as it could have saved if it is repeated.
+    constexpr double waitPart = 0.5;
+    /// Workers for which the duration of an advice request is allowed when the slack of a step is computed.
+    constexpr int workersPerRequest = 30;
     /// Advice requests with a longer base time leave this many daemons, but at most one in three, to the others.
     constexpr Duration longAdviceTime = std::chrono::milliseconds(150);
     constexpr std::uint32_t reservedDaemons = 2;
@@ -61,6 +78,7 @@
             continue;
         if (++looked > m_scheduler.m_settings.m_maxStepsPerPass)
             break;
+        m_speed = speedPreferenceOf(step);
         if (isGang)
             placeGang(step);
         else
@@ -151,6 +169,68 @@
     return slotsFor(worker, step, free) > 0;
 }
 
+PlacementPass::SpeedPreference PlacementPass::speedPreferenceOf(const Step& step) const
+{
+    const Job& job = *step.m_job;
+    const SpeedModel& speeds = m_scheduler.m_speeds;
+    SpeedPreference preference;
+    if (speeds.isUniform(job.m_pool))
+        return preference;
+    preference.m_matters = true;
+    preference.m_fastest = speeds.fastestFactor(job.m_pool);
+    preference.m_slowest = speeds.slowestFactor(job.m_pool);
+    preference.m_limit = std::numeric_limits<double>::infinity();
+    // Long-running tasks and results without worth gain nothing from speed.
+    if (step.m_spec->m_isLongRunning || step.m_criticalPath <= Duration::zero() || m_now > job.m_usefulUntil)
+        return preference;
+    Duration overhead = startOverhead;
+    if (const std::optional<AdvicePolicy>& advice = job.m_record.m_policy.m_advice)
+        overhead += advice->m_base + advice->m_perWorker * workersPerRequest;
+    // Estimates of a job are off by one factor, which lengthens its objective and its remaining chain alike, but not
+    // what does not follow the estimates.
+    const Duration slack = job.m_objective - m_now - overhead;
+    const auto limitFor = [&](double error) {
+        const Duration added = scaled(job.m_chain, (error - 1) * job.m_record.m_policy.m_slackFactor);
+        return static_cast<double>((slack + added).count()) / static_cast<double>(step.m_criticalPath.count()) / error;
+    };
+    const SpeedModel::EstimationError error = speeds.errorOf(job.m_number);
+    preference.m_limit = std::min(limitFor(error.m_expected), limitFor(error.m_high)) / speedMargin;
+    preference.m_isUrgent = preference.m_limit < preference.m_slowest;
+    if (!preference.m_isUrgent || preference.m_limit < preference.m_fastest)
+        return preference;
+    TimePoint waitingSince = m_now;
+    for (const Task& task : step.m_tasks) {
+        if (task.m_isWaiting)
+            waitingSince = std::min(waitingSince, task.m_waitingSince);
+    }
+    const double saved = (preference.m_slowest - preference.m_fastest) * waitPart;
+    preference.m_waits = m_now < waitingSince + overhead + scaled(step.m_spec->m_estimate, saved);
+    return preference;
+}
+
+bool PlacementPass::isPreferred(const Worker& worker) const
+{
+    if (!m_speed.m_matters)
+        return true;
+    const double factor = m_scheduler.m_speeds.factor(worker.m_number);
+    if (factor > m_speed.m_slowest * disturbedFactor)
+        return false;
+    if (!m_speed.m_isUrgent)
+        return factor * alikeFactors >= m_speed.m_slowest;
+    // A job that is late everywhere is least late on the fastest workers.
+    return factor <= std::max(m_speed.m_limit, m_speed.m_fastest * alikeFactors);
+}
+
+double PlacementPass::speedCost(const Worker& worker) const
+{
+    if (isPreferred(worker))
+        return 0;
+    const double factor = m_scheduler.m_speeds.factor(worker.m_number);
+    if (!m_speed.m_isUrgent && factor <= m_speed.m_slowest)
+        return fasterThanNeededCost;
+    return tooSlowCost + std::min(1.0, factor / 10);
+}
+
 double PlacementPass::cost(const Worker& worker, const Step& step, const RackId& rack) const
 {
     const StepSpec& spec = *step.m_spec;
@@ -176,7 +256,7 @@
         cost += otherDomainCost;
     if ((spec.m_isFilling && worker.m_servingRuns > 0) || (spec.isServing() && worker.m_fillingRuns > 0))
         cost += interferenceCost;
-    return cost;
+    return cost + speedCost(worker);
 }
 
 template <typename Visitor> void PlacementPass::visitUsableWorkers(const Step& step, Visitor visitor) const
@@ -211,7 +291,7 @@
     std::uint64_t slots = 0;
     std::vector<Candidate> candidates;
     visitUsableWorkers(step, [&](Worker& worker) {
-        if (!fits(worker, step, worker.free()))
+        if (!fits(worker, step, worker.free()) || isTooSlow(worker))
             return true;
         candidates.push_back({ cost(worker, step, rack), &worker });
         if (candidates.back().m_cost <= 1.0)
@@ -318,10 +398,20 @@
 }
 
 std::vector<Worker*> PlacementPass::chooseGangWorkers(const Step& step, const RackId& rack) const
+{
+    // A gang is as fast as its slowest member: one fast worker among slow ones is wasted.
+    std::vector<Worker*> chosen;
+    if (m_speed.m_matters)
+        chosen = chooseGangWorkers(step, rack, true);
+    return chosen.empty() ? chooseGangWorkers(step, rack, false) : chosen;
+}
+
+std::vector<Worker*> PlacementPass::chooseGangWorkers(const Step& step, const RackId& rack, bool isOnlyPreferred) const
 {
     std::vector<Candidate> candidates;
     visitUsableWorkers(step, [&](Worker& worker) {
-        if ((rack.empty() || worker.m_description.m_rack == rack) && fits(worker, step, worker.free()))
+        const bool isLeftOut = isOnlyPreferred ? !isPreferred(worker) : isTooSlow(worker);
+        if (!isLeftOut && (rack.empty() || worker.m_description.m_rack == rack) && fits(worker, step, worker.free()))
             candidates.push_back({ cost(worker, step, rack), &worker });
         return true;
     });
@@ -404,12 +494,12 @@
     double expected = 0;
     std::set<WorkerNumber> named;
     /// Names the worker if it is a candidate; returns whether more are needed.
-    const auto consider = [&](Worker& worker, bool isNear) {
+    const auto consider = [&](Worker& worker, bool isNear, bool isOnlyPreferred) {
         const auto known = step.m_permissions.find(worker.m_number);
         const bool isRefused = known != step.m_permissions.end() && !known->second.m_isAllowed;
         const bool isOtherRack = isNear && worker.m_description.m_rack.value() != step.m_spec->m_dataRack;
         if (isRefused || isOtherRack || !isEligible(worker, step) || hasTicket(worker, step)
-            || isReservedForOther(worker, step))
+            || isReservedForOther(worker, step) || (isOnlyPreferred && !isPreferred(worker)))
             return true;
         const std::uint32_t room
             = std::min(maxSlotsPerWorker, slotsFor(worker, step, worker.free() - worker.m_tentativelyReserved));
@@ -426,20 +516,34 @@
     const std::vector<DomainNumber> domains = domainsByRoom(step);
     // Tasks with accelerators fill up workers that are partly used, so that others stay whole for wide tasks.
     const bool fillsUp = step.m_spec->m_need.m_accelerators > 0;
+    const auto visitDomain = [&](DomainNumber domain, bool isNear, bool isOnlyPreferred) {
+        const auto visit = [&](Worker& worker) { return consider(worker, isNear, isOnlyPreferred); };
+        const std::int64_t need = step.m_spec->reserved().m_cpuMillis;
+        const RoomIndex& room = m_scheduler.m_unreservedRoom;
+        return fillsUp ? room.visitTightest(step.m_job->m_pool, domain, need, visit)
+                       : room.visitFreest(step.m_job->m_pool, domain, need, visit);
+    };
     const auto visitDomains = [&](bool isNear) {
-        return std::all_of(domains.begin(), domains.end(), [&](DomainNumber domain) {
-            const auto visit = [&](Worker& worker) { return consider(worker, isNear); };
-            const std::int64_t need = step.m_spec->reserved().m_cpuMillis;
-            const RoomIndex& room = m_scheduler.m_unreservedRoom;
-            return fillsUp ? room.visitTightest(step.m_job->m_pool, domain, need, visit)
-                           : room.visitFreest(step.m_job->m_pool, domain, need, visit);
-        });
+        const auto visitAll = [&](bool isOnlyPreferred) {
+            return std::all_of(domains.begin(), domains.end(),
+                [&](DomainNumber domain) { return visitDomain(domain, isNear, isOnlyPreferred); });
+        };
+        if (!m_speed.m_matters)
+            return visitAll(false);
+        if (!m_speed.m_isUrgent && !step.m_spec->m_isLongRunning)
+            return std::all_of(domains.begin(), domains.end(), [&](DomainNumber domain) {
+                return visitDomain(domain, isNear, true) && visitDomain(domain, isNear, false);
+            });
+        if (!visitAll(true))
+            return false;
+        // Slow workers are named only if there are not enough fast ones.
+        return m_speed.m_waits || (m_speed.m_isUrgent && expected >= step.m_waitingTasks) || visitAll(false);
     };
     bool needsMore = step.m_spec->m_dataRack.empty() || visitDomains(true);
     // Workers that were allowed before are allowed again.
     for (auto it = step.m_permissions.begin(); needsMore && it != step.m_permissions.end(); ++it) {
         if (Worker* worker = it->second.m_isAllowed ? m_scheduler.findWorker(it->first) : nullptr)
-            needsMore = consider(*worker, false);
+            needsMore = consider(*worker, false, true);
     }
     if (needsMore)
         visitDomains(false);
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -48,6 +48,30 @@
         Worker* m_worker = nullptr;
     };
 
+    /// What the speed of workers means for a step.
+    struct SpeedPreference {
+        /// False where all workers are alike.
+        bool m_matters = false;
+        /// Greatest duration factor with which the job meets its objective.
+        double m_limit = 0;
+        /// The job would be late on the slowest workers.
+        bool m_isUrgent = false;
+        /// The step waits for faster workers, until they have had time to become free.
+        bool m_waits = false;
+        double m_fastest = 1;
+        double m_slowest = 1;
+    };
+
+    /// \name Speeds of workers; see docs/design/worker-speeds.md
+    /// @{
+    SpeedPreference speedPreferenceOf(const Step&) const;
+    /// Whether the worker is one of those that the step should take: fast enough, and no faster than needed.
+    bool isPreferred(const Worker&) const;
+    /// Whether the step waits for a faster worker instead.
+    bool isTooSlow(const Worker& worker) const { return m_speed.m_waits && !isPreferred(worker); }
+    double speedCost(const Worker&) const;
+    /// @}
+
     /// Why the worker must not get tasks of the step, regardless of its capacity and tickets; null when it may.
     const char* ineligibilityReason(const Worker&, const Step&) const;
     bool isEligible(const Worker& worker, const Step& step) const
@@ -71,6 +95,8 @@
     void placeGang(Step&);
     /// Chooses a worker for every task of a gang, on one rack if one is given; empty when they do not fit together.
     std::vector<Worker*> chooseGangWorkers(const Step&, const RackId& rack) const;
+    /// The same among preferred workers only, or among all that the step does not avoid.
+    std::vector<Worker*> chooseGangWorkers(const Step&, const RackId& rack, bool isOnlyPreferred) const;
     RackId rackWithMostRoom(const Step&) const;
     /// Chooses the failure domain for the job's tasks and keeps it while it has capacity for them.
     void chooseDomain(Step&);
@@ -101,6 +127,8 @@
 
     JobScheduler& m_scheduler;
     const TimePoint m_now;
+    /// For the step that is being placed.
+    SpeedPreference m_speed;
 };
 
 } // namespace sapphiredale::jobs
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -14,6 +14,12 @@
     constexpr std::uint32_t workersPerQuarantine = 2;
     /// Tail latency, as a fraction of the target, above which filling tasks are throttled.
     constexpr double strainedTailRatio = 0.9;
+    /// Smallest part of a run in percent whose duration is compared with its estimate, and the smaller one that is
+    /// after a longer time: progress is reported in whole percent.
+    constexpr double minMeasuredPercent = 4;
+    constexpr double minSlowPercent = 1.5;
+    constexpr Duration minMeasuredTime = std::chrono::milliseconds(150);
+    constexpr Duration slowMeasuredTime = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -75,6 +81,7 @@
         run.m_listedBornMs = workerReport.m_bornMs;
         confirm(run, now);
         run.m_percent = report.m_percent;
+        measureSpeed(run, report.m_percent, now);
         if (!report.m_checkpoint.empty())
             task.m_checkpoint = report.m_checkpoint;
         if (isSuperfluous)
@@ -96,6 +103,7 @@
         setPhase(run, RunPhase::Running);
         setActive(run, true, now);
     }
+    measureSpeed(run, report.m_percent, now);
     const bool hasProgress = report.m_percent > run.m_percent;
     if (hasProgress)
         run.m_progressAt = now;
@@ -163,6 +171,8 @@
     if (end.m_end == RunEnd::Done && isOpen && !isLongRunning) {
         ++m_counters.m_doneRuns;
         worker.m_health.runSucceeded();
+        if (const auto run = worker.m_runs.find(end.m_run); run != worker.m_runs.end())
+            measureSpeed(run->second, 100, now);
         if (step->m_spec->m_isGang) {
             for (Task& member : step->m_tasks)
                 finishTask(*step, member, now);
@@ -181,6 +191,32 @@
         stopOtherRuns(*step, end.m_run.m_task, now);
 }
 
+void JobScheduler::measureSpeed(Run& run, double percent, TimePoint now)
+{
+    const StepSpec& spec = *run.m_step->m_spec;
+    // Gangs wait for their slowest member, filling tasks for unused processor time, and tasks apart from their data or
+    // their group are slower for that reason.
+    const bool isAway = !spec.m_dataRack.empty() && run.m_worker->m_description.m_rack.value() != spec.m_dataRack;
+    const bool isGrouped = spec.m_isGang || (spec.m_isRackLocal && spec.m_count > 1);
+    if (run.m_phase != RunPhase::Running || spec.m_isLongRunning || spec.m_isFilling || spec.isServing() || isAway
+        || isGrouped || spec.m_estimate <= Duration::zero())
+        return;
+    if (run.m_measuredAt != TimePoint::max() && percent >= run.m_measuredPercent) {
+        const double part = percent - run.m_measuredPercent;
+        const Duration time = now - run.m_measuredAt;
+        const bool isEnough = (part >= minMeasuredPercent && time >= minMeasuredTime)
+            || (part >= minSlowPercent && time >= slowMeasuredTime);
+        if (!isEnough)
+            return;
+        const double expected = static_cast<double>(spec.m_estimate.count()) * part / 100.0;
+        m_speeds.observe(
+            { run.m_worker->m_number, run.m_step->m_job->m_number, static_cast<double>(time.count()) / expected, part },
+            now);
+    }
+    run.m_measuredPercent = percent;
+    run.m_measuredAt = now;
+}
+
 bool JobScheduler::isStalled(const Run& run, TimePoint now) const
 {
     const StepSpec& spec = *run.m_step->m_spec;
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -225,6 +225,8 @@
         m_actions.emplace_back(ReportOrder { id });
         [[fallthrough]];
     case StartOutcome::Started:
+        if (run.m_phase == RunPhase::Starting && run.m_confirmedAt == TimePoint::max())
+            run.m_measuredAt = taskOf(*run.m_step, name).m_checkpoint.empty() ? now : TimePoint::max();
         confirm(run, now);
         if (run.m_phase == RunPhase::Starting)
             setPhase(run, RunPhase::Running);
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -66,6 +66,9 @@
     double m_percent = 0;
     /// When m_percent last rose.
     TimePoint m_progressAt {};
+    /// Progress at which the measurement of the present part of the run began, and when; max() if none has begun.
+    double m_measuredPercent = 0;
+    TimePoint m_measuredAt = TimePoint::max();
     std::uint32_t m_ratePercent = 100;
     /// The run has been listed long enough after its start not to explain a crash of its worker; see CrashSuspects.cpp.
     bool m_isProven = false;
@@ -120,6 +123,8 @@
     std::uint32_t m_openDependencies = 0;
     /// Length of the longest path of estimates that begins with this step.
     Duration m_criticalPath {};
+    /// Factor of the fastest workers when the step was queued.
+    double m_queuedFactor = 1;
     /// Whether the step is in the queue of waiting steps, and its rank there.
     bool m_isQueued = false;
     StepRank m_queueRank;
@@ -175,6 +180,8 @@
     /// Target completion time of the job, and the time after which its result has no value to the caller.
     TimePoint m_objective {};
     TimePoint m_usefulUntil {};
+    /// Length of the longest path of estimates of all its steps.
+    Duration m_chain {};
     TimePoint m_closedAt {};
     /// Failure domain in which the tasks are kept together, so that the loss of a domain hits few jobs.
     std::optional<DomainNumber> m_domain;
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -52,6 +52,9 @@
     worker.m_domain
         = m_domainNumbers.try_emplace(description.m_failureDomain, static_cast<DomainNumber>(m_domainNumbers.size()))
               .first->second;
+    // The first label is the machine type.
+    m_speeds.putWorker(worker.m_number, worker.m_pool, description.m_service,
+        description.m_labels.empty() ? std::string() : description.m_labels.front());
     worker.m_isListed = true;
     worker.m_isDescribed = true;
     worker.m_describedBornMs = description.m_bornMs;
@@ -164,6 +167,7 @@
     worker.m_seenEnd = 0;
     worker.m_storedEnd = 0;
     worker.m_health = {};
+    m_speeds.resetWorker(worker.m_number);
     worker.m_restartedAt = now;
     worker.m_isFenced = false;
     // A call to an earlier process, carried out late, grants the longest lease.
--- a/src/jobs/StepQueue.cpp
+++ b/src/jobs/StepQueue.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    /// Expected time from the start of the step to the end of its job on the fastest workers.
+    Duration shortestRest(const Step& step) { return scaled(step.m_criticalPath, step.m_queuedFactor); }
+
     StepRank rankOf(const Step& step, TimePoint now)
     {
         const Job& job = *step.m_job;
@@ -19,7 +22,7 @@
             rank.m_deadline = job.m_acceptedAt;
             return rank;
         }
-        rank.m_lateness = now + step.m_criticalPath <= job.m_objective ? 0 : now <= job.m_usefulUntil ? 1 : 2;
+        rank.m_lateness = now + shortestRest(step) <= job.m_objective ? 0 : now <= job.m_usefulUntil ? 1 : 2;
         return rank;
     }
 
@@ -28,7 +31,7 @@
     {
         if (step.m_spec->m_isLongRunning || rank.m_lateness == 2)
             return TimePoint::max();
-        return rank.m_lateness == 0 ? step.m_job->m_objective - step.m_criticalPath : step.m_job->m_usefulUntil;
+        return rank.m_lateness == 0 ? step.m_job->m_objective - shortestRest(step) : step.m_job->m_usefulUntil;
     }
 
 } // namespace
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -47,6 +47,8 @@
     TimePoint m_returnsAt = TimePoint::max();
     /// Tasks make no progress.
     bool m_isStuck = false;
+    /// Time that the worker takes per unit of work; see SimulatedCell::setSpeed.
+    double m_speedFactor = 1.0;
     std::uint64_t m_highestNumber = 0;
     TimePoint m_leaseEnd {};
     TimePoint m_nextReportAt {};
@@ -242,6 +244,19 @@
             m_scheduler->reportFailed(id, m_now);
     }
 
+    /// Changes the time that the worker takes per unit of work, also for the rest of its present runs.
+    void setSpeed(const WorkerId& id, double factor)
+    {
+        SimulatedWorker& worker = m_workers.at(id);
+        const double change = factor / std::exchange(worker.m_speedFactor, factor);
+        for (auto& [name, run] : worker.m_running) {
+            if (run.m_endsAt == TimePoint::max())
+                continue;
+            run.m_startedAt = m_now - scaled(m_now - run.m_startedAt, change);
+            run.m_endsAt = m_now + scaled(run.m_endsAt - m_now, change);
+        }
+    }
+
     /// Ends all faults of the store, the network and the workers.
     void endFaults()
     {
@@ -296,6 +311,10 @@
     std::optional<Duration> m_requestDelay;
     /// Real run time as a multiple of the estimate.
     double m_runTimeFactor = 1.0;
+    /// The same for the tasks of single jobs, and the difference of the tasks of a step from each other in both
+    /// directions.
+    std::map<JobId, double> m_jobTimeFactors;
+    double m_taskSpread = 0;
     double m_allowedShare = 0.6;
     std::uint32_t m_adviceDaemons = 8;
     std::uint64_t m_term = 0;
@@ -587,7 +606,8 @@
             barred != worker.m_barred.end() && order.m_run.m_run <= barred->second)
             return StartOutcome::Refused;
         const StepSpec& spec = specOf(order.m_run);
-        const Duration work(static_cast<Duration::rep>(static_cast<double>(spec.m_estimate.count()) * m_runTimeFactor));
+        const Duration work(static_cast<Duration::rep>(static_cast<double>(spec.m_estimate.count()) * m_runTimeFactor
+            * timeFactorOf(order.m_run.m_task) * worker.m_speedFactor));
         verifyStart(order.m_run);
         worker.m_leaseEnd = std::max(worker.m_leaseEnd, leaseEnd);
         worker.m_running[order.m_run]
@@ -602,6 +622,16 @@
         return StartOutcome::Started;
     }
 
+    /// Real run time of the task on a worker of speed 1 as a multiple of m_runTimeFactor and the estimate.
+    double timeFactorOf(const TaskName& task) const
+    {
+        const auto job = m_jobTimeFactors.find(task.m_job);
+        const std::size_t hash = std::hash<std::string> {}(
+            task.m_job.value() + std::to_string(task.m_index.m_step) + ':' + std::to_string(task.m_index.m_task));
+        const double spread = m_taskSpread * (static_cast<double>(hash % 1001) / 500.0 - 1.0);
+        return (job == m_jobTimeFactors.end() ? 1.0 : job->second) * (1.0 + spread);
+    }
+
     void addViolation(const std::string& what, const TaskName& task)
     {
         (m_unbarredTasks.contains(task) ? m_unbarredViolations : m_violations).insert(what + task.m_job.value());
