Copy or move runs that will be late on a slow worker

A worker that turns five times slower kept its runs to their end, and made their jobs late with fast workers free. A run whose job will miss its objective, by progress, factor and estimate, is copied where copies are allowed, or stopped and started again where it saves checkpoints or has hardly begun, if a worker of the fastest type may have room and the gain is clear; once per task and term. A task without copies waits for the proven end of its run, as after a stall.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -272,6 +272,7 @@
     });
     superviseWorkers(now);
     m_speeds.update(now);
+    handleLateRuns(now);
     if (!m_areStartsHeld) {
         startRecordedRuns(now);
         PlacementPass(*this, now).run(advice);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -54,6 +54,9 @@
     std::uint64_t m_stalledRuns = 0;
     /// Runs that count as a possible cause of a crash of their worker.
     std::uint64_t m_crashSuspects = 0;
+    /// Runs that were copied to, or stopped in favor of, a faster worker because their job would have been late.
+    std::uint64_t m_copiedRuns = 0;
+    std::uint64_t m_movedRuns = 0;
 };
 
 /// See the head of the file. Functions that take `now` are called with times that do not decrease.
@@ -171,6 +174,8 @@
     std::vector<RunOfLaterProcess> takeRunsOfLaterProcesses() { return std::exchange(m_newRunsOfLaterProcesses, {}); }
     std::vector<WorkerRestart> takeRestarts() { return std::exchange(m_newRestarts, {}); }
     std::vector<ExpiredPlace> takeExpiredPlaces() { return std::exchange(m_newExpiredPlaces, {}); }
+    /// Machine types whose factor was learned or has changed since the last call.
+    std::vector<SpeedModel::TypeChange> takeSpeedChanges() { return m_speeds.takeTypeChanges(); }
     /// Jobs whose end has been stored since the last call.
     std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
     /// Removes and returns the closed jobs whose retention time is over, and the jobs that were cancelled and never
@@ -300,6 +305,13 @@
     void requestTrialReports(Worker&, TimePoint now);
     /// @}
 
+    /// \name Runs that will be late on a slow worker; see LateRuns.cpp
+    /// @{
+    void handleLateRuns(TimePoint now);
+    /// Whether the job of the run would miss its objective, and its task end clearly earlier on a fast worker.
+    bool isWorthMoving(const Run&, TimePoint now) const;
+    /// @}
+
     void superviseWorkers(TimePoint now);
     void superviseRuns(Worker&, TimePoint now);
     /// Forgets inherited places whose runs are known from a report or whose lease has ended.
@@ -402,6 +414,7 @@
     /// Running mean of the share of workers that the adviser allows, by queue.
     std::map<std::string, double> m_allowedShare;
     SpeedModel m_speeds;
+    TimePoint m_nextLateRunCheck {};
     std::vector<TeamPolicy> m_teams;
     SchedulerCounters m_counters;
 };
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -38,6 +38,8 @@
             && (!step.m_job->m_record.m_policy.m_advice || hasTicket(worker, step));
     }
 
+    /// Whether a worker with at most this duration factor may have room for a task of the step.
+    bool hasFastRoom(const Step&, double limit) const;
     /// Explains for the log why tasks of the step wait: counts of workers by the first obstacle.
     std::string explain(const Step&) const;
 
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -100,6 +100,8 @@
     /// The first worker on which a run failed or stalled, and another one; two of them show that the task is at fault.
     boost::container::flat_set<WorkerNumber> m_failedOn;
     TimePoint m_waitingSince {};
+    /// A run was copied or moved to a faster worker in this term.
+    bool m_wasMoved = false;
 };
 
 /// The adviser's decision about a worker for a step.
--- a/tests/jobs/SpeedPlacementTest.cpp
+++ b/tests/jobs/SpeedPlacementTest.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(urgentTaskWaitsForAFastWorkerNoLongerThanThatPays);
     CPPUNIT_TEST(gangRunsOnAlikeWorkers);
     CPPUNIT_TEST(slowWorkerIsAvoidedAndUsedAgain);
+    CPPUNIT_TEST(lateRunIsCopiedOnce);
+    CPPUNIT_TEST(lateRunWithoutCopiesIsMoved);
+    CPPUNIT_TEST(runsWithSlackStay);
     CPPUNIT_TEST(successorLearnsAgain);
     CPPUNIT_TEST_SUITE_END();
 
@@ -394,6 +397,69 @@
         assertNoViolation(cell);
     }
 
+    /// A job of four tasks of 4 s on fast workers, of which the first turns five times slower.
+    static WorkerId startDisturbedJob(SimulatedCell& cell, StepSpec step, double slack)
+    {
+        step.m_maxPerWorker = 1;
+        JobRecord record = SimulatedCell::job("job", { step });
+        record.m_policy.m_slackFactor = slack;
+        cell.accept(record);
+        cell.run(milliseconds(1000));
+        const WorkerId disturbed = firstWorkerOf(cell);
+        cell.setSpeed(disturbed, cell.m_workers.at(disturbed).m_speedFactor * 5);
+        return disturbed;
+    }
+
+    // Guards against a job that is late because one of its tasks runs on a worker that turns slow while others have
+    // room, and against copies of copies.
+    void lateRunIsCopiedOnce()
+    {
+        SimulatedCell cell = learnedCell();
+        StepSpec step = SimulatedCell::step(4, 2000, seconds(4));
+        step.m_allowsCopies = true;
+        startDisturbedJob(cell, step, 1.6);
+        cell.run(milliseconds(2500));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), cell.m_scheduler->counters().m_copiedRuns);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), cell.m_scheduler->counters().m_movedRuns);
+        cell.run(milliseconds(3300));
+        CPPUNIT_ASSERT(cell.state("job") == JobState::Done);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), cell.m_scheduler->counters().m_copiedRuns);
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("job"));
+        assertNoViolation(cell);
+    }
+
+    // Guards against a task that may not be copied and stays on a worker that turns slow, and against a second run of
+    // it before the end of the first is proven: the cell notes that as a violation.
+    void lateRunWithoutCopiesIsMoved()
+    {
+        SimulatedCell cell = learnedCell();
+        StepSpec step = SimulatedCell::step(4, 2000, seconds(4));
+        step.m_savesCheckpoints = true;
+        startDisturbedJob(cell, step, 1.6);
+        cell.run(milliseconds(6500));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), cell.m_scheduler->counters().m_movedRuns);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), cell.m_scheduler->counters().m_copiedRuns);
+        CPPUNIT_ASSERT(cell.state("job") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
+    // Guards against copies and moves that gain nothing: of runs that meet their objective all the same, and of runs
+    // without checkpoints that have done a good part of their work.
+    void runsWithSlackStay()
+    {
+        for (const bool hasSlack : { true, false }) {
+            SimulatedCell cell = learnedCell();
+            StepSpec step = SimulatedCell::step(4, 2000, seconds(4));
+            step.m_allowsCopies = hasSlack;
+            startDisturbedJob(cell, step, hasSlack ? 8 : 1.6);
+            cell.run(seconds(4));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), cell.m_scheduler->counters().m_copiedRuns);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), cell.m_scheduler->counters().m_movedRuns);
+            assertNoViolation(cell);
+        }
+    }
+
     // Guards against a successor that places urgent work by chance for longer than a few seconds.
     void successorLearnsAgain()
     {
