--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -53,6 +53,7 @@
     job.m_acceptedAt = now - age;
     const Duration objective = scaled(criticalPathLength(withAdviceTime(record)), record.m_policy.m_slackFactor)
         + record.m_policy.m_latencyTarget;
+    job.m_chain = criticalPathLength(record.m_spec);
     job.m_objective = job.m_acceptedAt + objective;
     job.m_usefulUntil = job.m_acceptedAt + objective * usefulObjectives;
     if (!record.m_team.value().empty())
@@ -264,8 +265,10 @@
     }
     task.m_waitingSince = now;
     ++step.m_waitingTasks;
-    if (!step.m_isQueued)
+    if (!step.m_isQueued) {
+        step.m_queuedFactor = m_speeds.fastestFactor(step.m_job->m_pool);
         m_waitingSteps.insert(step, now);
+    }
 }
 
 void JobScheduler::refreshAllWaiting(Step& step, TimePoint now)
@@ -320,6 +323,8 @@
     });
     superviseWorkers(now);
     applyShareMarks(now);
+    m_speeds.update(now);
+    handleLateRuns(now);
     if (!m_areStartsHeld) {
         startRecordedRuns(now);
         PlacementPass(*this, now).run(advice);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -4,6 +4,7 @@
 
 #include "jobs/LeaseBounds.h"
 #include "jobs/SchedulerState.h"
+#include "jobs/SpeedModel.h"
 #include "jobs/TeamPolicy.h"
 
 #include <functional>
@@ -56,6 +57,9 @@
     /// Placement passes in which work beyond the share of its team waited although there was room, since it leaves a
     /// part of the pool free.
     std::uint64_t m_headroomPasses = 0;
+    /// Runs that were copied to, or stopped in favor of, a faster worker because their job would have been late.
+    std::uint64_t m_copiedRuns = 0;
+    std::uint64_t m_movedRuns = 0;
 };
 
 /// See the head of the file. Functions that take `now` are called with times that do not decrease.
@@ -181,6 +185,8 @@
     std::vector<RunOfLaterProcess> takeRunsOfLaterProcesses() { return std::exchange(m_newRunsOfLaterProcesses, {}); }
     std::vector<WorkerRestart> takeRestarts() { return std::exchange(m_newRestarts, {}); }
     std::vector<ExpiredPlace> takeExpiredPlaces() { return std::exchange(m_newExpiredPlaces, {}); }
+    /// Machine types whose factor was learned or has changed since the last call.
+    std::vector<SpeedModel::TypeChange> takeSpeedChanges() { return m_speeds.takeTypeChanges(); }
     /// Jobs whose end has been stored since the last call.
     std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
     /// Removes and returns the closed jobs whose retention time is over, and the jobs that were cancelled and never
@@ -205,6 +211,7 @@
     /// those that were returned longest ago first. A step is returned again after twice the time.
     std::vector<Wait> takeLongWaits(Duration age, std::size_t most, TimePoint now);
     const std::map<WorkerId, Worker>& workers() const { return m_workers; }
+    const SpeedModel& speeds() const { return m_speeds; }
     const SchedulerCounters& counters() const { return m_counters; }
     std::size_t jobCount() const { return m_jobs.size(); }
     /// Number of jobs that have not ended.
@@ -282,6 +289,8 @@
     static std::uint32_t nextRun(const SchedulerSettings&, const Task&);
     void handleRunEnd(Worker&, const EndReport&, TimePoint now);
     void handleRunReport(Worker&, const WorkerReport&, const RunReport&, TimePoint now);
+    /// Compares the progress since the last measurement of the run with its estimate.
+    void measureSpeed(Run&, double percent, TimePoint now);
     bool isStalled(const Run&, TimePoint now) const;
     void handleStall(Worker&, Run&, TimePoint now);
     /// Counts a failed or stalled run against its worker, or against its task if that has failed on another worker too.
@@ -333,6 +342,13 @@
     void forgetUnansweredStarts(Worker&, TimePoint now);
     /// @}
 
+    /// \name Runs that will be late on a slow worker; see LateRuns.cpp
+    /// @{
+    void handleLateRuns(TimePoint now);
+    /// Whether the job of the run would miss its objective, and its task end clearly earlier on a fast worker.
+    bool isWorthMoving(const Run&, TimePoint now) const;
+    /// @}
+
     void superviseWorkers(TimePoint now);
     void superviseRuns(Worker&, TimePoint now);
     /// Forgets inherited places whose runs are known from a report or whose lease has ended.
@@ -438,6 +454,8 @@
     TeamShares m_shares;
     /// What runs of jobs beyond the share of their team have reserved, by the pool of the job.
     std::vector<Resources> m_poolBeyondShare;
+    SpeedModel m_speeds;
+    TimePoint m_nextLateRunCheck {};
     SchedulerCounters m_counters;
 };
 
