--- a/src/controller/AdviceDispatcher.cpp
+++ b/src/controller/AdviceDispatcher.cpp
@@ -39,6 +39,8 @@
             found->second.m_lastHelloAt = {};
         return;
     }
+    if (!hello.m_asksAdviser)
+        return;
     Peer& peer = m_peers[hello.m_address];
     if (!peer.m_channel)
         peer.m_channel = openPeerChannel(m_context, hello.m_address);
--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -93,27 +93,24 @@
                 LogEvent::ConfigurationRefused, { { "detail", errorOf(configuration).m_detail } });
             return;
         }
-        const std::uint64_t version = valueOf(configuration).m_version;
-        if (m_hasVersion && version <= m_version)
+        const auto accepted = std::make_shared<const userplatform::Configuration>(valueOf(std::move(configuration)));
+        if (!m_controller.m_gateway.configure(accepted))
             return;
-        m_hasVersion = true;
-        m_version = version;
         ListenerLimits limits;
-        limits.m_maxHeaderBytes = valueOf(configuration).m_maxHeaderBytes;
-        limits.m_maxBodyBytes = valueOf(configuration).m_maxBodyBytes;
-        limits.m_requestTimeout = valueOf(configuration).m_headerTimeout;
-        limits.m_idleTimeout = valueOf(configuration).m_idleTimeout;
+        limits.m_maxHeaderBytes = accepted->m_maxHeaderBytes;
+        limits.m_maxBodyBytes = accepted->m_maxBodyBytes;
+        limits.m_requestTimeout = accepted->m_headerTimeout;
+        limits.m_idleTimeout = accepted->m_idleTimeout;
         m_controller.m_callers.setLimits(limits);
         m_controller.m_log->write(LogEvent::ConfigurationAccepted,
-            { { "version", version }, { "routes", std::uint64_t { valueOf(configuration).m_routes.size() } } });
-        m_controller.m_gateway.configure(
-            std::make_shared<const userplatform::Configuration>(valueOf(std::move(configuration))));
+            { { "version", accepted->m_version }, { "routes", std::uint64_t { accepted->m_routes.size() } },
+                { "teams", std::uint64_t { accepted->m_teams.size() } } });
+        if (m_controller.m_term)
+            m_controller.m_term->setTeams(accepted->m_teams);
     }
 
 private:
     Controller& m_controller;
-    bool m_hasVersion = false;
-    std::uint64_t m_version = 0;
 };
 
 Controller::Controller(SiteSettings settings, std::uint64_t seed, std::unique_ptr<observability::EventLog> log,
@@ -161,6 +158,7 @@
     ListenerLimits innerLimits;
     innerLimits.m_idleTimeout = std::chrono::seconds(60);
     m_inner.setLimits(innerLimits);
+    m_gateway.setConfigurationView([this] { return m_configuration.caughtUpAt(); });
     m_election.start();
     m_configuration.start();
     awaitSignal();
@@ -261,6 +259,8 @@
         = [this](const WorkerId& worker) { return m_election.election().isLeaseWithheld(worker); };
     m_term = std::make_unique<SchedulerTerm>(
         m_context, m_settings, settings, m_adviceDispatcher, *m_log, std::move(authority));
+    if (const userplatform::Configuration* configuration = m_gateway.configuration())
+        m_term->setTeams(configuration->m_teams);
     m_term->start();
 }
 
@@ -284,19 +284,24 @@
 {
     const TimePoint now = bootNow();
     const SchedulerLocation place = scheduler();
-    if (place.m_localTerm != nullptr || place.m_address.empty() || !m_adviser || now < m_nextHelloAt)
+    const bool isNeeded = m_adviser || m_gateway.requiresKeys();
+    if (place.m_localTerm != nullptr || place.m_address.empty() || !isNeeded || now < m_nextHelloAt)
         return;
     m_nextHelloAt = now + helloInterval;
     if (place.m_address != m_helloAddress) {
         m_helloAddress = place.m_address;
         m_helloChannel = openPeerChannel(m_context, m_helloAddress);
         m_isHelloAnswered = true;
+        m_gateway.setRefusedTeams({}, now);
     }
-    const inner::Hello hello { m_settings.m_daemon, m_settings.m_inner, m_isStopping };
+    const inner::Hello hello { m_settings.m_daemon, m_settings.m_inner, m_isStopping, m_adviser != nullptr };
     m_helloChannel->send(peerCall(inner::helloPath, inner::encode(hello), helloTimeout),
-        [this, address = m_helloAddress](const Result<platform::HttpAnswer>& result) {
-            if (address == m_helloAddress)
-                m_isHelloAnswered = succeeded(result) && valueOf(result).m_status == 200;
+        [this, address = m_helloAddress, now](const Result<platform::HttpAnswer>& result) {
+            if (address != m_helloAddress)
+                return;
+            m_isHelloAnswered = succeeded(result) && valueOf(result).m_status == 200;
+            if (m_isHelloAnswered)
+                m_gateway.setRefusedTeams(inner::decodeRefusedTeams(valueOf(result).m_body, bootNow()), now);
         });
 }
 
@@ -323,7 +328,8 @@
         m_adviceDispatcher.helloReceived(valueOf(hello));
         if (m_term)
             m_term->requestStep();
-        return respond({ 200, "{}" });
+        return respond(
+            { 200, m_term ? inner::encodeRefusedTeams(m_term->refusedTeams(), bootNow()) : std::string("{}") });
     }
     if (request.m_target == inner::storePath) {
         const Result<inner::StoreRequest> record = inner::decodeStoreRequest(request.m_body);
@@ -335,9 +341,11 @@
     if (!m_term || !succeeded(name))
         return respond(errorResponse(ErrorKind::NotScheduler));
     if (request.m_target == inner::statePath) {
-        const Result<jobs::JobState> state = m_term->state(JobId(valueOf(name)));
-        return respond(succeeded(state) ? ServerResponse { 200, inner::encodeState(valueOf(state)) }
-                                        : errorResponse(errorOf(state).m_kind));
+        const JobId job(valueOf(name));
+        const Result<jobs::JobState> state = m_term->state(job);
+        return respond(succeeded(state)
+                ? ServerResponse { 200, inner::encode(inner::StateAnswer { valueOf(state), m_term->teamOf(job) }) }
+                : errorResponse(errorOf(state).m_kind));
     }
     if (request.m_target == inner::pendingPath) {
         const Result<std::uint32_t> pending = m_term->pending(valueOf(name));
--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -32,6 +32,12 @@
     constexpr std::size_t storeChannels = 8;
     /// Timeout of an append on behalf of another daemon.
     constexpr Duration peerStoreTimeout = std::chrono::milliseconds(1500);
+    /// A configuration is in force everywhere this long after it was acknowledged. A daemon whose view of the store is
+    /// older cannot know that a route or a key does not exist.
+    constexpr Duration configurationApplyTime = std::chrono::seconds(3);
+    /// Age from which an answer to a hello has no effect.
+    constexpr Duration maxRefusedTeamsAge = std::chrono::seconds(3);
+    constexpr std::int64_t maxShareRetryAfterSeconds = 10;
 
     std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -46,8 +52,12 @@
     const userplatform::QueueRoute* m_route = nullptr;
     /// Owns the route.
     std::shared_ptr<const userplatform::Configuration> m_configuration;
+    /// Team of the call's key; null if it has none, or keys are not examined. Owned by the configuration.
+    const jobs::TeamPolicy* m_team = nullptr;
     JobId m_job;
     TimePoint m_deadline {};
+
+    TeamId team() const { return m_team == nullptr ? TeamId() : m_team->m_team; }
 };
 
 /// A record on its way into the store.
@@ -89,9 +99,18 @@
 
 Gateway::~Gateway() = default;
 
-void Gateway::configure(std::shared_ptr<const userplatform::Configuration> configuration)
+bool Gateway::configure(std::shared_ptr<const userplatform::Configuration> configuration)
 {
+    if (m_configuration && configuration->m_version <= m_configuration->m_version)
+        return false;
     m_configuration = std::move(configuration);
+    return true;
+}
+
+void Gateway::setRefusedTeams(std::vector<jobs::TeamRefusal> teams, TimePoint askedAt)
+{
+    m_refusedTeams = std::move(teams);
+    m_refusedTeamsEnd = askedAt + maxRefusedTeamsAge;
 }
 
 const userplatform::QueueRoute* Gateway::findRoute(const ServerRequest& request) const
@@ -118,7 +137,7 @@
     call->m_route = findRoute(call->m_request);
     if (call->m_route == nullptr) {
         ++m_counters.m_unrouted;
-        return refuse(call, ErrorKind::NotFound, "no route leads here");
+        return refuseByConfiguration(call, ErrorKind::NotFound, "no route leads here");
     }
     call->m_respond
         = [this, call = std::weak_ptr(call), respond = std::move(call->m_respond)](ServerResponse response) {
@@ -135,6 +154,8 @@
     if (std::from_chars(deadline.data(), deadline.data() + deadline.size(), waitMs).ec == std::errc() && waitMs > 0)
         timeout = std::min<Duration>(timeout, std::chrono::milliseconds(waitMs));
     call->m_deadline = call->m_request.m_receivedAt + std::max<Duration>(timeout - answerMargin, answerMargin);
+    if (!authenticate(call))
+        return;
     const std::string_view rest = pathOf(call->m_request.m_target).substr(call->m_route->m_pathPrefix.size());
     const std::string& method = call->m_request.m_method;
     if (rest.empty() && method == "GET")
@@ -153,7 +174,40 @@
     refuse(call, ErrorKind::MethodNotAllowed, "POST, GET and DELETE are possible here");
 }
 
-void Gateway::refuse(const CallPointer& call, ErrorKind kind, const std::string& detail)
+bool Gateway::authenticate(const CallPointer& call)
+{
+    if (!call->m_configuration->m_requiresKeys)
+        return true;
+    const std::string_view key = userplatform::bearerKey(call->m_request.m_authorization);
+    call->m_team = call->m_configuration->teamOfKey(key);
+    if (call->m_team != nullptr || call->m_route->m_isPublic)
+        return true;
+    refuseByConfiguration(call, ErrorKind::Unauthenticated,
+        key.empty() ? "the request has no key, or not in the form \"Bearer KEY\"" : "the key is not known");
+    return false;
+}
+
+bool Gateway::authorize(const CallPointer& call, const TeamId& teamOfJob)
+{
+    if (!call->m_configuration->m_requiresKeys || teamOfJob.empty() || call->team() == teamOfJob)
+        return true;
+    if (call->m_team == nullptr)
+        refuseByConfiguration(call, ErrorKind::Unauthenticated, "the job belongs to a team");
+    else
+        refuseByConfiguration(call, ErrorKind::Forbidden, "the job belongs to another team");
+    return false;
+}
+
+void Gateway::refuseByConfiguration(const CallPointer& call, ErrorKind kind, const std::string& detail)
+{
+    const bool mayBeOutdated = call->m_configuration->m_requiresKeys && m_configurationSeenAt
+        && bootNow() - m_configurationSeenAt() > configurationApplyTime;
+    if (mayBeOutdated)
+        return refuse(call, ErrorKind::NotReady, "the configuration could not be read for a while");
+    refuse(call, kind, detail);
+}
+
+void Gateway::refuse(const CallPointer& call, ErrorKind kind, const std::string& detail, unsigned retryAfter)
 {
     const ErrorAnswer& table = answerFor(kind);
     m_metrics.counter(MetricName::RefusalsTotal, { table.m_name }).add();
@@ -162,6 +216,9 @@
             { "detail", detail } });
     ServerResponse response;
     response.m_status = table.m_httpStatus;
+    response.m_retryAfterSeconds = retryAfter;
+    if (kind == ErrorKind::Unauthenticated)
+        response.m_authenticate = "Bearer";
     if (table.m_httpStatus == 503)
         response.m_retryAfterSeconds = kind == ErrorKind::LogUnavailable ? retryAfterOutageSeconds : retryAfterSeconds;
     response.m_body
@@ -176,32 +233,93 @@
         ++m_counters.m_invalid;
         return refuse(call, ErrorKind::InvalidRequest, errorOf(spec).m_detail);
     }
-    const jobs::JobRecord record { call->m_job, call->m_route->m_policy, valueOf(std::move(spec)), wallNowMs(), {},
-        {} };
-    store(call->m_job.value(), jobs::encodeJobRecord(record), call->m_deadline, [this, call](StoreOutcome outcome) {
-        switch (outcome) {
-        case StoreOutcome::Stored:
-            ++m_counters.m_accepted;
-            m_log.write(LogEvent::JobAccepted,
-                { { "job", call->m_job.value() }, { "queue", call->m_route->m_policy.m_queue },
-                    { "version", call->m_configuration->m_version } });
-            return call->m_respond({ 200, "{}" });
-        case StoreOutcome::NotStored:
+    const auto checked = std::make_shared<const jobs::JobSpec>(valueOf(std::move(spec)));
+    if (call->m_team == nullptr)
+        return storeSubmission(call, *checked);
+    const unsigned limitRetryAfter = answerFor(ErrorKind::QuotaExceeded).m_retryAfterSeconds;
+    if (const Result<Unit> fits = jobs::checkLimit(*checked, call->m_team->m_limit); !succeeded(fits))
+        return refuseUnlessKnown(call, checked, { "team-limit", errorOf(fits).m_detail, limitRetryAfter, true });
+    const TimePoint now = bootNow();
+    if (const std::optional<TimePoint> until = refusedUntil(call->team(), now)) {
+        const std::int64_t left = std::chrono::ceil<std::chrono::seconds>(*until - now).count();
+        const auto retryAfter = static_cast<unsigned>(std::clamp<std::int64_t>(left, 1, maxShareRetryAfterSeconds));
+        return refuseUnlessKnown(
+            call, checked, { "team-share", "the team has submitted more than its share", retryAfter, false });
+    }
+    storeSubmission(call, *checked);
+}
+
+std::optional<TimePoint> Gateway::refusedUntil(const TeamId& team, TimePoint now) const
+{
+    const SchedulerLocation place = m_locateScheduler();
+    if (place.m_localTerm == nullptr && (place.m_address.empty() || now >= m_refusedTeamsEnd))
+        return std::nullopt;
+    const std::vector<jobs::TeamRefusal> refused
+        = place.m_localTerm != nullptr ? place.m_localTerm->refusedTeams() : m_refusedTeams;
+    const auto found = std::find_if(refused.begin(), refused.end(),
+        [&](const jobs::TeamRefusal& refusal) { return refusal.m_team == team && now < refusal.m_until; });
+    return found == refused.end() ? std::nullopt : std::optional(found->m_until);
+}
+
+void Gateway::refuseUnlessKnown(
+    const CallPointer& call, const std::shared_ptr<const jobs::JobSpec>& spec, const TeamRefusal& refusal)
+{
+    if (m_openAppends.mayBeStored(call->m_job.value(), bootNow()))
+        return storeSubmission(call, *spec);
+    queryState(call->m_job, std::min(call->m_deadline, bootNow() + queryTimeout),
+        [this, call, spec, refusal](const Result<inner::StateAnswer>& result) {
+            if (succeeded(result)) {
+                if (authorize(call, valueOf(result).m_team))
+                    call->m_respond({ 200, "{}" });
+                return;
+            }
+            const bool isUnknown = errorOf(result).m_kind == ErrorKind::NotFound;
+            // Another attempt may have begun meanwhile.
+            if ((!isUnknown && !refusal.m_isCertain) || m_openAppends.mayBeStored(call->m_job.value(), bootNow()))
+                return storeSubmission(call, *spec);
             ++m_counters.m_refused;
-            return refuse(call, ErrorKind::LogUnavailable, "the job was not stored");
-        case StoreOutcome::Unknown:
-            ++m_counters.m_unknownOutcome;
-            return refuse(call, ErrorKind::DeadlineExceededMayHaveRun, "the job may have been stored");
-        }
-    });
+            m_metrics.counter(MetricName::RefusalReasonsTotal, { "submission", refusal.m_reason }).add();
+            refuse(call, ErrorKind::QuotaExceeded, refusal.m_detail, refusal.m_retryAfterSeconds);
+        });
+}
+
+void Gateway::storeSubmission(const CallPointer& call, const jobs::JobSpec& spec)
+{
+    const jobs::JobRecord record { call->m_job, call->m_route->m_policy, spec, wallNowMs(), call->team(),
+        call->m_team == nullptr ? Resources {} : call->m_team->m_limit };
+    const bool isTracked = call->m_configuration->m_requiresKeys;
+    if (isTracked)
+        m_openAppends.began(call->m_job.value(), bootNow());
+    store(call->m_job.value(), jobs::encodeJobRecord(record), call->m_deadline,
+        [this, call, isTracked](StoreOutcome outcome) {
+            if (isTracked)
+                m_openAppends.ended(call->m_job.value(), outcome, bootNow());
+            switch (outcome) {
+            case StoreOutcome::Stored:
+                ++m_counters.m_accepted;
+                m_log.write(LogEvent::JobAccepted,
+                    { { "job", call->m_job.value() }, { "queue", call->m_route->m_policy.m_queue },
+                        { "team", call->team().value() }, { "version", call->m_configuration->m_version } });
+                return call->m_respond({ 200, "{}" });
+            case StoreOutcome::NotStored:
+                ++m_counters.m_refused;
+                return refuse(call, ErrorKind::LogUnavailable, "the job was not stored");
+            case StoreOutcome::Unknown:
+                ++m_counters.m_unknownOutcome;
+                return refuse(call, ErrorKind::DeadlineExceededMayHaveRun, "the job may have been stored");
+            }
+        });
 }
 
 void Gateway::answerState(const CallPointer& call)
 {
     ++m_counters.m_stateQueries;
-    queryState(call->m_job, call->m_deadline, [this, call](const Result<jobs::JobState>& result) {
-        if (succeeded(result))
-            return call->m_respond({ 200, userplatform::encodeState(valueOf(result)) });
+    queryState(call->m_job, call->m_deadline, [this, call](const Result<inner::StateAnswer>& result) {
+        if (succeeded(result)) {
+            if (authorize(call, valueOf(result).m_team))
+                call->m_respond({ 200, userplatform::encodeState(valueOf(result).m_state) });
+            return;
+        }
         if (errorOf(result).m_kind == ErrorKind::NotFound)
             return call->m_respond({ 410, "{}" });
         ++m_counters.m_unansweredQueries;
@@ -212,9 +330,11 @@
 void Gateway::cancel(const CallPointer& call)
 {
     queryState(call->m_job, std::min(call->m_deadline, bootNow() + queryTimeout),
-        [this, call](const Result<jobs::JobState>& result) {
+        [this, call](const Result<inner::StateAnswer>& result) {
+            if (succeeded(result) && !authorize(call, valueOf(result).m_team))
+                return;
             // A job that the scheduler does not know may have been accepted just now: its view of the store lags.
-            if (succeeded(result) && jobs::isFinal(valueOf(result)))
+            if (succeeded(result) && jobs::isFinal(valueOf(result).m_state))
                 return call->m_respond({ 200, "{}" });
             storeCancellation(call);
         });
@@ -222,16 +342,18 @@
 
 void Gateway::storeCancellation(const CallPointer& call)
 {
-    store(cancellationKey(call->m_job), "1", call->m_deadline, [this, call](StoreOutcome outcome) {
-        switch (outcome) {
-        case StoreOutcome::Stored:
-            return call->m_respond({ 200, "{}" });
-        case StoreOutcome::NotStored:
-            return refuse(call, ErrorKind::LogUnavailable, "the cancellation was not stored");
-        case StoreOutcome::Unknown:
-            return refuse(call, ErrorKind::DeadlineExceededMayHaveRun, "the cancellation may have been stored");
-        }
-    });
+    const jobs::Canceller canceller { call->m_configuration->m_requiresKeys, call->team() };
+    store(cancellationKey(call->m_job), jobs::encodeCancellation(canceller), call->m_deadline,
+        [this, call](StoreOutcome outcome) {
+            switch (outcome) {
+            case StoreOutcome::Stored:
+                return call->m_respond({ 200, "{}" });
+            case StoreOutcome::NotStored:
+                return refuse(call, ErrorKind::LogUnavailable, "the cancellation was not stored");
+            case StoreOutcome::Unknown:
+                return refuse(call, ErrorKind::DeadlineExceededMayHaveRun, "the cancellation may have been stored");
+            }
+        });
 }
 
 void Gateway::store(
@@ -334,9 +456,18 @@
 
 void Gateway::storeForPeer(const inner::StoreRequest& request, const Responder& respond)
 {
-    storeShared(request, bootNow() + peerStoreTimeout, [respond](StoreOutcome outcome) {
-        respond({ outcome == StoreOutcome::Stored ? 200U : outcome == StoreOutcome::NotStored ? 503U : 504U, "{}" });
-    });
+    const bool isTracked = requiresKeys();
+    if (isTracked)
+        m_openAppends.began(request.m_key, bootNow());
+    storeShared(
+        request, bootNow() + peerStoreTimeout, [this, respond, isTracked, key = request.m_key](StoreOutcome outcome) {
+            if (isTracked)
+                m_openAppends.ended(key, outcome, bootNow());
+            respond({ outcome == StoreOutcome::Stored    ? 200U
+                    : outcome == StoreOutcome::NotStored ? 503U
+                                                         : 504U,
+                "{}" });
+        });
 }
 
 void Gateway::openChannels(const std::string& address)
@@ -361,10 +492,14 @@
     ask(inner::pendingPath, inner::encodeName(queue), call->m_deadline, inner::decodeCount, respond);
 }
 
-void Gateway::queryState(const JobId& job, TimePoint deadline, std::function<void(Result<jobs::JobState>)> handler)
+void Gateway::queryState(const JobId& job, TimePoint deadline, std::function<void(Result<inner::StateAnswer>)> handler)
 {
-    if (const SchedulerTerm* own = m_locateScheduler().m_localTerm)
-        return handler(own->state(job));
+    if (const SchedulerTerm* own = m_locateScheduler().m_localTerm) {
+        const Result<jobs::JobState> state = own->state(job);
+        if (!succeeded(state))
+            return handler(errorOf(state));
+        return handler(inner::StateAnswer { valueOf(state), own->teamOf(job) });
+    }
     ask(inner::statePath, inner::encodeName(job.value()), deadline, inner::decodeState, std::move(handler));
 }
 
--- a/src/controller/Gateway.h
+++ b/src/controller/Gateway.h
@@ -4,6 +4,7 @@
 
 #include "controller/HttpListener.h"
 #include "controller/JobAppender.h"
+#include "controller/OpenAppends.h"
 #include "controller/SchedulerTerm.h"
 #include "controller/StoreRoute.h"
 #include "observability/MetricsRegistry.h"
@@ -12,7 +13,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace sapphiredale::controller {
 
@@ -46,8 +49,17 @@
     Gateway(const Gateway&) = delete;
     Gateway& operator=(const Gateway&) = delete;
 
-    void configure(std::shared_ptr<const userplatform::Configuration>);
+    /// Takes over a configuration; returns false, without effect, if a newer one or the same version is in force.
+    bool configure(std::shared_ptr<const userplatform::Configuration>);
     bool isConfigured() const { return m_configuration != nullptr; }
+    /// Null before the first configuration.
+    const userplatform::Configuration* configuration() const { return m_configuration.get(); }
+    bool requiresKeys() const { return m_configuration && m_configuration->m_requiresKeys; }
+    /// `seenAt` tells when the call was sent that last found no newer configuration in the store. Without it the view
+    /// counts as current.
+    void setConfigurationView(std::function<TimePoint()> seenAt) { m_configurationSeenAt = std::move(seenAt); }
+    /// Sets the teams whose new jobs the scheduler refuses, as of a hello that was sent at `askedAt`.
+    void setRefusedTeams(std::vector<jobs::TeamRefusal>, TimePoint askedAt);
     void handle(ServerRequest, Responder);
     /// Stores a record for another daemon: 200 when it is stored, 503 when it is certain that it is not.
     void storeForPeer(const inner::StoreRequest&, const Responder&);
@@ -59,7 +71,26 @@
     using CallPointer = std::shared_ptr<Call>;
 
     const userplatform::QueueRoute* findRoute(const ServerRequest&) const;
+    /// Finds the team of the call by its key. Returns false, after a refusal, if the call may not be served.
+    bool authenticate(const CallPointer&);
+    /// Returns false, after a refusal, if the call may not read or cancel a job of this team.
+    bool authorize(const CallPointer&, const TeamId& teamOfJob);
+    /// Refuses a call because of the configuration, unless a newer one that allows it may be in force elsewhere.
+    void refuseByConfiguration(const CallPointer&, ErrorKind, const std::string& detail);
+    /// The time until which new jobs of the team are refused because of its share; none if they are accepted.
+    std::optional<TimePoint> refusedUntil(const TeamId&, TimePoint now) const;
+    /// A refusal of a submission because of its team.
+    struct TeamRefusal {
+        const char* m_reason;
+        std::string m_detail;
+        unsigned m_retryAfterSeconds = 0;
+        /// Whether the job is refused also if it is not known whether the scheduler knows it.
+        bool m_isCertain = false;
+    };
     void submit(const CallPointer&);
+    /// Refuses a submission if the job was not submitted before.
+    void refuseUnlessKnown(const CallPointer&, const std::shared_ptr<const jobs::JobSpec>&, const TeamRefusal&);
+    void storeSubmission(const CallPointer&, const jobs::JobSpec&);
     void answerState(const CallPointer&);
     void cancel(const CallPointer&);
     void storeCancellation(const CallPointer&);
@@ -80,16 +111,21 @@
     /// Whether the scheduler's daemon can store records on behalf of this one.
     bool canStoreThroughScheduler() const;
     void openChannels(const std::string& address);
-    void queryState(const JobId&, TimePoint deadline, std::function<void(Result<jobs::JobState>)>);
+    void queryState(const JobId&, TimePoint deadline, std::function<void(Result<inner::StateAnswer>)>);
     template <typename Decode, typename T>
     void ask(const char* path, const std::string& body, TimePoint deadline, Decode, std::function<void(Result<T>)>);
-    void refuse(const CallPointer&, ErrorKind, const std::string& detail);
+    void refuse(const CallPointer&, ErrorKind, const std::string& detail, unsigned retryAfterSeconds = 0);
 
     boost::asio::io_context& m_context;
     observability::EventLog& m_log;
     observability::MetricsRegistry& m_metrics;
     std::function<SchedulerLocation()> m_locateScheduler;
     std::shared_ptr<const userplatform::Configuration> m_configuration;
+    std::function<TimePoint()> m_configurationSeenAt;
+    /// Answer to the last hello, and the end of its validity.
+    std::vector<jobs::TeamRefusal> m_refusedTeams;
+    TimePoint m_refusedTeamsEnd {};
+    OpenAppends m_openAppends;
     JobAppender m_appender;
     /// Stores the records of all daemons while this one schedules, in a partition that the others do not use first.
     JobAppender m_sharedAppender;
--- a/src/controller/HttpListener.cpp
+++ b/src/controller/HttpListener.cpp
@@ -160,6 +160,8 @@
             request.m_target = message.target();
             request.m_host = message[http::field::host];
             request.m_deadline = message[m_server->m_deadlineHeader];
+            if (message.count(http::field::authorization) == 1)
+                request.m_authorization = message[http::field::authorization];
             request.m_body = std::move(message.body());
             request.m_receivedAt = bootNow();
             m_server->m_handler(std::move(request),
@@ -174,6 +176,8 @@
             m_response.set(http::field::content_type, answer.m_contentType);
             if (answer.m_retryAfterSeconds > 0)
                 m_response.set(http::field::retry_after, std::to_string(answer.m_retryAfterSeconds));
+            if (!answer.m_authenticate.empty())
+                m_response.set(http::field::www_authenticate, answer.m_authenticate);
             m_response.body() = std::move(answer.m_body);
             m_keepAlive = m_keepAlive && !m_server->m_isDraining;
             m_response.keep_alive(m_keepAlive);
--- a/src/controller/HttpListener.h
+++ b/src/controller/HttpListener.h
@@ -35,6 +35,8 @@
     /// Value of the header that states how long the caller waits; empty if absent.
     std::string m_deadline;
     TimePoint m_receivedAt {};
+    /// Value of the Authorization header; empty if it is absent or repeated.
+    std::string m_authorization {};
 };
 
 struct ServerResponse {
@@ -43,6 +45,8 @@
     /// Value of Retry-After in seconds; zero omits the header.
     unsigned m_retryAfterSeconds = 0;
     std::string m_contentType = "application/json";
+    /// Value of WWW-Authenticate; empty omits the header.
+    std::string m_authenticate {};
 };
 
 using Responder = std::function<void(ServerResponse)>;
--- a/src/controller/InnerProtocol.cpp
+++ b/src/controller/InnerProtocol.cpp
@@ -2,6 +2,7 @@
 
 #include "controller/InnerProtocol.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <optional>
 
@@ -42,8 +43,8 @@
 
 std::string encode(const Hello& hello)
 {
-    return json::serialize(json::object {
-        { "daemon", hello.m_daemon.value() }, { "address", hello.m_address }, { "leaving", hello.m_isLeaving } });
+    return json::serialize(json::object { { "daemon", hello.m_daemon.value() }, { "address", hello.m_address },
+        { "leaving", hello.m_isLeaving }, { "adviser", hello.m_asksAdviser } });
 }
 
 std::string encode(const jobs::AdviceRequest& question)
@@ -74,7 +75,22 @@
 
 std::string encodeCount(std::uint32_t count) { return json::serialize(json::object { { "value", count } }); }
 
-std::string encodeState(jobs::JobState state) { return encodeCount(static_cast<std::uint32_t>(state)); }
+std::string encode(const StateAnswer& answer)
+{
+    json::object object { { "value", static_cast<std::uint32_t>(answer.m_state) } };
+    if (!answer.m_team.empty())
+        object["team"] = answer.m_team.value();
+    return json::serialize(object);
+}
+
+std::string encodeRefusedTeams(const std::vector<jobs::TeamRefusal>& teams, TimePoint now)
+{
+    json::array refused;
+    for (const jobs::TeamRefusal& team : teams)
+        refused.push_back(json::object { { "team", team.m_team.value() },
+            { "untilMs", std::chrono::ceil<std::chrono::milliseconds>(team.m_until - now).count() } });
+    return json::serialize(json::object { { "refused", std::move(refused) } });
+}
 
 Result<Hello> decodeHello(std::string_view text)
 {
@@ -84,7 +100,9 @@
     const json::value* leaving = object.if_contains("leaving");
     if (daemon == nullptr || address == nullptr || leaving == nullptr || !leaving->is_bool())
         return malformed;
-    return Hello { DaemonId(std::string(*daemon)), std::string(*address), leaving->get_bool() };
+    const json::value* adviser = object.if_contains("adviser");
+    return Hello { DaemonId(std::string(*daemon)), std::string(*address), leaving->get_bool(),
+        adviser == nullptr || !adviser->is_bool() || adviser->get_bool() };
 }
 
 Result<jobs::AdviceRequest> decodeQuestion(std::string_view text)
@@ -156,12 +174,36 @@
     return static_cast<std::uint32_t>(*value);
 }
 
-Result<jobs::JobState> decodeState(std::string_view text)
+Result<StateAnswer> decodeState(std::string_view text)
 {
     const Result<std::uint32_t> value = decodeCount(text);
     if (!succeeded(value) || valueOf(value) > static_cast<std::uint32_t>(jobs::JobState::Cancelled))
         return malformed;
-    return static_cast<jobs::JobState>(valueOf(value));
+    const json::object object = parse(text);
+    const json::string* team = textOf(object, "team");
+    return StateAnswer { static_cast<jobs::JobState>(valueOf(value)),
+        team == nullptr ? TeamId() : TeamId(std::string(*team)) };
+}
+
+std::vector<jobs::TeamRefusal> decodeRefusedTeams(std::string_view text, TimePoint now)
+{
+    // Longer than any refusal; keeps the sum in range.
+    constexpr std::int64_t maxUntilMs = 3'600'000;
+    const json::object object = parse(text);
+    std::vector<jobs::TeamRefusal> teams;
+    const json::array* refused = listOf(object, "refused");
+    if (refused == nullptr)
+        return teams;
+    for (const json::value& entry : *refused) {
+        if (!entry.is_object())
+            continue;
+        const json::string* team = textOf(entry.get_object(), "team");
+        const std::int64_t* until = numberOf(entry.get_object(), "untilMs");
+        if (team != nullptr && !team->empty() && until != nullptr)
+            teams.push_back({ TeamId(std::string(*team)),
+                now + std::chrono::milliseconds(std::clamp<std::int64_t>(*until, 0, maxUntilMs)) });
+    }
+    return teams;
 }
 
 } // namespace sapphiredale::controller::inner
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -153,6 +153,7 @@
     logCrashes();
     logQuarantines();
     logWorkers();
+    logReusedIds();
     writeProgress();
 }
 
@@ -440,6 +441,14 @@
                 { "leaseMs", millisecondsOf(place.m_at - place.m_leaseEnd) } });
 }
 
+void SchedulerTerm::logReusedIds()
+{
+    for (const jobs::ReusedId& reused : m_scheduler->takeReusedIds())
+        m_log.write(LogEvent::JobIdReused,
+            { { "job", reused.m_job.value() }, { "team", reused.m_team.value() },
+                { "otherTeam", reused.m_otherTeam.value() }, { "term", m_settings.m_term } });
+}
+
 void SchedulerTerm::removeExpiredJobs(const std::vector<JobId>& jobs)
 {
     for (const JobId& job : jobs)
@@ -607,6 +616,25 @@
     return Error { ErrorKind::NotFound, "no such job" };
 }
 
+TeamId SchedulerTerm::teamOf(const JobId& job) const
+{
+    return m_scheduler && m_scheduler->knows(job) ? m_scheduler->teamOf(job) : TeamId();
+}
+
+std::vector<jobs::TeamRefusal> SchedulerTerm::refusedTeams() const
+{
+    return m_scheduler ? m_scheduler->refusedTeams(bootNow()) : std::vector<jobs::TeamRefusal>();
+}
+
+void SchedulerTerm::setTeams(std::vector<jobs::TeamPolicy> teams)
+{
+    m_teams = std::move(teams);
+    if (!m_scheduler)
+        return;
+    m_scheduler->setTeams(*m_teams, bootNow());
+    scheduleStep();
+}
+
 Result<std::uint32_t> SchedulerTerm::pending(const std::string& queue) const
 {
     if (!m_scheduler)
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -83,7 +84,14 @@
     /// State of a job; an end is shown once it is stored. Fails with NotReady while the answer is uncertain, and with
     /// NotFound when the job does not exist.
     Result<jobs::JobState> state(const JobId&) const;
+    /// Team of a job; empty if it has none or is not known.
+    TeamId teamOf(const JobId&) const;
     Result<std::uint32_t> pending(const std::string& queue) const;
+    /// Sets the teams of the configuration in force, also before the recovery is complete. Until then no job with a
+    /// team starts.
+    void setTeams(std::vector<jobs::TeamPolicy>);
+    /// Teams whose new jobs are to be refused now.
+    std::vector<jobs::TeamRefusal> refusedTeams() const;
     bool isRecovered() const { return m_scheduler != nullptr; }
     /// Takes up a record that this daemon has just stored in the job topic, without waiting until it is read back.
     void recordStored(const std::string& key, const std::string& value);
@@ -128,6 +136,7 @@
     void logQuarantines();
     /// Logs restarts of workers, and workers that the term no longer waits for.
     void logWorkers();
+    void logReusedIds();
     void handleWorkerEntry(const userplatform::KeyedRecord&);
     void handleJobRecord(std::uint32_t partition, const userplatform::KeyedRecord&);
     /// Adds or cancels the job that the record names.
@@ -166,6 +175,8 @@
     std::unique_ptr<TopicFollower> m_progressFollower;
     /// Null until the recovery has read the store.
     std::unique_ptr<jobs::JobScheduler> m_scheduler;
+    /// None until the daemon has a configuration.
+    std::optional<std::vector<jobs::TeamPolicy>> m_teams;
     /// Used by the links.
     jobs::CallTiming m_callTiming;
     std::unordered_map<WorkerId, std::unique_ptr<WorkerLink>> m_links;
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -29,6 +29,8 @@
     settings.m_longestLease = maxLeaseDuration(m_site.m_longestLease);
     m_scheduler = std::make_unique<jobs::JobScheduler>(settings);
     m_scheduler->setInheritedLeases(m_settings.m_earlierLeases, wallNowMs(), now);
+    if (m_teams)
+        m_scheduler->setTeams(*m_teams, now);
     for (const auto& [id, worker] : m_workerObserver->m_entries) {
         m_scheduler->workerListed(worker, now);
         openLink(id);
@@ -181,7 +183,7 @@
 {
     const TimePoint now = bootNow();
     if (key.front() == cancellationPrefix)
-        m_scheduler->cancelJob(JobId(key.substr(1)), now);
+        m_scheduler->cancelJob(JobId(key.substr(1)), now, jobs::decodeCancellation(value));
     else
         addJob(JobId(key), value, now);
     scheduleStep();
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -60,8 +60,8 @@
 
 void JobScheduler::addJob(const JobRecord& record, const JobProgress& stored, std::int64_t wallNowMs, TimePoint now)
 {
-    if (m_jobs.contains(record.m_job))
-        return;
+    if (const auto known = m_jobs.find(record.m_job); known != m_jobs.end())
+        return handleReusedId(*known->second, record);
     Job& job = createJob(record, wallNowMs, now);
     job.m_storedState = stored.m_state;
     if (isFinal(stored.m_state)) {
@@ -69,7 +69,7 @@
         job.m_closedAt = now;
         return;
     }
-    if (m_cancelledEarly.erase(record.m_job) > 0)
+    if (takeEarlyCancellation(record))
         return closeJob(job, JobState::Cancelled, now);
     job.m_isRecordKept = stored.m_state == JobState::Running || !stored.m_places.empty();
     openDueOccurrences(job, wallNowMs, now);
@@ -79,6 +79,28 @@
         m_jobsWithFutureOccurrences.push_back(&job);
 }
 
+void JobScheduler::handleReusedId(Job& job, const JobRecord& record)
+{
+    // A caller repeats a submission that got no answer; that record has the same team.
+    if (record.m_team == job.m_record.m_team || std::exchange(job.m_isIdReused, true))
+        return;
+    m_reusedIds.push_back({ record.m_job, job.m_record.m_team, record.m_team });
+    // The later record may have replaced the first one in the job topic, so the first is stored beside the progress.
+    if (!job.m_isRecordKept)
+        markChanged(job);
+}
+
+bool JobScheduler::takeEarlyCancellation(const JobRecord& record)
+{
+    const auto found = m_cancelledEarly.find(record.m_job);
+    if (found == m_cancelledEarly.end())
+        return false;
+    const std::vector<Canceller> cancellers = std::move(found->second.m_cancellers);
+    m_cancelledEarly.erase(found);
+    return std::any_of(cancellers.begin(), cancellers.end(),
+        [&record](const Canceller& canceller) { return canceller.mayCancel(record.m_team); });
+}
+
 PoolNumber JobScheduler::poolNumber(const std::string& service)
 {
     const PoolNumber number
@@ -162,14 +184,16 @@
         refreshAllWaiting(job.m_steps[i], now);
 }
 
-void JobScheduler::cancelJob(const JobId& id, TimePoint now)
+void JobScheduler::cancelJob(const JobId& id, TimePoint now, const Canceller& canceller)
 {
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end()) {
-        m_cancelledEarly.emplace(id, now);
+        EarlyCancellation& early = m_cancelledEarly.try_emplace(id, EarlyCancellation { now, {} }).first->second;
+        if (std::find(early.m_cancellers.begin(), early.m_cancellers.end(), canceller) == early.m_cancellers.end())
+            early.m_cancellers.push_back(canceller);
         return;
     }
-    if (found->second->isOpen())
+    if (found->second->isOpen() && canceller.mayCancel(found->second->m_record.m_team))
         closeJob(*found->second, JobState::Cancelled, now);
 }
 
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -98,11 +98,12 @@
     void setWithheldLeases(const std::set<WorkerId>&, TimePoint now);
     /// @}
 
-    /// Adds a job with the progress that earlier terms stored, which is empty for a new job. Has no effect if the job
-    /// is known.
+    /// Adds a job with the progress that earlier terms stored, which is empty for a new job. If the job is known, the
+    /// first record is kept; a record of another team under its ID is reported by takeReusedIds().
     void addJob(const JobRecord&, const JobProgress& stored, std::int64_t wallNowMs, TimePoint now);
-    /// Cancels an open job. A job that is added after its cancellation is cancelled at once.
-    void cancelJob(const JobId&, TimePoint now);
+    /// Cancels an open job, unless it belongs to another team than the canceller's. A job that is added after its
+    /// cancellation is cancelled at once.
+    void cancelJob(const JobId&, TimePoint now, const Canceller& = {});
 
     /// Adds a worker that the registry lists, or updates its description.
     void workerListed(const WorkerDescription&, TimePoint now);
@@ -170,6 +171,8 @@
     std::vector<RunOfLaterProcess> takeRunsOfLaterProcesses() { return std::exchange(m_newRunsOfLaterProcesses, {}); }
     std::vector<WorkerRestart> takeRestarts() { return std::exchange(m_newRestarts, {}); }
     std::vector<ExpiredPlace> takeExpiredPlaces() { return std::exchange(m_newExpiredPlaces, {}); }
+    /// Jobs under whose ID another team has submitted a job, since the last call; each job once in a term.
+    std::vector<ReusedId> takeReusedIds() { return std::exchange(m_reusedIds, {}); }
     /// Jobs whose end has been stored since the last call.
     std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
     /// Removes and returns the closed jobs whose retention time is over, and the jobs that were cancelled and never
@@ -204,6 +207,10 @@
     friend class PlacementPass;
 
     Job& createJob(const JobRecord&, std::int64_t wallNowMs, TimePoint now);
+    /// Handles a second record under the ID of a job.
+    void handleReusedId(Job&, const JobRecord&);
+    /// Whether a cancellation that was read before the job applies to it.
+    bool takeEarlyCancellation(const JobRecord&);
     void openOccurrence(Job&, TimePoint now);
     void openDueOccurrences(Job&, std::int64_t wallNowMs, TimePoint now);
     ProgressRecord progressOf(const Job&) const;
@@ -317,7 +324,12 @@
 
     const SchedulerSettings m_settings;
     std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
-    std::unordered_map<JobId, TimePoint> m_cancelledEarly;
+    /// Cancellations of jobs that are not known yet.
+    struct EarlyCancellation {
+        TimePoint m_at {};
+        std::vector<Canceller> m_cancellers;
+    };
+    std::unordered_map<JobId, EarlyCancellation> m_cancelledEarly;
     std::map<WorkerId, Worker> m_workers;
     std::unordered_map<WorkerId, WorkerNumber> m_workerNumbers;
     /// Workers that were forgotten since they were last taken.
@@ -386,6 +398,7 @@
     std::vector<std::pair<WorkerNumber, RunName>> m_recordingRuns;
     std::vector<SchedulerAction> m_actions;
     std::vector<EndedJob> m_ended;
+    std::vector<ReusedId> m_reusedIds;
     /// Runs that were given up recently, oldest first.
     std::deque<LostRun> m_lostRuns;
     std::vector<LostRun> m_newLostRuns;
--- a/src/jobs/JobSpec.cpp
+++ b/src/jobs/JobSpec.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+    /// Cancellation by a call whose key was not examined.
+    constexpr const char* unexaminedCancellation = "1";
+
     Error invalid(std::size_t step, const std::string& problem)
     {
         return { ErrorKind::InvalidRequest, "steps[" + std::to_string(step) + "]: " + problem };
@@ -222,6 +225,42 @@
     return record;
 }
 
+Result<Unit> checkLimit(const JobSpec& spec, const Resources& limit)
+{
+    const auto exceeds = [](std::int64_t need, std::int64_t most) { return most > 0 && need > most; };
+    for (std::size_t i = 0; i < spec.m_steps.size(); ++i) {
+        const StepSpec& step = spec.m_steps[i];
+        const Resources need = step.m_isGang ? step.m_need * step.m_count : step.m_need;
+        const char* amount = exceeds(need.m_cpuMillis, limit.m_cpuMillis) ? "processor"
+            : exceeds(need.m_memoryMiB, limit.m_memoryMiB)                ? "memory"
+            : exceeds(need.m_accelerators, limit.m_accelerators)          ? "accelerators"
+                                                                          : nullptr;
+        if (amount != nullptr)
+            return Error { ErrorKind::QuotaExceeded,
+                "steps[" + std::to_string(i) + "]: a " + (step.m_isGang ? "gang" : "task") + " needs more " + amount
+                    + " than the limit of the team" };
+    }
+    return Unit {};
+}
+
+std::string encodeCancellation(const Canceller& canceller)
+{
+    if (!canceller.m_isExamined)
+        return unexaminedCancellation;
+    return json::serialize(json::object { { "team", canceller.m_team.value() } });
+}
+
+Canceller decodeCancellation(std::string_view text)
+{
+    if (text == unexaminedCancellation)
+        return {};
+    boost::system::error_code error;
+    const json::value document = json::parse(text, error);
+    if (error || !document.is_object())
+        return { true, TeamId() };
+    return { true, TeamId(Reader(document.get_object()).text("team")) };
+}
+
 std::vector<Duration> criticalPaths(const JobSpec& spec)
 {
     std::vector<Duration> result(spec.m_steps.size());
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -132,6 +132,26 @@
 std::string encodeJobRecord(const JobRecord&);
 Result<JobRecord> decodeJobRecord(const JobId&, std::string_view);
 
+/// Fails with QuotaExceeded if a task or a gang needs more than the limit, of which an amount of zero is none. Such
+/// work can never run.
+Result<Unit> checkLimit(const JobSpec&, const Resources& limit);
+
+/// Who cancels a job.
+struct Canceller {
+    /// Whether the call was examined for a key. Otherwise it may cancel every job.
+    bool m_isExamined = false;
+    /// Empty for a call without a team.
+    TeamId m_team;
+
+    bool mayCancel(const TeamId& teamOfJob) const { return !m_isExamined || teamOfJob.empty() || m_team == teamOfJob; }
+
+    friend bool operator==(const Canceller&, const Canceller&) = default;
+};
+
+/// Stored form of a cancellation, and its inverse. A record of an unknown form may cancel only jobs without a team.
+std::string encodeCancellation(const Canceller&);
+Canceller decodeCancellation(std::string_view);
+
 /// For each step, the length of the longest path from it to the end of the job, including the step itself.
 std::vector<Duration> criticalPaths(const JobSpec&);
 /// Length of the critical path of a job.
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -171,6 +171,9 @@
     bool m_isDirty = false;
     /// The job's record is stored beside its progress, or on its way there.
     bool m_isRecordKept = false;
+    /// Another team has submitted a job under the same ID. The record is kept beside the progress until the job is
+    /// removed.
+    bool m_isIdReused = false;
     TimePoint m_acceptedAt {};
     /// Target completion time of the job, and the time after which its result has no value to the caller.
     TimePoint m_objective {};
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -61,10 +61,11 @@
         job->m_isDirty = false;
         batch.m_records.push_back(progressOf(*job));
         const auto& places = batch.m_records.back().m_progress.m_places;
-        if (job->isOpen() && !job->m_isRecordKept && !places.empty()) {
+        const bool needsRecord = job->m_isIdReused || (job->isOpen() && !places.empty());
+        if (needsRecord && !job->m_isRecordKept) {
             batch.m_records.back().m_record = job->m_record;
             job->m_isRecordKept = true;
-        } else if (!job->isOpen()) {
+        } else if (!job->isOpen() && !job->m_isIdReused) {
             batch.m_records.back().m_removesRecord = std::exchange(job->m_isRecordKept, false);
         }
         SentProgress& sent = sentProgress.emplace_back(SentProgress { job->m_record.m_job, job->m_state, {} });
@@ -88,7 +89,7 @@
     m_batchEnds.erase(insteadOf);
     for (const auto& [id, job] : m_jobs) {
         // A partition that held the progress before may have the record of a job that has ended since.
-        job->m_isRecordKept = !job->isOpen();
+        job->m_isRecordKept = !job->isOpen() && !job->m_isIdReused;
         markChanged(*job);
     }
     return takeChanges();
@@ -152,7 +153,7 @@
         m_jobs.erase(id);
     }
     std::erase_if(m_cancelledEarly, [&](const auto& cancelled) {
-        const bool isExpired = cancelled.second + m_settings.m_retention < now;
+        const bool isExpired = cancelled.second.m_at + m_settings.m_retention < now;
         if (isExpired)
             expired.push_back(cancelled.first);
         return isExpired;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -227,6 +227,15 @@
     friend bool operator==(const JobHistory&, const JobHistory&) = default;
 };
 
+/// A job under whose ID another team has submitted a job.
+struct ReusedId {
+    JobId m_job;
+    TeamId m_team;
+    TeamId m_otherTeam;
+
+    friend bool operator==(const ReusedId&, const ReusedId&) = default;
+};
+
 /// A job whose end has been stored.
 struct EndedJob {
     JobId m_job;
--- a/src/model/ErrorKind.cpp
+++ b/src/model/ErrorKind.cpp
@@ -11,6 +11,8 @@
 
     constexpr std::array<ErrorAnswer, errorKindCount> answers { {
         { InvalidRequest, "invalid-request", "The request is not valid", 400, NotRun, 0 },
+        { Unauthenticated, "unauthenticated", "The request carries no valid key", 401, NotRun, 0 },
+        { Forbidden, "forbidden", "The resource belongs to another team", 403, NotRun, 0 },
         { NotFound, "not-found", "No such resource", 404, NotRun, 0 },
         { MethodNotAllowed, "method-not-allowed", "The resource does not support this method", 405, NotRun, 0 },
         { BodyTooLarge, "body-too-large", "The body exceeds the limit", 413, NotRun, 0 },
--- a/src/model/ErrorKind.h
+++ b/src/model/ErrorKind.h
@@ -11,6 +11,8 @@
 /// Every error that a caller, an operator or another daemon can be told.
 enum class ErrorKind : std::uint8_t {
     InvalidRequest,
+    Unauthenticated,
+    Forbidden,
     NotFound,
     MethodNotAllowed,
     BodyTooLarge,
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -50,6 +50,8 @@
         { JobAccepted, 4008, Info, "job-accepted", "A job was accepted" },
         { JobRefused, 4009, Info, "job-refused", "A job was refused" },
         { JobEnded, 4010, Info, "job-ended", "A job has ended" },
+        { JobIdReused, 4011, Warning, "job-id-reused",
+            "Another team has submitted a job under the id of an accepted one" },
         { LogUnavailable, 5001, Error, "log-unavailable", "The log is unavailable" },
         { LogRecovered, 5002, Info, "log-recovered", "The log has recovered" },
         { AppendOutcomeUnknown, 5003, Warning, "append-outcome-unknown", "The outcome of an append is unknown" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -47,6 +47,7 @@
     JobAccepted,
     JobRefused,
     JobEnded,
+    JobIdReused,
     LogUnavailable,
     LogRecovered,
     AppendOutcomeUnknown,
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -1,6 +1,7 @@
 // Tests of the settings, the messages between daemons, the listener, the worker link, and the appender against a store
 // that refuses appends, loses answers and recovers.
 
+#include "controller/AdviceDispatcher.h"
 #include "controller/GuardedLoop.h"
 #include "controller/HttpListener.h"
 #include "controller/InnerProtocol.h"
@@ -22,12 +23,16 @@
 namespace sapphiredale::controller {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 class ControllerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ControllerTest);
     CPPUNIT_TEST(settingsAreRead);
     CPPUNIT_TEST(allFaultsOfSettingsAreReported);
     CPPUNIT_TEST(innerMessagesRoundTrip);
+    CPPUNIT_TEST(messagesOfEarlierVersionsAreRead);
+    CPPUNIT_TEST(daemonWithoutAdviserGetsNoQuestions);
+    CPPUNIT_TEST(authorizationReachesTheHandler);
     CPPUNIT_TEST(refusedRecordFailsAtOnceAndStoreIsProbed);
     CPPUNIT_TEST(unansweredRecordIsRetried);
     CPPUNIT_TEST(leaseOfUnresponsiveWorkerIsNotExtended);
@@ -95,6 +100,75 @@
         CPPUNIT_ASSERT(!succeeded(inner::decodeHello("{}")));
         CPPUNIT_ASSERT(!succeeded(inner::decodeAdvice(R"({"tickets":[1],"validityMicros":1})")));
         CPPUNIT_ASSERT(!succeeded(inner::decodeState(R"({"value":9})")));
+        const inner::StateAnswer state { jobs::JobState::Running, TeamId("a \"b\"") };
+        CPPUNIT_ASSERT(valueOf(inner::decodeState(inner::encode(state))) == state);
+        const TimePoint now { seconds(100) };
+        const std::vector<jobs::TeamRefusal> refused { { TeamId("a"), now + milliseconds(1500) },
+            { TeamId("b"), now + seconds(9) } };
+        // The clocks of the two daemons differ.
+        const auto decoded = inner::decodeRefusedTeams(inner::encodeRefusedTeams(refused, now), now + seconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), decoded.size());
+        CPPUNIT_ASSERT(decoded[0].m_team == TeamId("a") && decoded[0].m_until == now + milliseconds(1001500));
+        CPPUNIT_ASSERT(decoded[1].m_team == TeamId("b") && decoded[1].m_until == now + seconds(1009));
+    }
+
+    // Guards against daemons that cannot talk to each other while a cell is being upgraded, and against refusals that
+    // come from an unreadable answer.
+    void messagesOfEarlierVersionsAreRead()
+    {
+        CPPUNIT_ASSERT((
+            valueOf(inner::decodeState(R"({"value":1})")) == inner::StateAnswer { jobs::JobState::Running, TeamId() }));
+        CPPUNIT_ASSERT(valueOf(inner::decodeHello(R"({"daemon":"d","address":"x","leaving":false})")).m_asksAdviser);
+        const TimePoint now { seconds(100) };
+        for (const char* text : { "", "{}", "[]", R"({"refused":7})", R"({"refused":[7,{"team":"a"},{"untilMs":5}]})",
+                 R"({"refused":[{"team":"","untilMs":5},{"team":"a","untilMs":"x"}]})" })
+            CPPUNIT_ASSERT_MESSAGE(text, inner::decodeRefusedTeams(text, now).empty());
+        const auto extreme = inner::decodeRefusedTeams(
+            R"({"refused":[{"team":"a","untilMs":9223372036854775807},{"team":"b","untilMs":-5}]})", now);
+        CPPUNIT_ASSERT(extreme.at(0).m_until <= now + std::chrono::hours(1) && extreme.at(1).m_until == now);
+    }
+
+    // Guards against questions to daemons that say hello only to learn of refused teams.
+    void daemonWithoutAdviserGetsNoQuestions()
+    {
+        boost::asio::io_context context;
+        AdviceDispatcher dispatcher(context, nullptr);
+        dispatcher.helloReceived({ DaemonId("a"), "127.0.0.1:1", false, false });
+        CPPUNIT_ASSERT_EQUAL(0U, static_cast<unsigned>(dispatcher.capacity().m_all));
+        dispatcher.helloReceived({ DaemonId("b"), "127.0.0.1:2", false, true });
+        CPPUNIT_ASSERT_EQUAL(1U, static_cast<unsigned>(dispatcher.capacity().m_all));
+    }
+
+    // Guards against keys that the listener does not pass on, against a second header that is overlooked, and against
+    // a 401 that does not name the scheme.
+    void authorizationReachesTheHandler()
+    {
+        boost::asio::io_context context;
+        std::vector<std::string> seen;
+        HttpListener listener(context, "", [&](const ServerRequest& request, const Responder& respond) {
+            seen.push_back(request.m_authorization);
+            ServerResponse answer { 401, "{}" };
+            answer.m_authenticate = "Bearer";
+            respond(std::move(answer));
+        });
+        const std::string address = openOnFreePort(listener);
+        const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+        std::string answers;
+        for (const char* headers :
+            { "", "authorization:  Bearer k \r\n", "Authorization: Bearer k\r\nAuthorization: Bearer l\r\n" }) {
+            boost::asio::ip::tcp::socket socket(context);
+            socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+            boost::asio::write(socket,
+                boost::asio::buffer(
+                    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + std::string(headers) + "\r\n"));
+            bool isEnded = false;
+            std::string answer;
+            boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(answer), "\r\n\r\n",
+                [&](boost::system::error_code, std::size_t) { isEnded = true; });
+            runUntil(context, [&] { return isEnded; });
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("WWW-Authenticate: Bearer\r\n") != std::string::npos);
+        }
+        CPPUNIT_ASSERT((seen == std::vector<std::string> { "", "Bearer k", "" }));
     }
 
     void refusedRecordFailsAtOnceAndStoreIsProbed()
--- a/tests/userplatform/DocumentsTest.cpp
+++ b/tests/userplatform/DocumentsTest.cpp
@@ -12,6 +12,9 @@
     CPPUNIT_TEST_SUITE(DocumentsTest);
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(unreadableConfigurationIsRefused);
+    CPPUNIT_TEST(tenantsAreDecoded);
+    CPPUNIT_TEST(faultyTenantsOpenNoRoute);
+    CPPUNIT_TEST(keyIsTakenFromTheBearerScheme);
     CPPUNIT_TEST(workerEntryIsDecoded);
     CPPUNIT_TEST(foreignEntriesNameNoWorker);
     CPPUNIT_TEST(entriesWithoutUsableAddressNameNoWorker);
@@ -47,6 +50,63 @@
             CPPUNIT_ASSERT_MESSAGE(text, !succeeded(decodeConfiguration(text)));
     }
 
+    static Configuration withTenants(const std::string& tenants)
+    {
+        return valueOf(
+            decodeConfiguration(R"({"version":1,"routes":[{"public":true},{"public":false},{"public":1},{}],)"
+                                R"("tenants":)"
+                + tenants + "}"));
+    }
+
+    // Guards against calls that are refused although the configuration has their key, and against limits that are lost.
+    void tenantsAreDecoded()
+    {
+        const Configuration configuration = withTenants(
+            R"([{"name":"a","api_keys":["k1","k2"],"priority":1,"weight":2.5,"max_count":{"cpu":64000,"mem_mb":512,
+            "gpu":2}},{"name":"b","api_keys":["k3"],"weight":1,"max_count":{"cpu":0}},{"name":"c"}])");
+        CPPUNIT_ASSERT(configuration.m_requiresKeys);
+        CPPUNIT_ASSERT((configuration.m_teams.at(0) == jobs::TeamPolicy { TeamId("a"), 2.5, { 64000, 512, 2 } }));
+        CPPUNIT_ASSERT((configuration.m_teams.at(1) == jobs::TeamPolicy { TeamId("b"), 1, {} }));
+        CPPUNIT_ASSERT((configuration.m_teams.at(2) == jobs::TeamPolicy { TeamId("c"), 0, {} }));
+        CPPUNIT_ASSERT(configuration.teamOfKey("k1") == &configuration.m_teams[0]);
+        CPPUNIT_ASSERT(configuration.teamOfKey("k2") == &configuration.m_teams[0]);
+        CPPUNIT_ASSERT(configuration.teamOfKey("k3") == &configuration.m_teams[1]);
+        for (const char* key : { "", "k", "k12", "K1" })
+            CPPUNIT_ASSERT(configuration.teamOfKey(key) == nullptr);
+        CPPUNIT_ASSERT(configuration.m_routes[0].m_isPublic);
+        for (std::size_t i = 1; i < 4; ++i)
+            CPPUNIT_ASSERT(!configuration.m_routes[i].m_isPublic);
+        CPPUNIT_ASSERT(!valueOf(decodeConfiguration(R"({"version":1,"routes":[]})")).m_requiresKeys);
+    }
+
+    // Guards against a fault in the document that lets calls run without a key: a list that cannot be read, an empty
+    // key that calls without one would match, and a key that changes its owner.
+    void faultyTenantsOpenNoRoute()
+    {
+        for (const char* text : { "null", "{}", "7", "\"x\"" })
+            CPPUNIT_ASSERT_MESSAGE(text,
+                !succeeded(decodeConfiguration(std::string(R"({"version":1,"routes":[],"tenants":)") + text + "}")));
+        CPPUNIT_ASSERT(withTenants("[]").m_requiresKeys);
+        const Configuration configuration = withTenants(
+            R"([7,{"api_keys":["k0"]},{"name":"a","api_keys":["",5,null,"k1"],"weight":-1,"max_count":{"cpu":-5}},
+            {"name":"b","api_keys":["k1"],"weight":"x","max_count":7},{"name":"c","api_keys":"k2"}])");
+        CPPUNIT_ASSERT(configuration.m_requiresKeys);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), configuration.m_teamByKey.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), configuration.teamOfKey("k1")->m_team.value());
+        CPPUNIT_ASSERT((configuration.m_teams.at(0) == jobs::TeamPolicy { TeamId("a"), 0, {} }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), configuration.m_teams.size());
+    }
+
+    // Guards against a key that is accepted under another scheme, or not accepted under another spelling of this one.
+    void keyIsTakenFromTheBearerScheme()
+    {
+        for (const char* text : { "Bearer k", "bearer k", "BEARER   k" })
+            CPPUNIT_ASSERT_MESSAGE(text, bearerKey(text) == "k");
+        for (const char* text : { "", "k", "Bearer", "Bearer ", "Basic k", "Bearerk", "Bearers k", " Bearer k" })
+            CPPUNIT_ASSERT_MESSAGE(text, bearerKey(text).empty());
+        CPPUNIT_ASSERT(bearerKey("Bearer k l") == "k l");
+    }
+
     static std::string entry(const std::string& state, const std::string& capacity)
     {
         return R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":")" + state + R"(","capacity":)"
