--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -49,6 +49,7 @@
     JobEnded,
     TeamRefused,
     TeamAdmitted,
+    JobIdReused,
     LogUnavailable,
     LogRecovered,
     AppendOutcomeUnknown,
