Bound what connections of the controller's listeners hold

The parser's header limit covers neither chunk extensions nor trailers, and the buffer of a connection was unbounded. Header, chunk extensions and trailers together now stay within max_header_bytes, and the buffer is bounded by it. All connections of the four listeners share a budget of a sixth of host.memoryMb (new setting, default 120, the smallest host): stalled requests give way first, then the newest; a request that was handed on never does, and a complete request that does not fit is answered 503 before it is handed on. A full listener replaces its quietest connection.

--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -7,6 +7,7 @@
 #include "controller/PeerCall.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 
 namespace sapphiredale::controller {
@@ -15,6 +16,10 @@
 
 namespace {
 
+    /// Daemons hold a few connections to each other, and a cell has some 40 of them.
+    constexpr std::size_t maxInnerConnections = 1024;
+    /// Of the readiness and of the operators' listener, whose clients are a few programs of the platform.
+    constexpr std::size_t maxLocalConnections = 256;
     constexpr Duration tickInterval = std::chrono::milliseconds(250);
     constexpr Duration helloInterval = std::chrono::milliseconds(1000);
     constexpr Duration helloTimeout = std::chrono::milliseconds(700);
@@ -75,6 +80,40 @@
 
 } // namespace
 
+/// Counts connections that ended because of a limit, and logs them at most once per reason and second.
+class Controller::ConnectionReporter {
+public:
+    ConnectionReporter(ConnectionBudget& budget, observability::EventLog& log, observability::MetricsRegistry& metrics)
+        : m_log(log)
+        , m_metrics(metrics)
+    {
+        budget.setObserver([this](ConnectionEnd end) { report(end); });
+    }
+
+private:
+    struct Reason {
+        std::uint64_t m_count = 0;
+        TimePoint m_nextLine {};
+    };
+
+    void report(ConnectionEnd end)
+    {
+        m_metrics.counter(observability::MetricName::ConnectionEndsTotal, { nameOf(end) }).add();
+        Reason& reason = m_reasons[static_cast<std::size_t>(end)];
+        ++reason.m_count;
+        const TimePoint now = bootNow();
+        if (now < reason.m_nextLine)
+            return;
+        reason.m_nextLine = now + std::chrono::seconds(1);
+        m_log.write(
+            LogEvent::ConnectionsClosed, { { "reason", nameOf(end) }, { "count", std::exchange(reason.m_count, 0) } });
+    }
+
+    observability::EventLog& m_log;
+    observability::MetricsRegistry& m_metrics;
+    std::array<Reason, connectionEndCount> m_reasons;
+};
+
 /// Applies each newer configuration; an older or unreadable one changes nothing.
 class Controller::ConfigurationObserver final : public FollowerObserver {
 public:
@@ -132,15 +171,26 @@
     , m_gateway(m_context, m_settings, *m_log, m_metrics, [this] { return scheduler(); })
     , m_configurationObserver(std::make_unique<ConfigurationObserver>(*this))
     , m_configuration(m_context, m_settings.m_store, { { userplatform::operatorTopic } }, *m_configurationObserver)
-    , m_callers(m_context, userplatform::deadlineHeader,
+    , m_connectionBudget(std::make_shared<ConnectionBudget>(
+          (std::size_t { m_settings.m_memoryMb } << 20) / ConnectionBudget::memoryShare))
+    , m_connectionReporter(std::make_unique<ConnectionReporter>(*m_connectionBudget, *m_log, m_metrics))
+    , m_callers(
+          m_context, userplatform::deadlineHeader,
           [this](
-              ServerRequest request, Responder respond) { m_gateway.handle(std::move(request), std::move(respond)); })
-    , m_readiness(m_context, "",
-          [this](const ServerRequest& request, const Responder& respond) { answerReadiness(request, respond); })
-    , m_inner(m_context, "",
-          [this](const ServerRequest& request, Responder respond) { handleInnerRequest(request, std::move(respond)); })
-    , m_operators(m_context, "",
-          [this](const ServerRequest& request, const Responder& respond) { handleOperatorRequest(request, respond); })
+              ServerRequest request, Responder respond) { m_gateway.handle(std::move(request), std::move(respond)); },
+          m_connectionBudget)
+    , m_readiness(
+          m_context, "",
+          [this](const ServerRequest& request, const Responder& respond) { answerReadiness(request, respond); },
+          m_connectionBudget)
+    , m_inner(
+          m_context, "",
+          [this](const ServerRequest& request, Responder respond) { handleInnerRequest(request, std::move(respond)); },
+          m_connectionBudget)
+    , m_operators(
+          m_context, "",
+          [this](const ServerRequest& request, const Responder& respond) { handleOperatorRequest(request, respond); },
+          m_connectionBudget)
 {
 }
 
@@ -160,7 +210,12 @@
     // Daemons keep their connections to each other open between messages.
     ListenerLimits innerLimits;
     innerLimits.m_idleTimeout = std::chrono::seconds(60);
+    innerLimits.m_maxConnections = maxInnerConnections;
     m_inner.setLimits(innerLimits);
+    ListenerLimits localLimits;
+    localLimits.m_maxConnections = maxLocalConnections;
+    m_readiness.setLimits(localLimits);
+    m_operators.setLimits(localLimits);
     m_election.start();
     m_configuration.start();
     awaitSignal();
@@ -366,6 +421,8 @@
     if (request.m_target != "/metrics")
         return respond(errorResponse(ErrorKind::NotFound));
     const GatewayCounters& gateway = m_gateway.counters();
+    m_metrics.gauge(observability::MetricName::ConnectionBytes)
+        .set(static_cast<double>(m_connectionBudget->usedBytes()));
     std::string text = m_metrics.prometheusText();
     const auto put = [&text](const char* name, std::uint64_t value) {
         text += std::string("sapphire_") + name + ' ' + std::to_string(value) + '\n';
--- a/src/controller/Controller.h
+++ b/src/controller/Controller.h
@@ -32,6 +32,7 @@
 
 private:
     class ConfigurationObserver;
+    class ConnectionReporter;
 
     /// Gives up the term, if there is one, after an exception left a handler.
     void handleUnexpectedError(const char* error);
@@ -67,6 +68,9 @@
     Gateway m_gateway;
     std::unique_ptr<ConfigurationObserver> m_configurationObserver;
     TopicFollower m_configuration;
+    /// Shared by the listeners.
+    std::shared_ptr<ConnectionBudget> m_connectionBudget;
+    std::unique_ptr<ConnectionReporter> m_connectionReporter;
     HttpListener m_callers;
     HttpListener m_readiness;
     HttpListener m_inner;
--- a/src/controller/HttpListener.h
+++ b/src/controller/HttpListener.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 server of the controller on one event loop; requests and responses are buffered completely.
 #pragma once
 
+#include "controller/ConnectionBudget.h"
 #include "model/Result.h"
 #include "model/Time.h"
 
@@ -17,11 +18,14 @@
 
 /// Limits on connections and requests; may change while the listener is open.
 struct ListenerLimits {
+    /// Of the request line, the fields, the extensions of chunks and the trailers of one request together.
     std::size_t m_maxHeaderBytes = 16384;
     std::size_t m_maxBodyBytes = 262144;
     /// From the first byte of a request to its last.
     Duration m_requestTimeout = std::chrono::seconds(3);
     Duration m_idleTimeout = std::chrono::seconds(15);
+    /// Time for the client to take an answer.
+    Duration m_answerTimeout = std::chrono::seconds(10);
     std::size_t m_maxConnections = 3000; // below the file descriptor limit of the smallest host
 
     friend bool operator==(const ListenerLimits&, const ListenerLimits&) = default;
@@ -52,8 +56,10 @@
 /// Accepts connections on one address and passes each request to a handler.
 class HttpListener {
 public:
-    /// `deadlineHeader` names the header whose value becomes ServerRequest::m_deadline.
-    HttpListener(boost::asio::io_context&, std::string deadlineHeader, RequestHandler);
+    /// `deadlineHeader` names the header whose value becomes ServerRequest::m_deadline. Listeners of one event loop may
+    /// share a budget; without one the listener has a budget of its own that fits the smallest host.
+    HttpListener(boost::asio::io_context&, std::string deadlineHeader, RequestHandler,
+        std::shared_ptr<ConnectionBudget> = nullptr);
     ~HttpListener();
     HttpListener(const HttpListener&) = delete;
     HttpListener& operator=(const HttpListener&) = delete;
--- a/src/controller/SiteSettings.cpp
+++ b/src/controller/SiteSettings.cpp
@@ -56,6 +56,7 @@
         reader.section("host", false, [&](SectionReader& r) {
             readPositive(r, "cores", 1000.0, settings.m_coreMillis);
             readPositive(r, "linkMbps", 1.0, settings.m_linkMbps);
+            r.bounded("memoryMb", settings.m_memoryMb, 64U, 1048576U);
         });
         reader.section("bounds", false, [&](SectionReader& r) {
             readMillis(r, "longestLeaseMs", settings.m_longestLease, 2000, 600000);
--- a/src/controller/SiteSettings.h
+++ b/src/controller/SiteSettings.h
@@ -26,6 +26,9 @@
     /// Capacity of this host; a daemon on a small host schedules only when no other one does.
     std::uint32_t m_coreMillis = 1000;
     std::uint32_t m_linkMbps = 1000;
+    /// Memory of this host in MB; a part of it is the limit of what all connections hold together. The default is the
+    /// smallest host of the platform.
+    std::uint32_t m_memoryMb = 120;
     /// Longest lease that a worker grants.
     Duration m_longestLease = std::chrono::seconds(10);
     /// Time after the drain notice of a worker by which no task starts there any more.
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -65,6 +65,7 @@
         { RequestRefused, 7001, Info, "request-refused", "A request was refused" },
         { MinionLeaving, 7008, Info, "minion-leaving", "A minion is leaving" },
         { MinionLeaseLost, 7009, Warning, "minion-lease-lost", "A minion lease was lost" },
+        { ConnectionsClosed, 7020, Warning, "connections-closed", "Connections exceeded a limit" },
         { ProtocolError, 8001, Warning, "protocol-error", "A client violated the protocol" },
         { UnexpectedError, 9001, Error, "unexpected-error", "A handler failed with an exception" },
     } };
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -62,6 +62,7 @@
     RequestRefused,
     MinionLeaving,
     MinionLeaseLost,
+    ConnectionsClosed,
     ProtocolError,
     UnexpectedError,
 };
--- a/src/observability/MetricName.cpp
+++ b/src/observability/MetricName.cpp
@@ -44,6 +44,9 @@
             "Slots of the leased minions, by service and state (free, busy)." },
         { ClaimsTotal, Counter, "sapphire_claims_total", { "verdict" }, "Claims of idempotency keys, by verdict." },
         { CallerConnections, Gauge, "sapphire_caller_connections", {}, "Open connections of callers." },
+        { ConnectionBytes, Gauge, "sapphire_connection_bytes", {}, "Memory that connections hold together." },
+        { ConnectionEndsTotal, Counter, "sapphire_connection_ends_total", { "reason" },
+            "Connections closed and requests refused because of a limit on connections, by reason." },
         { LogLinesSuppressedTotal, Counter, "sapphire_log_lines_suppressed_total", {},
             "Log lines held back by the rate limit." },
     } };
--- a/src/observability/MetricName.h
+++ b/src/observability/MetricName.h
@@ -39,6 +39,8 @@
     Slots,
     ClaimsTotal,
     CallerConnections,
+    ConnectionBytes,
+    ConnectionEndsTotal,
     LogLinesSuppressedTotal,
 };
 
--- a/tests/controller/ControllerTest.cpp
+++ b/tests/controller/ControllerTest.cpp
@@ -48,7 +48,7 @@
         // A daemon of a test.
         "daemon": "d1", "failureDomain": "z1",
         "listeners": {"callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "inner": "127.0.0.1:3", "operators": "127.0.0.1:4"},
-        "store": "127.0.0.1:5", "host": {"cores": 0.25, "linkMbps": 10},
+        "store": "127.0.0.1:5", "host": {"cores": 0.25, "linkMbps": 10, "memoryMb": 256},
     })";
 
     static inline const LinkAuthority unlimited { [] { return TimePoint::max(); }, [] { return std::uint64_t { 1 }; } };
@@ -70,16 +70,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:5"), read->m_store);
         CPPUNIT_ASSERT_EQUAL(250U, read->m_coreMillis);
         CPPUNIT_ASSERT_EQUAL(10U, read->m_linkMbps);
+        CPPUNIT_ASSERT_EQUAL(256U, read->m_memoryMb);
     }
 
     void allFaultsOfSettingsAreReported()
     {
         const SiteSettingsResult result = parseSiteSettings(
-            R"({"daemon": "", "daemon": "d", "listeners": {"callers": 5}, "store": "x", "host": {"cores": -1}, "more": 1})");
+            R"({"daemon": "", "daemon": "d", "listeners": {"callers": 5}, "store": "x", "host": {"cores": -1, "memoryMb": 1}, "more": 1})");
         const auto* faults = std::get_if<std::vector<daemon::SettingsFault>>(&result);
         CPPUNIT_ASSERT(faults != nullptr);
-        // The repeated member, failureDomain, four listeners, store, cores and the unknown member.
-        CPPUNIT_ASSERT_EQUAL_MESSAGE(daemon::describe(*faults), std::size_t(9), faults->size());
+        // The repeated member, failureDomain, four listeners, store, cores, memory and the unknown member.
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(daemon::describe(*faults), std::size_t(10), faults->size());
     }
 
     void innerMessagesRoundTrip()
