--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -391,6 +391,11 @@
         put("lost_runs_total", counters.m_lostRuns);
         put("stalled_runs_total", counters.m_stalledRuns);
         put("crash_suspects_total", counters.m_crashSuspects);
+        const jobs::LocalityCounters& locality = m_term->scheduler()->localityCounters();
+        put("locality_waits_total", locality.m_begun);
+        put("locality_waits_ended_near_total", locality.m_endedNear);
+        put("locality_waits_ended_elsewhere_total", locality.m_endedElsewhere);
+        put("locality_wait_ms_total", static_cast<std::uint64_t>(millisecondsOf(locality.m_waited)));
     }
     respond({ 200, text, 0, "text/plain" });
 }
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -365,7 +365,8 @@
                 { "lost", history.m_lostRuns }, { "questions", history.m_questions },
                 { "waitMs", millisecondsOf(history.m_longestWait) },
                 { "recordMs", millisecondsOf(history.m_longestRecord) },
-                { "startMs", millisecondsOf(history.m_longestStart) } });
+                { "startMs", millisecondsOf(history.m_longestStart) },
+                { "localityMs", millisecondsOf(history.m_longestLocalityWait) } });
     }
 }
 
--- a/src/controller/SiteSettings.cpp
+++ b/src/controller/SiteSettings.cpp
@@ -63,7 +63,13 @@
             std::uint32_t grace = 6;
             r.bounded("graceSeconds", grace, 1U, 3600U);
             settings.m_grace = std::chrono::seconds(grace);
+            constexpr double greatestFactor = 100;
+            r.optional("remoteFactor", settings.m_remoteFactor);
+            if (settings.m_remoteFactor < 1 || settings.m_remoteFactor > greatestFactor)
+                r.fault("remoteFactor", "must be a number from 1 to 100");
         });
+        reader.section(
+            "placement", false, [&](SectionReader& r) { r.optional("localityWait", settings.m_waitsForLocality); });
         reader.section("log", false, [&](SectionReader& r) {
             r.optional("level", settings.m_log.m_level);
             r.optional("file", settings.m_log.m_file);
--- a/src/controller/SiteSettings.h
+++ b/src/controller/SiteSettings.h
@@ -32,6 +32,10 @@
     Duration m_drainNotice = std::chrono::seconds(2);
     /// Time from the stop signal until the process is killed.
     Duration m_grace = std::chrono::seconds(6);
+    /// Factor by which tasks take longer away from their data rack or from each other; 1 if that makes no difference.
+    double m_remoteFactor = 1.0;
+    /// Whether tasks may wait for a place where they are faster.
+    bool m_waitsForLocality = true;
     daemon::LogSettings m_log;
 
     friend bool operator==(const SiteSettings&, const SiteSettings&) = default;
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -24,6 +24,8 @@
         return;
     const TimePoint now = bootNow();
     jobs::SchedulerSettings settings;
+    settings.m_remoteFactor = m_site.m_remoteFactor;
+    settings.m_waitsForLocality = m_site.m_waitsForLocality;
     settings.m_term = m_settings.m_term;
     settings.m_retention = m_settings.m_jobRetention;
     settings.m_longestLease = maxLeaseDuration(m_site.m_longestLease);
--- a/src/daemon/SettingsReader.h
+++ b/src/daemon/SettingsReader.h
@@ -157,6 +157,14 @@
             fault(name, "must be a number");
     }
 
+    void read(std::string_view name, const json::value& member, bool& value)
+    {
+        if (member.is_bool())
+            value = member.get_bool();
+        else
+            fault(name, "must be true or false");
+    }
+
     void read(std::string_view name, const json::value& member, Endpoint& value)
     {
         if (!member.is_string() || !parseEndpoint(member.get_string(), value))
--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -32,24 +32,24 @@
     /// Workers that may run the gang which should be known, as a multiple of its need, so that some of them have room.
     constexpr double permittedMargin = 2.5;
 
-    TimePoint expectedEnd(const Run& run, TimePoint now)
-    {
-        const StepSpec& spec = *run.m_step->m_spec;
-        if (spec.m_isLongRunning || spec.m_isFilling)
-            return TimePoint::max();
-        if (run.m_phase == RunPhase::Stopping)
-            return now + minRemaining;
-        if (run.m_confirmedAt == TimePoint::max())
-            return now + spec.m_estimate;
-        // Estimates are off by half; reported progress tells the true duration.
-        const Duration reported = run.m_progressAt - run.m_confirmedAt;
-        const bool isMeasured = run.m_percent > 0 && reported.count() > 0;
-        const Duration whole = isMeasured ? scaled(reported, 100.0 / run.m_percent) : spec.m_estimate;
-        return std::max(run.m_confirmedAt + whole, now + minRemaining);
-    }
-
 } // namespace
 
+TimePoint expectedEnd(const Run& run, TimePoint now)
+{
+    const StepSpec& spec = *run.m_step->m_spec;
+    if (spec.m_isLongRunning || spec.m_isFilling)
+        return TimePoint::max();
+    if (run.m_phase == RunPhase::Stopping)
+        return now + minRemaining;
+    if (run.m_confirmedAt == TimePoint::max())
+        return now + spec.m_estimate;
+    // Estimates are off by half; reported progress tells the true duration.
+    const Duration reported = run.m_progressAt - run.m_confirmedAt;
+    const bool isMeasured = run.m_percent > 0 && reported.count() > 0;
+    const Duration whole = isMeasured ? scaled(reported, 100.0 / run.m_percent) : spec.m_estimate;
+    return std::max(run.m_confirmedAt + whole, now + minRemaining);
+}
+
 TimePoint PlacementPass::expectedRoomAt(const Worker& worker, const Step& step) const
 {
     const Resources need = step.m_spec->reserved();
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jobs/LeaseBounds.h"
+#include "jobs/LocalityWait.h"
 #include "jobs/SchedulerState.h"
 #include "jobs/TeamPolicy.h"
 
@@ -38,6 +39,10 @@
     Duration m_drainGracePeriod = std::chrono::milliseconds(1500);
     /// Maximum number of waiting steps that one placement pass examines.
     std::uint32_t m_maxStepsPerPass = 200;
+    /// Factor by which a task takes longer away from its data rack or from the other tasks of its step.
+    double m_remoteFactor = 1.0;
+    /// Whether tasks may wait for a place where they are faster.
+    bool m_waitsForLocality = true;
 };
 
 /// Counts of decisions since the start of the term.
@@ -195,6 +200,7 @@
     std::vector<Wait> takeLongWaits(Duration age, std::size_t most, TimePoint now);
     const std::map<WorkerId, Worker>& workers() const { return m_workers; }
     const SchedulerCounters& counters() const { return m_counters; }
+    const LocalityCounters& localityCounters() const { return m_localityCounters; }
     std::size_t jobCount() const { return m_jobs.size(); }
     /// Number of jobs that have not ended.
     std::size_t openJobCount() const;
@@ -399,6 +405,7 @@
     std::map<std::string, double> m_allowedShare;
     std::vector<TeamPolicy> m_teams;
     SchedulerCounters m_counters;
+    LocalityCounters m_localityCounters;
 };
 
 } // namespace sapphiredale::jobs
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -61,10 +61,12 @@
             continue;
         if (++looked > m_scheduler.m_settings.m_maxStepsPerPass)
             break;
+        updateLocalityWait(step);
         if (isGang)
             placeGang(step);
         else
             placeTasks(step);
+        noteLocalityWait(step);
         if (isGang && step.m_waitingTasks == step.m_tasks.size())
             reserveWorkers(step);
         const bool needsTickets = step.m_job->m_record.m_policy.m_advice && step.m_waitingTasks > 0;
@@ -278,7 +280,10 @@
 
 void PlacementPass::placeTasks(Step& step)
 {
-    const RackId rack = step.m_spec->m_isRackLocal ? rackWithMostRoom(step) : RackId();
+    const bool isHeld = step.m_locality.m_held > 0;
+    const RackId rack = !step.m_spec->m_isRackLocal ? RackId()
+        : isHeld                                    ? step.m_locality.m_rack
+                                                    : rackWithMostRoom(step);
     std::vector<Candidate> candidates = candidatesFor(step, rack);
     const auto isWorse = [](const Candidate& a, const Candidate& b) {
         return a.m_cost != b.m_cost ? a.m_cost > b.m_cost : a.m_worker->m_number > b.m_worker->m_number;
@@ -311,6 +316,9 @@
             chosen = take();
             putBack(avoided);
         }
+        // Candidates come in the order of their cost, so that no near one is left.
+        if (mustWaitForNearPlace(step, *chosen.m_worker))
+            break;
         start(step, i, *chosen.m_worker, JobScheduler::nextRun(m_scheduler.m_settings, task));
         if (fits(*chosen.m_worker, step, chosen.m_worker->free()))
             putBack({ cost(*chosen.m_worker, step, rack), chosen.m_worker });
@@ -345,9 +353,10 @@
     if (step.m_waitingTasks < step.m_tasks.size())
         return;
     std::vector<Worker*> workers;
-    if (step.m_spec->m_isRackLocal)
-        workers = chooseGangWorkers(step, rackWithMostRoom(step));
-    if (workers.empty())
+    const bool mustBeNear = step.m_locality.m_held > 0;
+    if (mustBeNear || step.m_spec->m_isRackLocal)
+        workers = chooseGangWorkers(step, mustBeNear ? step.m_locality.m_rack : rackWithMostRoom(step));
+    if (workers.empty() && !mustBeNear)
         workers = chooseGangWorkers(step, RackId());
     if (workers.empty())
         return;
@@ -367,6 +376,7 @@
     Task& task = step.m_tasks[index];
     const RunName name { { step.m_name.m_job, { step.m_name.m_occurrence, step.m_name.m_step, index } }, number };
     m_scheduler.addRun(step, task, worker, name, RunPhase::Recording, m_now);
+    noteStartAfterWait(step, worker);
     m_scheduler.m_recordingRuns.emplace_back(worker.m_number, name);
     for (std::uint32_t i = step.m_name.m_step + 1; i < step.m_job->stepsPerOccurrence(); ++i) {
         Step& later = *step.m_job->step(step.m_name.m_occurrence, i);
@@ -441,7 +451,8 @@
         if (Worker* worker = it->second.m_isAllowed ? m_scheduler.findWorker(it->first) : nullptr)
             needsMore = consider(*worker, false);
     }
-    if (needsMore)
+    const bool isNearOnly = step.m_waitingTasks <= step.m_locality.m_held;
+    if (needsMore && !isNearOnly)
         visitDomains(false);
     if (question.m_workers.empty())
         return false;
@@ -485,6 +496,8 @@
         text += ", keeps free " + std::to_string(step.m_reservedWorkers.size());
     if (step.m_isAdvicePending)
         text += ", asks the adviser";
+    if (step.m_locality.m_held > 0)
+        text += ", waits for rack " + step.m_locality.m_rack.value();
     for (const WorkerId& place : step.m_inheritedPlaces) {
         if (m_scheduler.mayRunInherited(place, m_now))
             text += ", may run on " + place.value() + " for "
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -14,6 +14,9 @@
 /// Maximum number of workers in one advice request; the adviser accepts no more.
 inline constexpr std::size_t maxWorkersPerAdviceRequest = 100;
 
+/// When the run is expected to end; max() if it does not end by itself.
+TimePoint expectedEnd(const Run&, TimePoint now);
+
 /// Operates on the state of a scheduler, within one of its calls.
 class PlacementPass {
 public:
@@ -67,6 +70,7 @@
     template <typename Visitor> void visitUsableWorkers(const Step&, Visitor) const;
     /// Usable workers with room for a task, enough of them for the waiting tasks.
     std::vector<Candidate> candidatesFor(const Step&, const RackId& rack) const;
+    /// Places tasks, those that wait for near places on these only.
     void placeTasks(Step&);
     void placeGang(Step&);
     /// Chooses a worker for every task of a gang, on one rack if one is given; empty when they do not fit together.
@@ -81,6 +85,26 @@
     bool requestAdvice(Step&);
     std::uint32_t slotsFor(const Worker&, const Step&, const Resources& free) const;
 
+    /// \name Waits for near places; see LocalityPlacement.cpp
+    /// @{
+    /// The rack on which tasks of the step are fast; empty if there is none.
+    RackId nearRack(const Step&) const;
+    const std::vector<Worker*>& workersOnRack(const RackId&);
+    /// When places for tasks of the step are expected on the rack, earliest first; at most `most`.
+    std::vector<TimePoint> expectedNearPlaces(const Step&, const RackId&, std::size_t most);
+    /// Decides how many tasks of the step wait for near places. Called for the steps in the order of the queue.
+    void updateLocalityWait(Step&);
+    /// Whether the next waiting task of the step must not start on the worker, since it waits for a near place.
+    static bool mustWaitForNearPlace(const Step& step, const Worker& worker)
+    {
+        return step.m_waitingTasks <= step.m_locality.m_held && worker.m_description.m_rack != step.m_locality.m_rack;
+    }
+    /// Counts the begin of a wait, after the placement of the step.
+    void noteLocalityWait(Step&);
+    /// Counts the start of a task on the worker if the step has waited.
+    void noteStartAfterWait(Step&, const Worker&);
+    /// @}
+
     /// \name Reservations for gangs; see GangReservations.cpp
     /// @{
     /// Ends the reservations that are over or no longer needed.
@@ -101,6 +125,11 @@
 
     JobScheduler& m_scheduler;
     const TimePoint m_now;
+    /// Workers by rack; filled when it is first needed.
+    std::map<RackId, std::vector<Worker*>> m_workersByRack;
+    bool m_areRacksListed = false;
+    /// Tasks of the steps before in the queue that wait for a place on the rack.
+    std::map<RackId, std::uint32_t> m_heldByRack;
 };
 
 } // namespace sapphiredale::jobs
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -108,6 +108,17 @@
     std::int64_t m_bornMs = 0;
 };
 
+/// Wait of a step for near places; see LocalityWait.h.
+struct LocalityState {
+    /// Rack that was near at the last decision.
+    RackId m_rack;
+    /// Waiting tasks that start on that rack only.
+    std::uint32_t m_held = 0;
+    TimePoint m_nextDecisionAt {};
+    /// When tasks began to wait; max() while none does.
+    TimePoint m_waitsSince = TimePoint::max();
+};
+
 /// A step of one occurrence.
 struct Step {
     Job* m_job = nullptr;
@@ -143,6 +154,7 @@
     /// Capacity that the open advice request has tentatively reserved.
     std::vector<std::pair<WorkerNumber, Resources>> m_tentativeReservations;
     TimePoint m_nextAdviceAt {};
+    LocalityState m_locality;
     std::uint32_t m_adviceFailures = 0;
     /// When the wait of the step is logged next, and the time that has to pass after that.
     TimePoint m_nextWaitLogAt {};
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -223,6 +223,8 @@
     Duration m_longestWait {};
     Duration m_longestRecord {};
     Duration m_longestStart {};
+    /// Longest wait for a place near the data or near the other tasks of a step.
+    Duration m_longestLocalityWait {};
 
     friend bool operator==(const JobHistory&, const JobHistory&) = default;
 };
