--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -477,6 +477,11 @@
             put("team_jobs" + label + "within\"}", team.m_within);
             put("team_jobs" + label + "beyond\"}", team.m_beyond);
         }
+        const jobs::LocalityCounters& locality = m_term->scheduler()->localityCounters();
+        put("locality_waits_total", locality.m_begun);
+        put("locality_waits_ended_near_total", locality.m_endedNear);
+        put("locality_waits_ended_elsewhere_total", locality.m_endedElsewhere);
+        put("locality_wait_ms_total", static_cast<std::uint64_t>(millisecondsOf(locality.m_waited)));
     }
     respond({ 200, text, 0, "text/plain" });
 }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jobs/LeaseBounds.h"
+#include "jobs/LocalityWait.h"
 #include "jobs/SchedulerState.h"
 #include "jobs/SpeedModel.h"
 #include "jobs/TeamPolicy.h"
@@ -39,6 +40,10 @@
     Duration m_drainGracePeriod = std::chrono::milliseconds(1500);
     /// Maximum number of waiting steps that one placement pass examines.
     std::uint32_t m_maxStepsPerPass = 200;
+    /// Factor by which a task takes longer away from its data rack or from the other tasks of its step.
+    double m_remoteFactor = 1.0;
+    /// Whether tasks may wait for a place where they are faster.
+    bool m_waitsForLocality = true;
 };
 
 /// Counts of decisions since the start of the term.
@@ -216,6 +221,7 @@
     const std::map<WorkerId, Worker>& workers() const { return m_workers; }
     const SpeedModel& speeds() const { return m_speeds; }
     const SchedulerCounters& counters() const { return m_counters; }
+    const LocalityCounters& localityCounters() const { return m_localityCounters; }
     std::size_t jobCount() const { return m_jobs.size(); }
     /// Number of jobs that have not ended.
     std::size_t openJobCount() const;
@@ -470,6 +476,7 @@
     SpeedModel m_speeds;
     TimePoint m_nextLateRunCheck {};
     SchedulerCounters m_counters;
+    LocalityCounters m_localityCounters;
 };
 
 } // namespace sapphiredale::jobs
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -92,10 +92,12 @@
         if (++looked > m_scheduler.m_settings.m_maxStepsPerPass)
             break;
         m_speed = speedPreferenceOf(step);
+        updateLocalityWait(step);
         if (isGang)
             placeGang(step);
         else
             placeTasks(step);
+        noteLocalityWait(step);
         if (isGang && step.m_waitingTasks == step.m_tasks.size())
             reserveWorkers(step);
         const bool needsTickets = step.m_job->m_record.m_policy.m_advice && step.m_waitingTasks > 0;
@@ -416,7 +418,10 @@
 
 void PlacementPass::placeTasks(Step& step)
 {
-    const RackId rack = step.m_spec->m_isRackLocal ? rackWithMostRoom(step) : RackId();
+    const bool isHeld = step.m_locality.m_held > 0;
+    const RackId rack = !step.m_spec->m_isRackLocal ? RackId()
+        : isHeld                                    ? step.m_locality.m_rack
+                                                    : rackWithMostRoom(step);
     std::vector<Candidate> candidates = candidatesFor(step, rack);
     const auto isWorse = [](const Candidate& a, const Candidate& b) {
         return a.m_cost != b.m_cost ? a.m_cost > b.m_cost : a.m_worker->m_number > b.m_worker->m_number;
@@ -451,6 +456,9 @@
             chosen = take();
             putBack(avoided);
         }
+        // Candidates come in the order of their cost, so that no near one that is fast enough is left.
+        if (mustWaitForNearPlace(step, *chosen.m_worker))
+            break;
         start(step, i, *chosen.m_worker, JobScheduler::nextRun(m_scheduler.m_settings, task));
         if (fits(*chosen.m_worker, step, chosen.m_worker->free()))
             putBack({ cost(*chosen.m_worker, step, rack), chosen.m_worker });
@@ -495,9 +503,10 @@
     if (step.m_waitingTasks < step.m_tasks.size())
         return;
     std::vector<Worker*> workers;
-    if (step.m_spec->m_isRackLocal)
-        workers = chooseGangWorkers(step, rackWithMostRoom(step));
-    if (workers.empty())
+    const bool mustBeNear = step.m_locality.m_held > 0;
+    if (mustBeNear || step.m_spec->m_isRackLocal)
+        workers = chooseGangWorkers(step, mustBeNear ? step.m_locality.m_rack : rackWithMostRoom(step));
+    if (workers.empty() && !mustBeNear)
         workers = chooseGangWorkers(step, RackId());
     if (workers.empty())
         return;
@@ -519,6 +528,7 @@
     m_scheduler.addRun(step, task, worker, name, RunPhase::Recording, m_now);
     if (const auto room = m_poolRoom.find(step.m_job->m_pool); room != m_poolRoom.end())
         room->second.m_free -= step.m_spec->reserved();
+    noteStartAfterWait(step, worker);
     m_scheduler.m_recordingRuns.emplace_back(worker.m_number, name);
     for (std::uint32_t i = step.m_name.m_step + 1; i < step.m_job->stepsPerOccurrence(); ++i) {
         Step& later = *step.m_job->step(step.m_name.m_occurrence, i);
@@ -556,13 +566,15 @@
         step.m_waitingTasks, m_scheduler.m_teamLimits.slots(job.m_team, job.m_record.m_teamLimit, step.m_spec->m_need));
     const double wanted = static_cast<double>(startable) * adviceRequestMargin;
     AdviceRequest question { step.m_name, {}, {} };
+    const RackId near = step.m_spec->m_dataRack.empty() && step.m_locality.m_held > 0 ? step.m_locality.m_rack
+                                                                                      : RackId(step.m_spec->m_dataRack);
     double expected = 0;
     std::set<WorkerNumber> named;
     /// Names the worker if it is a candidate; returns whether more are needed.
     const auto consider = [&](Worker& worker, bool isNear, bool isOnlyPreferred) {
         const auto known = step.m_permissions.find(worker.m_number);
         const bool isRefused = known != step.m_permissions.end() && !known->second.m_isAllowed;
-        const bool isOtherRack = isNear && worker.m_description.m_rack.value() != step.m_spec->m_dataRack;
+        const bool isOtherRack = isNear && worker.m_description.m_rack != near;
         if (isRefused || isOtherRack || !isEligible(worker, step) || hasTicket(worker, step)
             || isReservedForOther(worker, step) || (isOnlyPreferred && !isPreferred(worker)))
             return true;
@@ -604,13 +616,14 @@
         // Slow workers are named only if there are not enough fast ones.
         return m_speed.m_waits || (m_speed.m_isUrgent && expected >= step.m_waitingTasks) || visitAll(false);
     };
-    bool needsMore = step.m_spec->m_dataRack.empty() || visitDomains(true);
+    bool needsMore = near.empty() || visitDomains(true);
     // Workers that were allowed before are allowed again.
     for (auto it = step.m_permissions.begin(); needsMore && it != step.m_permissions.end(); ++it) {
         if (Worker* worker = it->second.m_isAllowed ? m_scheduler.findWorker(it->first) : nullptr)
             needsMore = consider(*worker, false, true);
     }
-    if (needsMore)
+    const bool isNearOnly = step.m_waitingTasks <= step.m_locality.m_held;
+    if (needsMore && !isNearOnly)
         visitDomains(false);
     if (question.m_workers.empty())
         return false;
@@ -656,6 +669,8 @@
         text += ", keeps free " + std::to_string(step.m_reservedWorkers.size());
     if (step.m_isAdvicePending)
         text += ", asks the adviser";
+    if (step.m_locality.m_held > 0)
+        text += ", waits for rack " + step.m_locality.m_rack.value();
     for (const WorkerId& place : step.m_inheritedPlaces) {
         if (m_scheduler.mayRunInherited(place, m_now))
             text += ", may run on " + place.value() + " for "
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -93,8 +93,7 @@
     for (const auto& [id, job] : m_jobs) {
         // A partition that held the progress before may have the record of a job that has ended since.
         // That of a job whose places are still needed is written anew.
-        job->m_isRecordKept
-            = !job->isOpen() && !job->m_isIdReused && progressOf(*job).m_progress.m_places.empty();
+        job->m_isRecordKept = !job->isOpen() && !job->m_isIdReused && progressOf(*job).m_progress.m_places.empty();
         markChanged(*job);
     }
     return takeChanges();
