--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -300,6 +300,22 @@
         closeJob(job, JobState::Done, now);
 }
 
+void JobScheduler::claimTeamRoom(Step& step)
+{
+    const Job& job = *step.m_job;
+    if (job.m_team == noTeam)
+        return;
+    const std::uint64_t tasks = std::min<std::uint64_t>(
+        step.m_waitingTasks, m_teamLimits.claimableSlots(job.m_team, job.m_record.m_teamLimit, step.m_spec->m_need));
+    step.m_teamClaim = step.m_spec->m_need * static_cast<std::int64_t>(tasks);
+    m_teamLimits.claim(job.m_team, step.m_teamClaim);
+}
+
+void JobScheduler::endTeamClaim(Step& step)
+{
+    m_teamLimits.unclaim(step.m_job->m_team, std::exchange(step.m_teamClaim, {}));
+}
+
 void JobScheduler::noteKnownTask(const Step& step)
 {
     const bool isCounted = !step.m_inheritedCharge.isZero() && !step.m_spec->m_allowsCopies;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -314,6 +314,15 @@
         const Job& job = *step.m_job;
         return job.m_team == noTeam || m_teamLimits.allows(job.m_team, job.m_record.m_teamLimit, {});
     }
+    /// Whether an advice request for the step may lead to a start, if the other open ones of its team do.
+    bool mayClaimTeamRoom(const Step& step) const
+    {
+        const Job& job = *step.m_job;
+        return job.m_team == noTeam || m_teamLimits.mayClaim(job.m_team, job.m_record.m_teamLimit, step.neededAtOnce());
+    }
+    /// Claims what the advice request for the step is meant to start, and gives it back when the request is over.
+    void claimTeamRoom(Step&);
+    void endTeamClaim(Step&);
     /// Charges what may run of the step on workers that have not reported in this term.
     void updateInheritedCharge(Step&);
     /// Notes that a task of the step no longer counts as one that may run at an inherited place.
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -53,7 +53,7 @@
             continue;
         }
         ++it;
-        if (!m_scheduler.hasTeamRoom(step))
+        if (waitsForTeamLimit(step))
             continue;
         // A gang looks ahead: it reserves workers that have no room yet.
         const bool isGang = step.m_spec->m_isGang;
@@ -70,7 +70,8 @@
         if (isGang && step.m_waitingTasks == step.m_tasks.size())
             reserveWorkers(step);
         const bool needsTickets = step.m_job->m_record.m_policy.m_advice && step.m_waitingTasks > 0;
-        if (!needsTickets || step.m_isAdvicePending || step.m_nextAdviceAt > m_now || !m_scheduler.hasTeamRoom(step))
+        if (!needsTickets || step.m_isAdvicePending || step.m_nextAdviceAt > m_now
+            || !m_scheduler.mayClaimTeamRoom(step))
             continue;
         const bool isLong = step.m_job->m_record.m_policy.m_advice->m_base > longAdviceTime;
         if (advice.m_idle <= (isLong ? reserve : 0))
@@ -82,6 +83,17 @@
     }
 }
 
+bool PlacementPass::waitsForTeamLimit(const Step& step) const
+{
+    if (step.m_job->m_team == noTeam)
+        return false;
+    if (!m_scheduler.hasTeamRoom(step))
+        return true;
+    // While other steps ask the adviser for the last places of the team, further ones have nothing to do.
+    const bool mayAsk = step.m_isAdvicePending || m_scheduler.mayClaimTeamRoom(step);
+    return step.m_job->m_record.m_policy.m_advice && step.m_permissions.empty() && !mayAsk;
+}
+
 const char* PlacementPass::ineligibilityReason(const Worker& worker, const Step& step) const
 {
     const WorkerDescription& description = worker.m_description;
@@ -404,8 +416,8 @@
     const double share
         = m_scheduler.m_allowedShare.try_emplace(step.m_job->m_record.m_policy.m_queue, 0.5).first->second;
     const Job& job = *step.m_job;
-    const std::uint64_t startable = std::min<std::uint64_t>(
-        step.m_waitingTasks, m_scheduler.m_teamLimits.slots(job.m_team, job.m_record.m_teamLimit, step.m_spec->m_need));
+    const std::uint64_t startable = std::min<std::uint64_t>(step.m_waitingTasks,
+        m_scheduler.m_teamLimits.claimableSlots(job.m_team, job.m_record.m_teamLimit, step.m_spec->m_need));
     const double wanted = static_cast<double>(startable) * adviceRequestMargin;
     AdviceRequest question { step.m_name, {}, {} };
     double expected = 0;
@@ -466,6 +478,7 @@
     }
     question.m_expected = advice.m_base + advice.m_perWorker * static_cast<std::int64_t>(question.m_workers.size());
     step.m_isAdvicePending = true;
+    m_scheduler.claimTeamRoom(step);
     ++m_scheduler.m_counters.m_questions;
     ++step.m_job->m_history.m_questions;
     m_scheduler.m_actions.emplace_back(std::move(question));
@@ -488,7 +501,7 @@
         ++reasons[reason];
     }
     std::string text = "waiting " + std::to_string(step.m_waitingTasks) + " of " + std::to_string(step.m_tasks.size());
-    if (!m_scheduler.hasTeamRoom(step))
+    if (waitsForTeamLimit(step))
         text += m_scheduler.m_teamLimits.isConfigured() ? ", teamLimit" : ", teamLimit unknown";
     if (!step.m_reservedWorkers.empty())
         text += ", keeps free " + std::to_string(step.m_reservedWorkers.size());
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -49,6 +49,8 @@
         Worker* m_worker = nullptr;
     };
 
+    /// Whether nothing can be done for the step now because of the limit of its team. Takes constant time.
+    bool waitsForTeamLimit(const Step&) const;
     /// Why the worker must not get tasks of the step, regardless of its capacity and tickets; null when it may.
     const char* ineligibilityReason(const Worker&, const Step&) const;
     bool isEligible(const Worker& worker, const Step& step) const
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -301,6 +301,7 @@
         return;
     PlacementPass(*this, now).releaseTentativeReservations(*step);
     step->m_isAdvicePending = false;
+    endTeamClaim(*step);
     step->m_adviceFailures = 0;
     for (const WorkerId& id : question.m_workers) {
         if (const Worker* worker = findWorker(id))
@@ -327,6 +328,7 @@
     constexpr Duration initialBackoff = std::chrono::milliseconds(20);
     constexpr std::uint32_t maxDoublings = 4;
     step->m_isAdvicePending = false;
+    endTeamClaim(*step);
     step->m_nextAdviceAt = now + initialBackoff * (1 << std::min(step->m_adviceFailures++, maxDoublings));
 }
 
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -143,6 +143,8 @@
     TimePoint m_reservationEnd {};
     TimePoint m_nextReservationAt {};
     bool m_isAdvicePending = false;
+    /// What the open advice request claims of the limit of the team.
+    Resources m_teamClaim;
     /// Capacity that the open advice request has tentatively reserved.
     std::vector<std::pair<WorkerNumber, Resources>> m_tentativeReservations;
     TimePoint m_nextAdviceAt {};
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -150,6 +150,7 @@
         const Job* job = m_jobs.at(id).get();
         for (Step& step : m_jobs.at(id)->m_steps) {
             m_waitingSteps.erase(step);
+            endTeamClaim(step);
             PlacementPass(*this, now).endReservation(step);
         }
         std::erase(m_dirty, job);
--- a/src/jobs/TeamLimits.cpp
+++ b/src/jobs/TeamLimits.cpp
@@ -66,16 +66,21 @@
     if (!m_isNamed[team] && !(use(team) + amount).fitsIn(effectiveLimit(storedLimit)))
         return false;
     // Nothing is guaranteed to a team here, so that only the limit counts.
-    return m_quotas.check(team, amount, true) == placement::Reason::None;
+    return m_quotas.checkClaimed(team, amount, true) == placement::Reason::None;
 }
 
-std::uint64_t TeamLimits::slots(TeamNumber team, const Resources& storedLimit, const Resources& need) const
+bool TeamLimits::mayClaim(TeamNumber team, const Resources& storedLimit, const Resources& amount) const
+{
+    return team == noTeam || allows(team, storedLimit, m_quotas.at(team).m_claimed + amount);
+}
+
+std::uint64_t TeamLimits::claimableSlots(TeamNumber team, const Resources& storedLimit, const Resources& need) const
 {
     if (team == noTeam)
         return std::numeric_limits<std::uint64_t>::max();
-    if (!allows(team, storedLimit, need))
+    if (!mayClaim(team, storedLimit, need))
         return 0;
-    const Resources left = limitOf(team, storedLimit) - use(team);
+    const Resources left = limitOf(team, storedLimit) - use(team) - m_quotas.at(team).m_claimed;
     const auto count = [](std::int64_t room, std::int64_t each) { return each <= 0 ? unlimited : room / each; };
     return static_cast<std::uint64_t>(std::min({ count(left.m_cpuMillis, need.m_cpuMillis),
         count(left.m_memoryMiB, need.m_memoryMiB), count(left.m_accelerators, need.m_accelerators) }));
@@ -93,6 +98,18 @@
         m_quotas.refund(team, amount, false);
 }
 
+void TeamLimits::claim(TeamNumber team, const Resources& amount)
+{
+    if (team != noTeam)
+        m_quotas.claim(team, amount);
+}
+
+void TeamLimits::unclaim(TeamNumber team, const Resources& amount)
+{
+    if (team != noTeam)
+        m_quotas.unclaim(team, amount);
+}
+
 std::vector<TeamUse> TeamLimits::uses() const
 {
     std::vector<TeamUse> uses;
--- a/src/jobs/TeamLimits.h
+++ b/src/jobs/TeamLimits.h
@@ -44,8 +44,15 @@
     /// Whether the team may take the amount now. A job of a team that the configuration does not name is limited by the
     /// limit stored with it. Without a configuration a team may take nothing.
     bool allows(TeamNumber, const Resources& storedLimit, const Resources& amount) const;
-    /// How many tasks of this size the team may start now.
-    std::uint64_t slots(TeamNumber, const Resources& storedLimit, const Resources& need) const;
+    /// \name Claims, for what the open questions to the adviser are meant to start
+    /// @{
+    /// Whether the team may claim the amount beside its use and its other claims.
+    bool mayClaim(TeamNumber, const Resources& storedLimit, const Resources& amount) const;
+    /// How many tasks of this size the team may claim.
+    std::uint64_t claimableSlots(TeamNumber, const Resources& storedLimit, const Resources& need) const;
+    void claim(TeamNumber, const Resources&);
+    void unclaim(TeamNumber, const Resources&);
+    /// @}
     void charge(TeamNumber, const Resources&);
     void refund(TeamNumber, const Resources&);
 
--- a/tests/jobs/TeamLimitTest.cpp
+++ b/tests/jobs/TeamLimitTest.cpp
@@ -28,6 +28,10 @@
     CPPUNIT_TEST(runsThatAreBeingStoppedCount);
     CPPUNIT_TEST(teamAtItsLimitDoesNotHoldUpAnother);
     CPPUNIT_TEST(stepAtTheLimitSendsNoAdviceRequest);
+    CPPUNIT_TEST(stepsThatAskForTheLastPlaceHoldUpNoOtherTeam);
+    CPPUNIT_TEST(claimEndsWithItsRequest);
+    CPPUNIT_TEST(lateStartThatNobodySeesCountsUntilItsLeaseHasEnded);
+    CPPUNIT_TEST(successorCountsCopiesAtTwoUnreportedWorkers);
     CPPUNIT_TEST(metricsNameTheTeamsOfTheConfigurationOnly);
     CPPUNIT_TEST_SUITE_END();
 
@@ -93,9 +97,13 @@
         CPPUNIT_ASSERT(limits.allows(team, {}, { 1'000'000 * core, 2048, 1 }));
         CPPUNIT_ASSERT(!limits.allows(team, {}, { 0, 2049, 0 }));
         CPPUNIT_ASSERT(!limits.allows(team, {}, { 0, 0, 2 }));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), limits.slots(team, {}, { core, 1024, 0 }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), limits.claimableSlots(team, {}, { core, 1024, 0 }));
         limits.charge(team, { core, 1024, 0 });
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), limits.slots(team, {}, { core, 1024, 0 }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), limits.claimableSlots(team, {}, { core, 1024, 0 }));
+        limits.claim(team, { core, 1024, 0 });
+        CPPUNIT_ASSERT(!limits.mayClaim(team, {}, { 0, 1, 0 }));
+        CPPUNIT_ASSERT(limits.allows(team, {}, { core, 1024, 0 }));
+        limits.unclaim(team, { core, 1024, 0 });
         limits.refund(team, { core, 1024, 0 });
         CPPUNIT_ASSERT(limits.use(team).isZero());
         CPPUNIT_ASSERT_EQUAL(noTeam, limits.numberOf(TeamId()));
@@ -511,6 +519,119 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(7), std::get<AdviceRequest>(actions.front()).m_workers.size());
     }
 
+    // Guards against hundreds of steps of a team that all ask the adviser for its last place: they take the adviser's
+    // time and the steps that a pass examines from other teams. Load: 400 jobs of one task, a limit of one task.
+    void stepsThatAskForTheLastPlaceHoldUpNoOtherTeam()
+    {
+        DrivenScheduler driven(40);
+        JobScheduler& scheduler = driven.m_scheduler;
+        const AdvicePolicy advice { milliseconds(30), milliseconds(2), seconds(2) };
+        scheduler.setTeams({ policy("t", { 2 * core, 0, 0 }), policy("other", {}) }, driven.m_now);
+        for (int i = 0; i < 400; ++i) {
+            JobRecord record = teamJob("t", "t" + std::to_string(i), SimulatedCell::step(1, 2 * core, seconds(1)));
+            record.m_policy.m_advice = advice;
+            scheduler.addJob(record, {}, 0, driven.m_now);
+        }
+        JobRecord other = teamJob("other", "o", SimulatedCell::step(1, 2 * core, seconds(1)));
+        other.m_policy.m_advice = advice;
+        other.m_policy.m_priority = 5;
+        scheduler.addJob(other, {}, 0, driven.m_now);
+        std::set<std::string> asked;
+        for (const SchedulerAction& action : driven.step({ 4, 4 }))
+            asked.insert(std::get<AdviceRequest>(action).m_step.m_job.value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), asked.size());
+        CPPUNIT_ASSERT(asked.contains("o"));
+        const auto waits = scheduler.takeLongWaits(-seconds(1), 2, driven.m_now);
+        CPPUNIT_ASSERT(waits.back().m_reason.find("teamLimit") != std::string::npos);
+    }
+
+    // Guards against a team that can ask for less and less since claims of requests outlast them.
+    void claimEndsWithItsRequest()
+    {
+        DrivenScheduler driven(4);
+        JobScheduler& scheduler = driven.m_scheduler;
+        scheduler.setTeams({ policy("t", { 2 * core, 0, 0 }) }, driven.m_now);
+        for (int i = 0; i < 3; ++i) {
+            JobRecord record = teamJob("t", "t" + std::to_string(i), SimulatedCell::step(1, 2 * core, seconds(1)));
+            record.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(2), seconds(2) };
+            scheduler.addJob(record, {}, 0, driven.m_now);
+        }
+        const auto ask = [&] {
+            const std::vector<SchedulerAction> actions = driven.step({ 4, 4 });
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), actions.size());
+            return std::get<AdviceRequest>(actions.front());
+        };
+        scheduler.adviceFailed(ask(), driven.m_now);
+        const AdviceRequest second = ask();
+        CPPUNIT_ASSERT(driven.step({ 4, 4 }).empty());
+        scheduler.cancelJob(second.m_step.m_job, driven.m_now);
+        scheduler.adviceAnswered(second, {}, driven.m_now, seconds(2), driven.m_now);
+        const AdviceRequest third = ask();
+        scheduler.adviceAnswered(
+            third, { { third.m_workers.front(), "ticket" } }, driven.m_now, seconds(2), driven.m_now);
+        driven.step({ 4, 4 });
+        CPPUNIT_ASSERT(scheduler.teamUses().front().m_use == Resources({ 2 * core, 1024, 0 }));
+    }
+
+    // Guards against a team that exceeds its limit since a start without an answer is carried out in the last moment,
+    // by a later process of its worker that cannot be reached: what runs there ends with the lease that it counts
+    // itself.
+    void lateStartThatNobodySeesCountsUntilItsLeaseHasEnded()
+    {
+        SimulatedCell cell = cellWithLimit(2, { 2 * core, 0, 0 });
+        cell.m_startDelay = milliseconds(12500);
+        // A later request would extend the lease of the later process beyond what the scheduler allows for an unseen
+        // one.
+        cell.m_requestDelay = milliseconds(500);
+        for (auto& [id, worker] : cell.m_workers)
+            worker.m_delaysStarts = true;
+        cell.accept(teamJob("t", "late", SimulatedCell::step(1, 2 * core, seconds(60))));
+        cell.run(milliseconds(100));
+        WorkerId ordered;
+        for (auto& [id, worker] : cell.m_workers) {
+            worker.m_delaysStarts = false;
+            if (!cell.m_scheduler->worker(id)->m_runs.empty())
+                ordered = id;
+        }
+        cell.run(seconds(3));
+        CPPUNIT_ASSERT(cell.m_scheduler->worker(ordered)->m_runs.empty());
+        cell.cancel(JobId("late"));
+        cell.restartWorkerSilently(ordered);
+        cell.m_workers.at(ordered).m_isReachable = false;
+        cell.accept(teamJob("t", "next", SimulatedCell::step(1, 2 * core, seconds(1))));
+        cell.run(seconds(12));
+        CPPUNIT_ASSERT_EQUAL(1U, cell.running("late"));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("next"));
+        cell.run(seconds(14));
+        CPPUNIT_ASSERT(cell.state("next") == JobState::Done);
+        assertNoViolation(cell);
+        for (const std::string& violation : cell.m_unbarredViolations)
+            CPPUNIT_FAIL(violation);
+    }
+
+    // Guards against a successor that counts a task once of which two runs go on, at two workers that it cannot reach.
+    void successorCountsCopiesAtTwoUnreportedWorkers()
+    {
+        SimulatedCell cell = cellWithLimit(4, { 8 * core, 0, 0 });
+        StepSpec step = SimulatedCell::step(1, 4 * core, seconds(30));
+        step.m_allowsCopies = true;
+        cell.accept(teamJob("t", "j", step));
+        cell.run(milliseconds(200));
+        cell.m_workers.at(firstWorkerOf(cell)).m_isReachable = false;
+        cell.run(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(2U, cell.running("j"));
+        for (auto& [id, worker] : cell.m_workers)
+            worker.m_isReachable = worker.m_isReachable && worker.m_running.empty();
+        cell.takeOver();
+        cell.accept(teamJob("t", "waiting", SimulatedCell::step(1, 4 * core, seconds(1))));
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(2U, cell.running("j"));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("waiting"));
+        cell.run(seconds(20));
+        CPPUNIT_ASSERT(cell.state("waiting") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
     // Guards against metrics whose number of series grows with the teams of accepted jobs, and against wrong values.
     void metricsNameTheTeamsOfTheConfigurationOnly()
     {
