--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -424,7 +424,7 @@
     return isFinal(job.m_storedState) ? job.m_storedState : JobState::Running;
 }
 
-void JobScheduler::setTeams(std::vector<TeamPolicy> teams, TimePoint) { m_teamLimits.setTeams(teams); }
+void JobScheduler::setTeams(std::vector<TeamPolicy> teams, TimePoint) { m_teamLimits.setTeams(std::move(teams)); }
 
 std::vector<TeamUse> JobScheduler::teamUses() const
 {
--- a/src/jobs/TeamLimits.cpp
+++ b/src/jobs/TeamLimits.cpp
@@ -3,6 +3,7 @@
 #include "jobs/TeamLimits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphiredale::jobs {
 
@@ -20,14 +21,14 @@
 
 } // namespace
 
-void TeamLimits::setTeams(const std::vector<TeamPolicy>& policies)
+void TeamLimits::setTeams(std::vector<TeamPolicy> policies)
 {
     m_isConfigured = true;
-    m_policies = policies;
+    m_policies = std::move(policies);
     for (TeamSpec& spec : m_specs)
         spec.m_limit = effectiveLimit({});
     m_isNamed.assign(m_specs.size(), false);
-    for (const TeamPolicy& policy : policies) {
+    for (const TeamPolicy& policy : m_policies) {
         const TeamNumber team = numberOf(policy.m_team);
         if (team == noTeam)
             continue;
--- a/src/jobs/TeamLimits.h
+++ b/src/jobs/TeamLimits.h
@@ -37,7 +37,7 @@
 class TeamLimits {
 public:
     /// Replaces the limits by those of the configuration in force. The use of teams that it no longer names is kept.
-    void setTeams(const std::vector<TeamPolicy>&);
+    void setTeams(std::vector<TeamPolicy>);
     /// Number of the team, which is added if it is not known; noTeam for an empty name.
     TeamNumber numberOf(const TeamId&);
 
