--- a/tests/jobs/TeamBurstTest.cpp
+++ b/tests/jobs/TeamBurstTest.cpp
@@ -161,7 +161,7 @@
 
     Outcome play(const char* name, const Load& load)
     {
-        const Outcome outcome = Replay(load).run();
+        Outcome outcome = Replay(load).run();
         // For figures in docs/design/team-shares.md.
         if (std::getenv("SAPPHIRE_PRINT_REPLAYS") != nullptr)
             std::cerr << name << " seed " << load.m_seed << ": " << outcome.m_inTime << " of " << outcome.m_jobs
--- a/tests/jobs/TeamSharesTest.cpp
+++ b/tests/jobs/TeamSharesTest.cpp
@@ -35,7 +35,7 @@
     void usualRateStaysWithinTheShare()
     {
         setTeams({ { "a", 10.0 } });
-        for (int i = 0; i < 600; ++i)
+        for (std::int64_t i = 0; i < 600; ++i)
             add("a", i * 100 + (i % 7) * 5);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), beyond());
     }
@@ -45,13 +45,13 @@
     void teamGetsItsShareWhileItSendsMore()
     {
         setTeams({ { "a", 10.0 } });
-        for (int i = 0; i < 700; ++i)
+        for (std::int64_t i = 0; i < 700; ++i)
             add("a", i * 10);
         // 7 s at the rate of the share, and the tolerance.
         const std::size_t within = 700 - beyond();
         CPPUNIT_ASSERT(within >= 89 && within <= 92);
         const std::size_t before = beyond();
-        for (int i = 0; i < 50; ++i)
+        for (std::int64_t i = 0; i < 50; ++i)
             add("a", 7000 + i * 100);
         CPPUNIT_ASSERT(beyond() <= before + 1);
     }
@@ -61,7 +61,7 @@
     void slowTeamMaySendOneJobEarly()
     {
         setTeams({ { "a", 0.2 } });
-        for (int i = 0; i < 20; ++i)
+        for (std::int64_t i = 0; i < 20; ++i)
             add("a", i * 5000 + (i % 2) * 200);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), beyond());
         add("a", 100400);
@@ -76,7 +76,7 @@
     {
         std::mt19937_64 random(7);
         std::vector<Added> jobs;
-        for (int i = 0; i < 600; ++i) {
+        for (std::int64_t i = 0; i < 600; ++i) {
             const std::int64_t at = i * 20 + static_cast<std::int64_t>(random() % 3) * 2500;
             jobs.push_back({ "j" + std::to_string(i), i % 3 == 0 ? "b" : "a", at });
         }
@@ -106,7 +106,7 @@
     void daemonWithAFastClockTakesNoShareFromOthers()
     {
         setTeams({ { "a", 10.0 } });
-        for (int i = 0; i < 300; ++i)
+        for (std::int64_t i = 0; i < 300; ++i)
             add("a", i * 100 + (i % 10 == 0 ? 5000 : 0));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), beyond());
     }
@@ -114,10 +114,10 @@
     // Guards against a deployment without weights that is served in another order than before.
     void withoutWeightsEverythingIsWithin()
     {
-        for (int i = 0; i < 100; ++i)
+        for (std::int64_t i = 0; i < 100; ++i)
             add("a", i);
         setTeams({ { "a", 0.0 }, { "b", 0.0 } });
-        for (int i = 0; i < 100; ++i)
+        for (std::int64_t i = 0; i < 100; ++i)
             add("b", i);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), beyond());
         CPPUNIT_ASSERT(m_marks.empty());
@@ -129,7 +129,7 @@
     // Guards against marks of an earlier configuration that a successor does not derive.
     void newWeightsMarkAllJobsAnew()
     {
-        for (int i = 0; i < 100; ++i)
+        for (std::int64_t i = 0; i < 100; ++i)
             add("a", i * 100);
         setTeams({ { "a", 1.0 }, { "b", 1.0 } });
         CPPUNIT_ASSERT(beyond() > 80);
@@ -145,7 +145,7 @@
     void forgottenJobsKeepTheMarksOfOthers()
     {
         setTeams({ { "a", 1.0 } });
-        for (int i = 0; i < 40; ++i)
+        for (std::int64_t i = 0; i < 40; ++i)
             add("a", 1000 + i * 10);
         const std::size_t before = beyond();
         m_shares.remove(JobId("a-1000-1"), 0, 1000);
@@ -158,7 +158,7 @@
     void refusesOnlyWhileWorkWaits()
     {
         setTeams({ { "a", 10.0 } });
-        for (int i = 0; i < 200; ++i)
+        for (std::int64_t i = 0; i < 200; ++i)
             add("a", i * 10);
         const TimePoint now(seconds(50));
         m_shares.updateRefusals(2000, now);
@@ -181,7 +181,7 @@
     void refusalEndsWhenTheExcessIsWorkedOff()
     {
         setTeams({ { "a", 10.0 } });
-        for (int i = 0; i < 3000; ++i)
+        for (std::int64_t i = 0; i < 3000; ++i)
             add("a", i * 10);
         const TimePoint begin(seconds(50));
         m_shares.noteRoomWait(0, begin);
@@ -207,13 +207,13 @@
     void smallTeamWithAFewJobsIsNotRefused()
     {
         setTeams({ { "a", 0.5 }, { "b", 50.0 } });
-        for (int i = 0; i < 5; ++i)
+        for (std::int64_t i = 0; i < 5; ++i)
             add("a", i);
         const TimePoint now(seconds(50));
         m_shares.noteRoomWait(0, now);
         m_shares.updateRefusals(5, now);
         CPPUNIT_ASSERT(m_shares.refusedTeams(now).empty());
-        for (int i = 0; i < 5; ++i)
+        for (std::int64_t i = 0; i < 5; ++i)
             add("a", i);
         m_shares.updateRefusals(5, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_shares.refusedTeams(now).size());
@@ -225,7 +225,7 @@
         setTeams({ { "a", 1e-300 }, { "b", 1e300 } });
         for (const std::int64_t at : { std::numeric_limits<std::int64_t>::min(), std::int64_t(0), std::int64_t(1),
                  std::numeric_limits<std::int64_t>::max() }) {
-            for (int i = 0; i < 20; ++i) {
+            for (std::int64_t i = 0; i < 20; ++i) {
                 add("a", at);
                 add("b", at);
             }
