Show and describe the speeds of workers

Operators could not see which speeds the scheduler works with. The operators' listener returns the factor of each machine type and the numbers of copied and moved runs, and machine-type-speed (3030) is logged when a factor is first known or has changed by a fifth.

--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -37,6 +37,22 @@
     constexpr int workerDriftDivisor = 20;
     constexpr Duration lateOrderMargin = std::chrono::milliseconds(200);
 
+    /// Text as the value of a label in the Prometheus text format.
+    std::string labelText(const std::string& text)
+    {
+        std::string escaped;
+        for (const char each : text) {
+            if (each == '\n') {
+                escaped += "\\n";
+                continue;
+            }
+            if (each == '"' || each == '\\')
+                escaped += '\\';
+            escaped += each;
+        }
+        return escaped;
+    }
+
     /// Claim delay by the capacity of the host, so that hosts with more capacity claim first: scheduling takes up to
     /// 0.15 of a core and 20 Mbit/s at 350 workers.
     Duration capacityClaimDelay(const SiteSettings& settings)
@@ -391,6 +407,11 @@
         put("lost_runs_total", counters.m_lostRuns);
         put("stalled_runs_total", counters.m_stalledRuns);
         put("crash_suspects_total", counters.m_crashSuspects);
+        put("copied_runs_total", counters.m_copiedRuns);
+        put("moved_runs_total", counters.m_movedRuns);
+        for (const auto& [type, factor] : m_term->scheduler()->speeds().typeFactors())
+            text += "sapphire_speed_factor{service=\"" + labelText(type.first) + "\",type=\"" + labelText(type.second)
+                + "\"} " + std::to_string(factor) + '\n';
     }
     respond({ 200, text, 0, "text/plain" });
 }
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -438,6 +438,9 @@
         m_log.write(LogEvent::InheritedRunsOver,
             { { "worker", place.m_worker.value() }, { "term", m_settings.m_term },
                 { "leaseMs", millisecondsOf(place.m_at - place.m_leaseEnd) } });
+    for (const jobs::SpeedModel::TypeChange& change : m_scheduler->takeSpeedChanges())
+        m_log.write(LogEvent::MachineTypeSpeed,
+            { { "service", change.m_service }, { "type", change.m_type }, { "factor", change.m_factor } });
 }
 
 void SchedulerTerm::removeExpiredJobs(const std::vector<JobId>& jobs)
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -126,7 +126,7 @@
     /// Logs runs under which a worker crashed.
     void logCrashes();
     void logQuarantines();
-    /// Logs restarts of workers, and workers that the term no longer waits for.
+    /// Logs restarts of workers, workers that the term no longer waits for, and speeds of machine types.
     void logWorkers();
     void handleWorkerEntry(const userplatform::KeyedRecord&);
     void handleJobRecord(std::uint32_t partition, const userplatform::KeyedRecord&);
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -45,6 +45,7 @@
         { RunStarted, 3026, Info, "run-started", "A worker has confirmed a start" },
         { RunInLaterProcess, 3027, Info, "run-in-later-process",
             "A worker has begun a run that was sent to an earlier process of it" },
+        { MachineTypeSpeed, 3030, Info, "machine-type-speed", "The speed of a machine type is known or has changed" },
         { TaskStarted, 4001, Debug, "task-started", "A task was started" },
         { TaskStopped, 4002, Debug, "task-stopped", "A task was stopped" },
         { JobAccepted, 4008, Info, "job-accepted", "A job was accepted" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -42,6 +42,7 @@
     InheritedRunsOver,
     RunStarted,
     RunInLaterProcess,
+    MachineTypeSpeed,
     TaskStarted,
     TaskStopped,
     JobAccepted,
