Ask the adviser of a gang about workers of a fitting speed first

A gang's questions named the workers with the most room, so that its tickets were for fast and slow workers alike. Preferred workers are named first, others only if there are not enough; without known speeds the order is as before.

--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -10,6 +10,7 @@
 #include "jobs/Placement.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphiredale::jobs {
 
@@ -179,8 +180,11 @@
             ready += fits(*worker, step, worker->free()) ? slots : 0;
         }
         const auto tasks = static_cast<double>(step.m_tasks.size());
+        bool isOnlyPreferred = m_speed.m_matters;
         const auto consider = [&](Worker& worker) {
-            if (step.m_permissions.contains(worker.m_number) || !isEligible(worker, step)
+            // In the second round the preferred workers have been considered.
+            const bool isOfOtherRound = m_speed.m_matters && isPreferred(worker) != isOnlyPreferred;
+            if (isOfOtherRound || step.m_permissions.contains(worker.m_number) || !isEligible(worker, step)
                 || !step.m_spec->reserved().fitsIn(worker.m_description.m_capacity))
                 return true;
             const std::uint32_t slots = fits(worker, step, worker.free()) ? slotsFor(worker, step, worker.free()) : 0;
@@ -193,10 +197,14 @@
                 && question.m_workers.size() < maxWorkersPerAdviceRequest;
         };
         const std::vector<DomainNumber> domains = domainsByRoom(step);
-        if (ready < tasks || permitted < tasks * permittedMargin)
-            std::all_of(domains.begin(), domains.end(), [&](DomainNumber domain) {
+        const auto visitDomains = [&] {
+            return std::all_of(domains.begin(), domains.end(), [&](DomainNumber domain) {
                 return m_scheduler.m_unreservedRoom.visitFreest(step.m_job->m_pool, domain, 0, consider);
             });
+        };
+        const bool needsMore = (ready < tasks || permitted < tasks * permittedMargin) && visitDomains();
+        if (needsMore && std::exchange(isOnlyPreferred, false))
+            visitDomains();
     }
     if (question.m_workers.empty())
         return false;
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -25,8 +25,7 @@
     /// disturbed.
     constexpr double alikeFactors = 1.1;
     constexpr double disturbedFactor = 1.25;
-    /// Longest wait for a fast worker, as a part of the time that it saves. The wait may be in vain, and then costs as
-    /// much as it could have saved if it is repeated.
+    /// Longest wait for a fast worker, as a part of the time that it saves: the wait may be in vain.
     constexpr double waitPart = 0.5;
     /// Workers for which the duration of an advice request is allowed when the slack of a step is computed.
     constexpr int workersPerRequest = 30;
--- a/tests/jobs/SpeedPlacementTest.cpp
+++ b/tests/jobs/SpeedPlacementTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(stepThatWouldBeLateGetsTheFastWorker);
     CPPUNIT_TEST(urgentTaskWaitsForAFastWorkerNoLongerThanThatPays);
     CPPUNIT_TEST(gangRunsOnAlikeWorkers);
+    CPPUNIT_TEST(gangWithAdviceRunsOnFastWorkers);
     CPPUNIT_TEST(slowWorkerIsAvoidedAndUsedAgain);
     CPPUNIT_TEST(lateRunIsCopiedOnce);
     CPPUNIT_TEST(lateRunWithoutCopiesIsMoved);
@@ -366,6 +367,21 @@
         assertNoViolation(cell);
     }
 
+    // Guards against an urgent gang whose adviser is asked about slow workers, so that it lacks tickets for fast ones.
+    void gangWithAdviceRunsOnFastWorkers()
+    {
+        SimulatedCell cell = learnedCell();
+        StepSpec step = SimulatedCell::step(4, 9000, seconds(2));
+        step.m_isGang = true;
+        JobRecord urgent = SimulatedCell::job("urgent", { step });
+        urgent.m_policy.m_slackFactor = 1.6;
+        urgent.m_policy.m_advice = urgentJob("x").m_policy.m_advice;
+        cell.accept(urgent);
+        cell.run(milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(4U, runningOn(cell, "urgent", false));
+        assertNoViolation(cell);
+    }
+
     // Guards against a worker that is five times slower for 6 s and gets work as before, and against one that is
     // avoided after that. The mixed load goes on; alike workers otherwise.
     void slowWorkerIsAvoidedAndUsedAgain()
