--- a/tests/jobs/SpeedPlacementTest.cpp
+++ b/tests/jobs/SpeedPlacementTest.cpp
@@ -421,7 +421,7 @@
         record.m_policy.m_slackFactor = slack;
         cell.accept(record);
         cell.run(milliseconds(1000));
-        const WorkerId disturbed = firstWorkerOf(cell);
+        WorkerId disturbed = firstWorkerOf(cell);
         cell.setSpeed(disturbed, cell.m_workers.at(disturbed).m_speedFactor * 5);
         return disturbed;
     }
