--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -136,7 +136,7 @@
     void logQuarantines();
     /// Logs the teams that begin or cease to be refused.
     void logTeams();
-    /// Logs restarts of workers, and workers that the term no longer waits for.
+    /// Logs restarts of workers, workers that the term no longer waits for, and speeds of machine types.
     void logWorkers();
     void logReusedIds();
     void handleWorkerEntry(const userplatform::KeyedRecord&);
