Bound the answers that channels receive

An endless chunk extension or trailer of a server grew the buffer of a channel without limit. Header, chunk extensions and trailers of an answer stay within 8 KB, the buffer is bounded, and all answers that the process receives share a quarter of the host's memory (30 MB on the smallest host). An answer of the store of up to 4 MB is taken as before.

--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -5,6 +5,7 @@
 #include "controller/Clock.h"
 #include "controller/GuardedLoop.h"
 #include "controller/PeerCall.h"
+#include "platform/AnswerBudget.h"
 
 #include <algorithm>
 #include <array>
@@ -209,6 +210,8 @@
     }
     // Daemons keep their connections to each other open between messages.
     ListenerLimits innerLimits;
+    platform::AnswerBudget::ofProcess().setLimit(
+        (std::size_t { m_settings.m_memoryMb } << 20) / platform::AnswerBudget::memoryShare);
     innerLimits.m_idleTimeout = std::chrono::seconds(60);
     innerLimits.m_maxConnections = maxInnerConnections;
     m_inner.setLimits(innerLimits);
@@ -435,6 +438,7 @@
     put("state_queries_total", gateway.m_stateQueries);
     put("unanswered_queries_total", gateway.m_unansweredQueries);
     put("advice_calls_total", m_adviceCalls);
+    put("refused_answers_total", platform::AnswerBudget::ofProcess().refusedAnswers());
     if (m_term && m_term->scheduler() != nullptr) {
         const jobs::SchedulerCounters& counters = m_term->scheduler()->counters();
         put("term", m_term->term());
--- a/src/platform/HttpChannel.cpp
+++ b/src/platform/HttpChannel.cpp
@@ -3,6 +3,7 @@
 #include "platform/HttpChannel.h"
 
 #include "model/Rendezvous.h"
+#include "platform/AnswerBudget.h"
 #include "platform/BootClock.h"
 
 #include <algorithm>
@@ -19,6 +20,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <charconv>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <utility>
 
@@ -31,7 +33,10 @@
 
 namespace {
 
+    /// Of the status line, the fields, the chunk extensions and the trailers of an answer together.
     constexpr std::uint32_t maxHeaderBytes = 8 << 10;
+    /// Space beyond it for the size lines of chunks and the line ends in the buffer of a connection.
+    constexpr std::size_t bufferReserve = 1024;
 
     /// Parses "address:port" or "[address]:port"; null when the text is neither.
     std::unique_ptr<const tcp::endpoint> parseEndpoint(const std::string& text)
@@ -130,11 +135,36 @@
             : m_socket(executor)
         {
         }
+        ~Link() { AnswerBudget::ofProcess().remove(m_heldBytes); }
+        Link(const Link&) = delete;
+        Link& operator=(const Link&) = delete;
+
+        /// Counts what the answer takes; false if the answers of the process together take too much.
+        bool hold()
+        {
+            const std::size_t bytes = m_parser ? m_input.capacity() + m_parser->get().body().capacity() : 0;
+            if (bytes > m_heldBytes && !AnswerBudget::ofProcess().add(bytes - m_heldBytes))
+                return false;
+            if (bytes < m_heldBytes)
+                AnswerBudget::ofProcess().remove(m_heldBytes - bytes);
+            m_heldBytes = bytes;
+            return true;
+        }
 
         tcp::socket m_socket;
-        boost::beast::flat_buffer m_input;
+        boost::beast::flat_buffer m_input { maxHeaderBytes + bufferReserve };
         std::string m_output;
         std::unique_ptr<Parser> m_parser;
+        /// The parser limits neither chunk extensions nor trailers; the buffer must hold each of them whole.
+        std::size_t m_extensionBytes = 0;
+        std::function<void(std::uint64_t, boost::beast::string_view, error_code&)> m_chunkHeaderHandler
+            = [this](std::uint64_t, boost::beast::string_view extensions, error_code& error) {
+                  m_extensionBytes += extensions.size();
+                  if (m_extensionBytes > maxHeaderBytes)
+                      error = http::error::header_limit;
+              };
+        std::size_t m_heldBytes = 0;
+        std::size_t m_receivedBytes = 0;
         /// The present call is not the first one on this connection.
         bool m_reused = false;
     };
@@ -274,17 +304,38 @@
         m_link->m_parser = std::make_unique<Parser>();
         m_link->m_parser->body_limit(m_settings.m_maxResponseBytes);
         m_link->m_parser->header_limit(maxHeaderBytes);
-        http::async_read(m_link->m_socket, m_link->m_input, *m_link->m_parser,
+        m_link->m_parser->eager(true);
+        m_link->m_parser->on_chunk_header(m_link->m_chunkHeaderHandler);
+        m_link->m_extensionBytes = 0;
+        m_link->m_receivedBytes = 0;
+        readMore();
+    }
+
+    void readMore()
+    {
+        http::async_read_some(m_link->m_socket, m_link->m_input, *m_link->m_parser,
             [self = shared_from_this(), link = m_link](error_code error, std::size_t bytes) {
                 self->account(0, bytes);
-                if (self->m_link == link)
-                    self->received(error, bytes);
+                if (self->m_link != link)
+                    return;
+                link->m_receivedBytes += bytes;
+                if (error || link->m_parser->is_done())
+                    return self->received(error, link->m_receivedBytes);
+                if (link->hold())
+                    return self->readMore();
+                AnswerBudget::ofProcess().countRefused();
+                self->disconnect();
+                self->fail({ ErrorKind::AnswerTruncated, "the answers under way take too much memory" });
             });
     }
 
     void received(error_code error, std::size_t bytes)
     {
-        if (error && bytes == 0)
+        const bool isTooLarge = error == http::error::header_limit || error == http::error::body_limit
+            || error == http::error::buffer_overflow;
+        if (isTooLarge)
+            AnswerBudget::ofProcess().countRefused();
+        if (error && bytes == 0 && !isTooLarge)
             return broken("the connection closed before the answer: " + error.message());
         if (error) {
             disconnect();
@@ -293,6 +344,8 @@
         m_failures = 0;
         const bool keepAlive = m_link->m_parser->get().keep_alive();
         auto message = m_link->m_parser->release();
+        m_link->m_parser.reset();
+        m_link->hold();
         // Bytes beyond the answer belong to no call of this channel.
         if (!keepAlive || m_link->m_input.size() > 0)
             disconnect();
