Bound what connections of the own cell hold

Trailers and chunk extensions were unlimited in MessageReader, local bodies of all connections together too, and serveLocal restarted its time limit with each part of a body. The extensions and the buffer are now bounded by maxHeaderBytes, a local request has limits.requestTimeoutMs in all (default 30 s), and all connections of callers, relay and operators share a sixth of limits.memoryMb (default 120). Connections without progress for 0.5 s give way when it is scarce; a request that does not fit is refused with overloaded before it is handed on.

--- a/src/daemon/Application.cpp
+++ b/src/daemon/Application.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/Application.h"
 
+#include "platform/AnswerBudget.h"
+
 #include <algorithm>
 #include <thread>
 #include <utility>
@@ -36,7 +38,8 @@
         return result;
     }
 
-    forwarding::RequestServerSettings callerServerSettings(const Settings& settings)
+    forwarding::RequestServerSettings callerServerSettings(
+        const Settings& settings, std::shared_ptr<forwarding::RequestBudget> budget)
     {
         forwarding::RequestServerSettings result;
         result.m_callerAddress = settings.m_listeners.m_callers.text();
@@ -45,19 +48,24 @@
         result.m_maxHeader = settings.m_limits.m_maxHeaderBytes;
         result.m_maxBody = settings.m_limits.m_maxBodyBytes;
         result.m_headerTimeout = std::chrono::milliseconds(settings.m_limits.m_headerTimeoutMs);
+        result.m_requestTimeout = std::chrono::milliseconds(settings.m_limits.m_requestTimeoutMs);
+        result.m_budget = std::move(budget);
         result.m_defaultDeadline = std::chrono::milliseconds(settings.m_limits.m_defaultRequestDeadlineMs);
         result.m_maxDeadline = std::chrono::milliseconds(settings.m_limits.m_maxRequestDeadlineMs);
         result.m_daemon = settings.m_daemon;
         return result;
     }
 
-    forwarding::RequestServerSettings operatorServerSettings(const Settings& settings)
+    forwarding::RequestServerSettings operatorServerSettings(
+        const Settings& settings, std::shared_ptr<forwarding::RequestBudget> budget)
     {
         forwarding::RequestServerSettings result;
         result.m_callerAddress = settings.m_listeners.m_operators.text();
         result.m_threads = 1;
         result.m_maxConnections = 200;
         result.m_maxLocalBody = operatorBodyBytes;
+        result.m_requestTimeout = std::chrono::milliseconds(settings.m_limits.m_requestTimeoutMs);
+        result.m_budget = std::move(budget);
         result.m_daemon = settings.m_daemon;
         return result;
     }
@@ -80,12 +88,16 @@
     , m_queries(m_settings, m_peers, m_scheduler, m_minions)
     , m_requests(m_runtime, m_settings, seed, m_peers, m_minions, m_claims, m_jobs, m_traffic, *m_log, m_metrics)
     , m_operatorApi(m_settings, m_configuration, m_peers, m_scheduler, m_queries, m_metrics)
-    , m_callerServer(callerServerSettings(m_settings), m_requests)
-    , m_operatorServer(operatorServerSettings(m_settings), m_operatorApi)
+    , m_requestBudget(std::make_shared<forwarding::RequestBudget>(
+          (std::size_t { m_settings.m_limits.m_memoryMb } << 20) / forwarding::RequestBudget::memoryShare))
+    , m_callerServer(callerServerSettings(m_settings, m_requestBudget), m_requests)
+    , m_operatorServer(operatorServerSettings(m_settings, m_requestBudget), m_operatorApi)
     , m_hostAlarm(m_runtime, [this] { readHosts(); })
     , m_streamAlarm(m_runtime, [this] { superviseStreams(); })
 {
     m_operatorApi.onMetrics([this] { collectMetrics(); });
+    platform::AnswerBudget::ofProcess().setLimit(
+        (std::size_t { m_settings.m_limits.m_memoryMb } << 20) / platform::AnswerBudget::memoryShare);
 }
 
 Application::~Application()
@@ -239,8 +251,32 @@
     });
 }
 
+std::vector<std::pair<std::string_view, std::uint64_t>> Application::connectionEnds() const
+{
+    const forwarding::RequestServerCounters callers = m_callerServer.counters();
+    const forwarding::RequestServerCounters operators = m_operatorServer.counters();
+    return { { "memory", callers.m_memoryEnds + operators.m_memoryEnds },
+        { "header-limit", callers.m_headerEnds + operators.m_headerEnds },
+        { "request-time", callers.m_callerTimeouts + operators.m_callerTimeouts },
+        { "answers", platform::AnswerBudget::ofProcess().refusedAnswers() } };
+}
+
+void Application::logConnectionEnds()
+{
+    for (const auto& [reason, count] : connectionEnds()) {
+        std::uint64_t& logged = m_loggedEnds[reason];
+        if (count > logged)
+            m_log->write(LogEvent::ConnectionsClosed, { { "reason", reason }, { "count", count - logged } });
+        logged = count;
+    }
+}
+
 void Application::superviseStreams()
 {
+    if (const TimePoint time = now(); time >= m_nextEndsLine) {
+        m_nextEndsLine = time + std::chrono::seconds(1);
+        logConnectionEnds();
+    }
     if (m_scheduler.needsStreamEnd())
         m_ownStream.requestEnd();
     const std::set<FailureDomainId> wanted = m_scheduler.foreignStreams();
@@ -284,6 +320,9 @@
     for (const configuration::ReasonCount& counter : m_configuration.counters())
         m_metrics.counter(MetricName::RefusalReasonsTotal, { "configuration", counter.m_reason })
             .raiseTo(counter.m_count);
+    m_metrics.gauge(MetricName::ConnectionBytes).set(static_cast<double>(m_requestBudget->usedBytes()));
+    for (const auto& [reason, count] : connectionEnds())
+        m_metrics.counter(MetricName::ConnectionEndsTotal, { reason }).raiseTo(count);
     m_metrics.counter(MetricName::LogLinesSuppressedTotal).raiseTo(m_log->suppressedLines());
 }
 
--- a/src/daemon/Application.h
+++ b/src/daemon/Application.h
@@ -55,6 +55,10 @@
     void activated(const std::shared_ptr<const configuration::FileInForce>&);
     void readHosts();
     void superviseStreams();
+    /// Connections closed and messages refused because of a limit, by reason.
+    std::vector<std::pair<std::string_view, std::uint64_t>> connectionEnds() const;
+    /// Logs those since the last call, a line for each reason.
+    void logConnectionEnds();
     void collectMetrics();
     void waitUntil(const std::function<bool()>&, TimePoint deadline);
     FailureDomainId domainOf(const std::string& stream) const;
@@ -81,8 +85,13 @@
     ClusterQueries m_queries;
     RequestDriver m_requests;
     OperatorApi m_operatorApi;
+    /// Shared by the two servers.
+    std::shared_ptr<forwarding::RequestBudget> m_requestBudget;
     forwarding::RequestServer m_callerServer;
     forwarding::RequestServer m_operatorServer;
+    /// Ends that have been logged, by reason; used by superviseStreams() only.
+    std::map<std::string_view, std::uint64_t> m_loggedEnds;
+    TimePoint m_nextEndsLine {};
     Alarm m_hostAlarm;
     Alarm m_streamAlarm;
 };
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -55,6 +55,8 @@
         reader.bounded("maxBodyBytes", settings.m_maxBodyBytes, std::uint64_t { 1024 }, std::uint64_t { 1 } << 34);
         reader.bounded("maxHeaderBytes", settings.m_maxHeaderBytes, 1024U, 1U << 20);
         reader.bounded("headerTimeoutMs", settings.m_headerTimeoutMs, 100U, 600000U);
+        reader.bounded("requestTimeoutMs", settings.m_requestTimeoutMs, 100U, 600000U);
+        reader.bounded("memoryMb", settings.m_memoryMb, 64U, 1048576U);
         reader.bounded("defaultRequestDeadlineMs", settings.m_defaultRequestDeadlineMs, 10U, 3600000U);
         reader.bounded("maxRequestDeadlineMs", settings.m_maxRequestDeadlineMs, 10U, 86400000U);
         reader.bounded("maxQueuedRequestsPerTeam", settings.m_maxQueuedRequestsPerTeam, 1U, 1000000U);
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -68,6 +68,10 @@
     std::uint64_t m_maxBodyBytes = 64ULL << 20;
     std::uint32_t m_maxHeaderBytes = 16384;
     std::uint32_t m_headerTimeoutMs = 10000;
+    /// From the first byte to the last of a request that the daemon handles itself.
+    std::uint32_t m_requestTimeoutMs = 30000;
+    /// Memory of the host in MB, from which the limits on what all connections hold together follow.
+    std::uint32_t m_memoryMb = 120;
     std::uint32_t m_defaultRequestDeadlineMs = 30000;
     std::uint32_t m_maxRequestDeadlineMs = 600000;
     std::uint32_t m_maxQueuedRequestsPerTeam = 1000;
--- a/src/forwarding/Attempt.cpp
+++ b/src/forwarding/Attempt.cpp
@@ -175,6 +175,7 @@
 {
     const bool chunked = !m_request->content_length();
     std::vector<char> chunk(m_server.m_settings.m_bufferSize);
+    holdAlways(chunk.size());
     error_code error;
     while (!m_request->is_done()) {
         // An early answer, usually a refusal, makes the rest of the body pointless.
@@ -314,6 +315,7 @@
     error_code error;
     if (!m_answer->is_done()) {
         buffer.resize(fill ? *length : bufferSize);
+        holdAlways(buffer.size());
         if (fill || m_upstream->m_buffer.size() > 0) {
             begin(Wait::Upstream, steadyNow() + m_server.m_settings.m_stallTimeout);
             size = co_await readBody<false>(
--- a/src/forwarding/Forwarding.cpp
+++ b/src/forwarding/Forwarding.cpp
@@ -81,6 +81,7 @@
     // The first part of the body is read before a slot is taken, so that a slow caller does not hold one meanwhile.
     if (!co_await readFirst())
         co_return;
+    m_canGiveWay = false;
     if (claims && !co_await claimRequest(deadline))
         co_return;
     routing::RouteDecision decision = exchange.m_routing->route(info, dispatchHandler());
@@ -97,7 +98,12 @@
         co_return false;
     const std::optional<std::uint64_t> length = contentLength(*m_request);
     const std::size_t bufferSize = m_server.m_settings.m_bufferSize;
-    exchange.m_first.resize(std::min<std::uint64_t>(length.value_or(bufferSize), bufferSize));
+    const std::size_t firstSize = std::min<std::uint64_t>(length.value_or(bufferSize), bufferSize);
+    if (!hold(m_buffer.capacity() + firstSize)) {
+        co_await respondNoMemory();
+        co_return false;
+    }
+    exchange.m_first.resize(firstSize);
     error_code error;
     begin(Wait::Caller, steadyNow() + m_server.m_settings.m_stallTimeout);
     const std::size_t size = co_await readBody<true>(
--- a/src/forwarding/MessageReader.h
+++ b/src/forwarding/MessageReader.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 namespace sapphiredale::forwarding {
@@ -17,12 +18,45 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-using RequestParser = http::request_parser<http::buffer_body>;
-using ResponseParser = http::response_parser<http::buffer_body>;
+/// Parser that also limits the extensions of all chunks of a message; the parser of the library limits neither these
+/// nor the trailers. readHeader() and readBody() bound the trailers by the size of the buffer.
+template <bool isRequest> class BoundedParser : public http::parser<isRequest, http::buffer_body> {
+public:
+    BoundedParser() { this->on_chunk_header(m_chunkHeaderHandler); }
+    BoundedParser(const BoundedParser&) = delete;
+    BoundedParser& operator=(const BoundedParser&) = delete;
+
+    /// Most bytes of the header, of the trailers, and of the extensions of all chunks.
+    void header_limit(std::uint32_t limit)
+    {
+        m_headerLimit = limit;
+        http::parser<isRequest, http::buffer_body>::header_limit(limit);
+    }
+    std::size_t headerLimit() const { return m_headerLimit; }
+
+private:
+    std::size_t m_headerLimit = 8192; // the default of the library
+    std::size_t m_extensionBytes = 0;
+    std::function<void(std::uint64_t, beast::string_view, error_code&)> m_chunkHeaderHandler
+        = [this](std::uint64_t, beast::string_view extensions, error_code& error) {
+              m_extensionBytes += extensions.size();
+              if (m_extensionBytes > m_headerLimit)
+                  error = http::error::header_limit;
+          };
+};
+
+using RequestParser = BoundedParser<true>;
+using ResponseParser = BoundedParser<false>;
 
 /// Bytes asked for by one read.
 inline constexpr std::size_t readSize = 4096;
 
+/// Whether the buffer holds more than a message within its limits leaves there unparsed.
+template <bool isRequest> bool isFull(const beast::flat_buffer& buffer, const BoundedParser<isRequest>& parser)
+{
+    return buffer.size() > parser.headerLimit() + readSize;
+}
+
 /// Declared length of the body, or none.
 template <bool isRequest>
 std::optional<std::uint64_t> contentLength(const http::parser<isRequest, http::buffer_body>& parser)
@@ -34,7 +68,7 @@
 /// Reads until the header is complete. error is end_of_stream when the stream ended before its first byte.
 template <bool isRequest>
 Awaitable<void> readHeader(
-    Socket& socket, beast::flat_buffer& buffer, http::parser<isRequest, http::buffer_body>& parser, error_code& error)
+    Socket& socket, beast::flat_buffer& buffer, BoundedParser<isRequest>& parser, error_code& error)
 {
     for (;;) {
         error = {};
@@ -45,6 +79,10 @@
         error = {};
         if (parser.is_header_done())
             co_return;
+        if (isFull(buffer, parser)) {
+            error = http::error::header_limit;
+            co_return;
+        }
         const auto space = buffer.prepare(readSize);
         const std::size_t received = co_await socket.async_read_some(space, asio::redirect_error(useAwaitable, error));
         if (error) {
@@ -59,8 +97,8 @@
 /// Reads body bytes to [out, out + capacity). Returns as soon as some arrived, or with fill only when the space is full
 /// or the body ended. A stream that ends inside the body gives partial_message.
 template <bool isRequest>
-Awaitable<std::size_t> readBody(Socket& socket, beast::flat_buffer& buffer,
-    http::parser<isRequest, http::buffer_body>& parser, char* out, std::size_t capacity, bool fill, error_code& error)
+Awaitable<std::size_t> readBody(Socket& socket, beast::flat_buffer& buffer, BoundedParser<isRequest>& parser, char* out,
+    std::size_t capacity, bool fill, error_code& error)
 {
     auto& body = parser.get().body();
     body.data = out;
@@ -75,6 +113,10 @@
         error = {};
         if (parser.is_done() || produced == capacity || (produced > 0 && !fill))
             co_return produced;
+        if (isFull(buffer, parser)) {
+            error = http::error::header_limit;
+            co_return produced;
+        }
         const auto space = buffer.prepare(readSize);
         const std::size_t received = co_await socket.async_read_some(space, asio::redirect_error(useAwaitable, error));
         if (error) {
--- a/src/forwarding/RequestServer.cpp
+++ b/src/forwarding/RequestServer.cpp
@@ -234,6 +234,8 @@
     result.m_requests = context.m_requests;
     result.m_callerGone = context.m_callerGone;
     result.m_callerTimeouts = context.m_callerTimeouts;
+    result.m_memoryEnds = context.m_memoryEnds;
+    result.m_headerEnds = context.m_headerEnds;
     result.m_crossedAnswers = context.m_crossedAnswers;
     result.m_truncatedAnswers = context.m_truncatedAnswers;
     result.m_upstreamConnects = context.m_upstreamConnects;
--- a/src/forwarding/RequestServer.h
+++ b/src/forwarding/RequestServer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "forwarding/RequestBackend.h"
+#include "forwarding/RequestBudget.h"
 #include "model/Time.h"
 
 #include <chrono>
@@ -32,6 +33,8 @@
     std::uint32_t m_bufferSize = 16 * 1024;
     /// Time in which a caller must send a whole header after its first byte.
     Duration m_headerTimeout = std::chrono::seconds(10);
+    /// Time from the first byte of a request that the daemon handles itself to its last.
+    Duration m_requestTimeout = std::chrono::seconds(30);
     /// Time between two requests on one connection.
     Duration m_idleTimeout = std::chrono::seconds(60);
     /// Time without progress after which a caller that sends its body or reads its answer is disconnected.
@@ -44,6 +47,9 @@
     /// Most connections to one minion; requests take one per slot, and the lease has its own.
     std::uint32_t m_connectionsPerMinion = 63;
     std::uint32_t m_connectionsPerPeer = 1024;
+    /// Shared by the servers of the process; the default fits a host with 120 MB.
+    std::shared_ptr<RequestBudget> m_budget
+        = std::make_shared<RequestBudget>((std::size_t { 120 } << 20) / RequestBudget::memoryShare);
     /// Name of this daemon, part of the request identifiers that it creates.
     DaemonId m_daemon;
 };
@@ -56,6 +62,10 @@
     std::uint64_t m_requests = 0;
     std::uint64_t m_callerGone = 0;
     std::uint64_t m_callerTimeouts = 0;
+    /// Connections closed and requests refused because the connections hold too much together.
+    std::uint64_t m_memoryEnds = 0;
+    /// Requests whose header, chunk extensions or trailers were too long.
+    std::uint64_t m_headerEnds = 0;
     std::uint64_t m_crossedAnswers = 0;
     std::uint64_t m_truncatedAnswers = 0;
     std::uint64_t m_upstreamConnects = 0;
--- a/src/forwarding/ServerContext.h
+++ b/src/forwarding/ServerContext.h
@@ -34,6 +34,8 @@
     std::atomic<std::uint64_t> m_requests { 0 };
     std::atomic<std::uint64_t> m_callerGone { 0 };
     std::atomic<std::uint64_t> m_callerTimeouts { 0 };
+    std::atomic<std::uint64_t> m_memoryEnds { 0 };
+    std::atomic<std::uint64_t> m_headerEnds { 0 };
     std::atomic<std::uint64_t> m_crossedAnswers { 0 };
     std::atomic<std::uint64_t> m_truncatedAnswers { 0 };
     std::atomic<std::uint64_t> m_upstreamConnects { 0 };
--- a/src/forwarding/Session.cpp
+++ b/src/forwarding/Session.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/Session.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <cerrno>
@@ -16,6 +17,12 @@
     /// Bytes and time for which the rest of a refused request is read before the connection is closed.
     constexpr std::size_t lingerBytes = std::size_t { 256 } * 1024;
     constexpr Duration lingerTime = std::chrono::seconds(2);
+    /// Memory of a connection without a request.
+    constexpr std::size_t sessionBytes = 2048;
+    /// A body that the daemon handles itself is held as received and as decoded.
+    constexpr std::size_t copiesOfBody = 2;
+    /// A caller inside the limits sends a part of a request within this time.
+    constexpr Duration quietTime = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -28,10 +35,12 @@
 {
     m_loop.add(*this);
     m_server.m_openConnections.fetch_add(1, std::memory_order_relaxed);
+    m_close = !hold(0);
 }
 
 Session::~Session()
 {
+    release();
     m_loop.remove(*this);
     m_server.m_openConnections.fetch_sub(1, std::memory_order_relaxed);
 }
@@ -47,12 +56,47 @@
         m_server.m_activeRequests.fetch_sub(1, std::memory_order_relaxed);
         m_exchange.reset();
         m_request.reset();
+        m_canGiveWay = true;
+        hold(0);
     }
     co_await closeGracefully();
 }
 
+bool Session::hold(std::size_t bytes)
+{
+    bytes += sessionBytes;
+    RequestBudget& budget = *m_server.m_settings.m_budget;
+    if (bytes > m_heldBytes && !budget.add(bytes - m_heldBytes)) {
+        m_server.m_memoryEnds.fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+    if (bytes < m_heldBytes)
+        budget.remove(m_heldBytes - bytes);
+    m_heldBytes = bytes;
+    return true;
+}
+
+void Session::holdAlways(std::size_t bytes)
+{
+    m_server.m_settings.m_budget->addAlways(bytes);
+    m_heldBytes += bytes;
+}
+
+void Session::release()
+{
+    m_server.m_settings.m_budget->remove(m_heldBytes);
+    m_heldBytes = 0;
+}
+
+Awaitable<void> Session::respondNoMemory()
+{
+    m_close = true;
+    co_await respondError(ErrorKind::Overloaded, "the connections of this daemon take too much memory");
+}
+
 void Session::begin(Wait wait, TimePoint deadline)
 {
+    m_waitStart = steadyNow();
     m_wait = wait;
     m_waitDeadline = deadline;
 }
@@ -87,6 +131,13 @@
 {
     if (m_stop != Stop::None)
         return;
+    // Those that make no progress give way; the others are refused before their requests are handed on.
+    if (m_canGiveWay && (m_wait == Wait::NextRequest || m_wait == Wait::Caller) && now - m_waitStart >= quietTime
+        && m_server.m_settings.m_budget->isScarce()) {
+        m_server.m_memoryEnds.fetch_add(1, std::memory_order_relaxed);
+        release();
+        return stop(Stop::CallerTimeout);
+    }
     switch (m_wait) {
     case Wait::None:
         return;
@@ -143,6 +194,11 @@
         if (!end() || error)
             co_return false;
     }
+    if (!hold(m_server.m_settings.m_maxHeader + readSize)) {
+        co_await respondNoMemory();
+        co_return false;
+    }
+    m_receiveDeadline = steadyNow() + m_server.m_settings.m_requestTimeout;
     begin(Wait::Caller, steadyNow() + m_server.m_settings.m_headerTimeout);
     co_await readHeader<true>(m_socket, m_buffer, *m_request, error);
     if (!end()) {
@@ -152,9 +208,18 @@
         co_await respondError(ErrorKind::RequestTimeout, "the header did not arrive in time");
         co_return false;
     }
-    if (!error)
-        co_return true;
+    if (!error) {
+        std::size_t fields = m_buffer.capacity();
+        for (const auto& field : m_request->get())
+            fields += sizeof(field) + field.name_string().size() + field.value().size();
+        if (hold(fields))
+            co_return true;
+        co_await respondNoMemory();
+        co_return false;
+    }
     m_close = true;
+    if (error == http::error::header_limit)
+        m_server.m_headerEnds.fetch_add(1, std::memory_order_relaxed);
     if (error == http::error::body_limit)
         co_await respondError(ErrorKind::BodyTooLarge, "the declared body exceeds the limit");
     else if (error != http::error::end_of_stream
@@ -198,13 +263,24 @@
     std::vector<char> chunk(m_server.m_settings.m_bufferSize);
     while (!m_request->is_done()) {
         error_code error;
-        begin(Wait::Caller, steadyNow() + m_server.m_settings.m_stallTimeout);
+        begin(Wait::Caller, std::min(steadyNow() + m_server.m_settings.m_stallTimeout, m_receiveDeadline));
         const std::size_t size
             = co_await readBody<true>(m_socket, m_buffer, *m_request, chunk.data(), chunk.size(), true, error);
         if (!end() || error) {
+            if (error == http::error::header_limit)
+                m_server.m_headerEnds.fetch_add(1, std::memory_order_relaxed);
+            else if (m_stop == Stop::CallerTimeout)
+                m_server.m_callerTimeouts.fetch_add(1, std::memory_order_relaxed);
             m_close = true;
             co_return;
         }
+        const std::size_t needed = request.m_body.size() + size;
+        if (needed > request.m_body.capacity())
+            request.m_body.reserve(std::max(needed, 2 * request.m_body.capacity()));
+        if (!hold(m_buffer.capacity() + chunk.size() + copiesOfBody * request.m_body.capacity())) {
+            co_await respondNoMemory();
+            co_return;
+        }
         request.m_body.append(chunk.data(), size);
         if (request.m_body.size() > m_server.m_settings.m_maxLocalBody) {
             m_close = true;
@@ -212,6 +288,7 @@
             co_return;
         }
     }
+    m_canGiveWay = false;
     // The handler may be called from another thread and after this session ended.
     auto answer = std::make_shared<LocalResponse>();
     m_eventReady = false;
--- a/src/forwarding/Session.h
+++ b/src/forwarding/Session.h
@@ -86,6 +86,12 @@
     Awaitable<void> waitForEvent();
     bool keepAlive() const;
     bool callerIsGone();
+    /// Sets what the request holds beside the connection itself. False if it does not fit.
+    bool hold(std::size_t bytes);
+    void holdAlways(std::size_t bytes);
+    void release();
+    /// Answers that the request has not run, and closes the connection.
+    Awaitable<void> respondNoMemory();
     void begin(Wait, TimePoint deadline);
     bool end();
     void stop(Stop);
@@ -141,6 +147,14 @@
     bool m_eventReady = false;
     bool m_close = false;
 
+    /// Bytes counted in the budget.
+    std::size_t m_heldBytes = 0;
+    /// False while a request is handed on: the connection is not closed for lack of memory then.
+    bool m_canGiveWay = true;
+    TimePoint m_waitStart = TimePoint::max();
+    /// Time by which a request that the daemon handles itself must have been received.
+    TimePoint m_receiveDeadline = TimePoint::max();
+
     Wait m_wait = Wait::None;
     Stop m_stop = Stop::None;
     TimePoint m_waitDeadline = TimePoint::max();
--- a/tests/forwarding/RequestServerTest.cpp
+++ b/tests/forwarding/RequestServerTest.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(peerHopIsNotForwardedAgain);
     CPPUNIT_TEST(drainCutsNothing);
     CPPUNIT_TEST(localPathsAreHandled);
+    CPPUNIT_TEST(slowBodyOfLocalPathIsDisconnected);
+    CPPUNIT_TEST(requestThatDoesNotFitIsRefused);
     CPPUNIT_TEST(everyCallerGetsItsOwnAnswer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -292,6 +294,38 @@
         CPPUNIT_ASSERT_EQUAL(1U, m_hooks->freeSlots());
     }
 
+    // Guards against a sender that holds its place as long as it sends a byte now and then.
+    void slowBodyOfLocalPathIsDisconnected()
+    {
+        RequestServerSettings settings;
+        settings.m_requestTimeout = std::chrono::milliseconds(300);
+        settings.m_bufferSize = 4;
+        start(settings);
+        Caller caller(m_server->callerPort());
+        caller.send("POST /v1/jobs HTTP/1.1\r\nContent-Length: 1000\r\n\r\n");
+        const TimePoint limit = steadyNow() + std::chrono::seconds(60);
+        while (m_server->counters().m_callerTimeouts == 0 && steadyNow() < limit) {
+            caller.send("xxxx");
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_server->counters().m_callerTimeouts);
+    }
+
+    // Guards against bodies that together take more memory than the host has.
+    void requestThatDoesNotFitIsRefused()
+    {
+        RequestServerSettings settings;
+        settings.m_budget = std::make_shared<RequestBudget>(60000);
+        start(settings);
+        Caller caller(m_server->callerPort());
+        caller.send("POST /v1/jobs HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + std::string(200000, 'x'));
+        CPPUNIT_ASSERT_EQUAL(503U, caller.read().result_int());
+        const TimePoint limit = steadyNow() + std::chrono::seconds(60);
+        while (settings.m_budget->usedBytes() > 0 && steadyNow() < limit)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), settings.m_budget->usedBytes());
+    }
+
     // Guards against more requests on a minion than slots, and against a queued request that is forgotten.
     void queuedRequestsWaitForTheSlot()
     {
