Limit the connections of the peer listener

nng bounds one message but not the number of connections, each of which may hold an unfinished message of 1 MiB. At most 16 connections that have sent no message of a peer are kept, and 256 in all.

--- a/src/peer/PeerTransport.cpp
+++ b/src/peer/PeerTransport.cpp
@@ -14,7 +14,9 @@
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
+#include <set>
 #include <thread>
+#include <vector>
 
 namespace sapphiredale::peer {
 
@@ -46,6 +48,64 @@
     /// reads no further, so that nothing arrives during the close.
     constexpr auto quietPause = std::chrono::milliseconds(20);
 
+    /// Connections from which no message of a peer has arrived. Each may hold an unfinished message of maxMessageBytes,
+    /// so that they hold at most 16 MiB together. A peer sends heartbeats, so that it is known after about a second.
+    constexpr std::size_t maxUnknownPipes = 16;
+    /// Connections of peers; a cell has some 40 daemons with one or two each.
+    constexpr std::size_t maxPipes = 256;
+
+    /// The connections of other daemons to this one; nng has no limit on their number.
+    class Pipes {
+    public:
+        static Pipes& create()
+        {
+            static std::mutex mutex;
+            static std::deque<Pipes> all;
+            const std::lock_guard lock(mutex);
+            return all.emplace_back();
+        }
+
+        static void onEvent(nng_pipe pipe, nng_pipe_ev event, void* self)
+        {
+            Pipes& pipes = *static_cast<Pipes*>(self);
+            const int id = nng_pipe_id(pipe);
+            const std::lock_guard lock(pipes.m_mutex);
+            if (event == NNG_PIPE_EV_REM_POST) {
+                std::erase(pipes.m_unknown, id);
+                pipes.m_known.erase(id);
+            } else if (event == NNG_PIPE_EV_ADD_PRE) {
+                if (pipes.m_unknown.size() < maxUnknownPipes
+                    && pipes.m_unknown.size() + pipes.m_known.size() < maxPipes) {
+                    pipes.m_unknown.push_back(id);
+                    return;
+                }
+                ++pipes.m_refused;
+                nng_pipe_close(pipe);
+            }
+        }
+
+        /// A message of a peer has arrived.
+        void identified(nng_pipe pipe)
+        {
+            const int id = nng_pipe_id(pipe);
+            const std::lock_guard lock(m_mutex);
+            if (std::erase(m_unknown, id) > 0)
+                m_known.insert(id);
+        }
+
+        std::uint64_t refused() const
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_refused;
+        }
+
+    private:
+        mutable std::mutex m_mutex;
+        std::vector<int> m_unknown;
+        std::set<int> m_known;
+        std::uint64_t m_refused = 0;
+    };
+
     void closeSocket(nng_socket socket)
     {
         auto closed = std::make_shared<std::promise<void>>();
@@ -261,6 +321,8 @@
         if (code != 0)
             return nngError("cannot open a socket for", address, code);
         m_isOpen = true;
+        for (const nng_pipe_ev event : { NNG_PIPE_EV_ADD_PRE, NNG_PIPE_EV_REM_POST })
+            nng_pipe_notify(m_socket, event, &Pipes::onEvent, m_pipes);
         nng_listener listener = NNG_LISTENER_INITIALIZER;
         // nng closes a connection that announces a longer message, before it allocates memory for it.
         code = nng_socket_set_size(m_socket, NNG_OPT_RECVMAXSZ, maxMessageBytes);
@@ -279,7 +341,12 @@
     }
 
     const std::string& listenAddress() const { return m_listenAddress; }
-    PeerTransportStatistics statistics() const { return m_statistics.values(); }
+    PeerTransportStatistics statistics() const
+    {
+        PeerTransportStatistics values = m_statistics.values();
+        values.m_refusedConnections = m_pipes->refused();
+        return values;
+    }
 
     Result<Unit> addPeer(const PeerAddress& peer) { return connect(peer, false); }
 
@@ -410,11 +477,13 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(10));
                 continue;
             }
-            take({ static_cast<const std::byte*>(nng_msg_body(message.get())), nng_msg_len(message.get()) });
+            if (take({ static_cast<const std::byte*>(nng_msg_body(message.get())), nng_msg_len(message.get()) }))
+                m_pipes->identified(nng_msg_get_pipe(message.get()));
         }
     }
 
-    void take(std::span<const std::byte> bytes)
+    /// Whether the message came from a peer.
+    bool take(std::span<const std::byte> bytes)
     {
         std::variant<Envelope, DecodeError> decoded = MessageCodec::decode(bytes);
         if (const auto* error = std::get_if<DecodeError>(&decoded)) {
@@ -422,7 +491,7 @@
                 ++values.m_refused[static_cast<std::size_t>(*error)];
                 values.m_bytesRefused += bytes.size();
             });
-            return;
+            return false;
         }
         Envelope& envelope = *std::get_if<Envelope>(&decoded);
         const MessageKind kind = kindOf(envelope);
@@ -432,19 +501,22 @@
                 ++values.m_unknownSender;
                 values.m_bytesRefused += bytes.size();
             });
-            return;
+            return false;
         }
         m_statistics.update([&](PeerTransportStatistics& values) {
             ++values.m_messagesReceived[static_cast<std::size_t>(kind)];
             values.m_bytesReceived[static_cast<std::size_t>(kind)] += bytes.size();
         });
         m_receiver(std::move(envelope));
+        return true;
     }
 
     const PeerTransportSettings m_settings;
     const Receiver m_receiver;
     std::string m_listenAddress;
     Statistics m_statistics;
+    /// Lives as long as the process: a socket whose close did not end in time still calls it.
+    Pipes* const m_pipes = &Pipes::create();
     nng_socket m_socket = NNG_SOCKET_INITIALIZER;
     /// Used by the receive thread; stopped by close().
     nng_aio* m_receiveAio = nullptr;
--- a/src/peer/PeerTransport.h
+++ b/src/peer/PeerTransport.h
@@ -54,6 +54,8 @@
     std::array<std::uint64_t, decodeErrorCount> m_refused {};
     std::uint64_t m_bytesRefused = 0;
     /// Received messages whose sender is no peer.
+    /// Connections closed because too many had sent no message of a peer.
+    std::uint64_t m_refusedConnections = 0;
     std::uint64_t m_unknownSender = 0;
     /// Messages that were not sent: full queue, waited too long, no such peer, too large, connection closed by us.
     std::uint64_t m_droppedQueueFull = 0;
