--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -6,6 +6,7 @@
 #include "controller/GuardedLoop.h"
 #include "controller/PeerCall.h"
 #include "controller/TeamMetrics.h"
+#include "platform/AnswerBudget.h"
 
 #include <algorithm>
 #include <array>
@@ -43,22 +44,6 @@
     constexpr int workerDriftDivisor = 20;
     constexpr Duration lateOrderMargin = std::chrono::milliseconds(200);
 
-    /// Text as the value of a label in the Prometheus text format.
-    std::string labelText(const std::string& text)
-    {
-        std::string escaped;
-        for (const char each : text) {
-            if (each == '\n') {
-                escaped += "\\n";
-                continue;
-            }
-            if (each == '"' || each == '\\')
-                escaped += '\\';
-            escaped += each;
-        }
-        return escaped;
-    }
-
     /// Claim delay by the capacity of the host, so that hosts with more capacity claim first: scheduling takes up to
     /// 0.15 of a core and 20 Mbit/s at 350 workers.
     Duration capacityClaimDelay(const SiteSettings& settings)
@@ -89,18 +74,6 @@
         return election;
     }
 
-    /// A label value in the Prometheus text format.
-    std::string escapedLabel(const std::string& value)
-    {
-        std::string escaped;
-        for (const char c : value) {
-            if (c == '\\' || c == '"')
-                escaped += '\\';
-            escaped += c == '\n' ? "\\n" : std::string(1, c);
-        }
-        return escaped;
-    }
-
     ServerResponse errorResponse(ErrorKind kind)
     {
         const ErrorAnswer& answer = answerFor(kind);
@@ -235,6 +208,8 @@
     }
     // Daemons keep their connections to each other open between messages.
     ListenerLimits innerLimits;
+    platform::AnswerBudget::ofProcess().setLimit(
+        (std::size_t { m_settings.m_memoryMb } << 20) / platform::AnswerBudget::memoryShare);
     innerLimits.m_idleTimeout = std::chrono::seconds(60);
     innerLimits.m_maxConnections = maxInnerConnections;
     m_inner.setLimits(innerLimits);
@@ -472,6 +447,7 @@
     put("state_queries_total", gateway.m_stateQueries);
     put("unanswered_queries_total", gateway.m_unansweredQueries);
     put("advice_calls_total", m_adviceCalls);
+    put("refused_answers_total", platform::AnswerBudget::ofProcess().refusedAnswers());
     if (m_term && m_term->scheduler() != nullptr) {
         const jobs::SchedulerCounters& counters = m_term->scheduler()->counters();
         put("term", m_term->term());
@@ -489,7 +465,7 @@
         put("headroom_passes_total", counters.m_headroomPasses);
         put("team_refusals_total", m_term->scheduler()->teamRefusalCount());
         for (const jobs::TeamJobs& team : m_term->scheduler()->jobsByTeam()) {
-            const std::string label = "{team=\"" + escapedLabel(team.m_team.value()) + "\",share=\"";
+            const std::string label = "{team=" + quotedLabel(team.m_team.value()) + ",share=\"";
             put("team_jobs" + label + "within\"}", team.m_within);
             put("team_jobs" + label + "beyond\"}", team.m_beyond);
         }
@@ -501,8 +477,8 @@
         put("copied_runs_total", counters.m_copiedRuns);
         put("moved_runs_total", counters.m_movedRuns);
         for (const auto& [type, factor] : m_term->scheduler()->speeds().typeFactors())
-            text += "sapphire_speed_factor{service=\"" + labelText(type.first) + "\",type=\"" + labelText(type.second)
-                + "\"} " + std::to_string(factor) + '\n';
+            text += "sapphire_speed_factor{service=" + quotedLabel(type.first) + ",type=" + quotedLabel(type.second)
+                + "} " + std::to_string(factor) + '\n';
     }
     respond({ 200, text, 0, "text/plain" });
 }
--- a/src/controller/TeamMetrics.cpp
+++ b/src/controller/TeamMetrics.cpp
@@ -6,23 +6,11 @@
 
 namespace {
 
-    /// A label value in quotes; the format escapes backslashes, quotes and line feeds.
-    std::string quoted(const std::string& value)
-    {
-        std::string text = "\"";
-        for (const char c : value) {
-            if (c == '\\' || c == '"')
-                text += '\\';
-            text += c == '\n' ? std::string("\\n") : std::string(1, c);
-        }
-        return text + '"';
-    }
-
     void putAmounts(std::string& text, const std::string& name, const TeamId& team, const Resources& amounts)
     {
         const auto put = [&](const char* resource, std::int64_t value) {
-            text += name + "{team=" + quoted(team.value()) + ",resource=\"" + resource + "\"} " + std::to_string(value)
-                + '\n';
+            text += name + "{team=" + quotedLabel(team.value()) + ",resource=\"" + resource + "\"} "
+                + std::to_string(value) + '\n';
         };
         put("cpu_millis", amounts.m_cpuMillis);
         put("memory_mib", amounts.m_memoryMiB);
@@ -31,6 +19,17 @@
 
 } // namespace
 
+std::string quotedLabel(const std::string& value)
+{
+    std::string text = "\"";
+    for (const char c : value) {
+        if (c == '\\' || c == '"')
+            text += '\\';
+        text += c == '\n' ? std::string("\\n") : std::string(1, c);
+    }
+    return text + '"';
+}
+
 std::string teamMetricsText(const std::vector<jobs::TeamUse>& uses)
 {
     std::string text;
@@ -39,7 +38,7 @@
     for (const jobs::TeamUse& use : uses)
         putAmounts(text, "sapphire_team_limit", use.m_team, use.m_limit);
     for (const jobs::TeamUse& use : uses)
-        text += "sapphire_team_waiting_tasks{team=" + quoted(use.m_team.value()) + "} "
+        text += "sapphire_team_waiting_tasks{team=" + quotedLabel(use.m_team.value()) + "} "
             + std::to_string(use.m_waitingTasks) + '\n';
     return text;
 }
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -57,7 +57,7 @@
     job.m_objective = job.m_acceptedAt + objective;
     job.m_usefulUntil = job.m_acceptedAt + objective * usefulObjectives;
     if (!record.m_team.value().empty())
-        job.m_teamNumber = m_shares.add(record.m_job, record.m_team, record.m_acceptedMs);
+        job.m_shareNumber = m_shares.add(record.m_job, record.m_team, record.m_acceptedMs);
     m_jobs.emplace(record.m_job, std::move(owned));
     return job;
 }
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -155,7 +155,7 @@
 {
     // A step that can never run, or waits for a rare worker, must not have a team refused for long.
     if (step.m_job->m_share.m_isBeyond && !step.m_spec->m_isLongRunning && step.m_queueRank.m_lateness < 2)
-        m_scheduler.m_shares.noteRoomWait(step.m_job->m_teamNumber, m_now);
+        m_scheduler.m_shares.noteRoomWait(step.m_job->m_shareNumber, m_now);
 }
 
 bool PlacementPass::waitsForTeamLimit(const Step& step) const
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -197,7 +197,7 @@
     /// Pool of the workers that run the tasks.
     PoolNumber m_pool = 0;
     /// Number of the team in TeamShares, if the job has one, and the mark of the job.
-    TeamNumber m_teamNumber = 0;
+    ShareNumber m_shareNumber = 0;
     ShareMark m_share;
     JobState m_state = JobState::Queued;
     /// State in the store; what callers see once the job has ended.
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -155,7 +155,7 @@
             PlacementPass(*this, now).endReservation(step);
         }
         if (!job->m_record.m_team.value().empty())
-            m_shares.remove(id, job->m_teamNumber, job->m_record.m_acceptedMs);
+            m_shares.remove(id, job->m_shareNumber, job->m_record.m_acceptedMs);
         std::erase(m_dirty, job);
         std::erase(m_jobsWithFutureOccurrences, job);
         m_jobs.erase(id);
--- a/src/jobs/TeamLimits.cpp
+++ b/src/jobs/TeamLimits.cpp
@@ -122,14 +122,4 @@
     return uses;
 }
 
-std::optional<std::uint32_t> stepBeyondLimit(const JobSpec& spec, const Resources& limit)
-{
-    for (std::uint32_t i = 0; i < spec.m_steps.size(); ++i) {
-        const StepSpec& step = spec.m_steps[i];
-        if (!(step.m_need * (step.m_isGang ? step.m_count : 1)).fitsIn(effectiveLimit(limit)))
-            return i;
-    }
-    return std::nullopt;
-}
-
 } // namespace sapphiredale::jobs
--- a/src/jobs/TeamLimits.h
+++ b/src/jobs/TeamLimits.h
@@ -74,8 +74,4 @@
     bool m_isConfigured = false;
 };
 
-/// The first step that can never start within the limit: one of its tasks, or all tasks of a gang, exceed it. An amount
-/// of zero is no limit.
-std::optional<std::uint32_t> stepBeyondLimit(const JobSpec&, const Resources& limit);
-
 } // namespace sapphiredale::jobs
--- a/src/jobs/TeamShares.cpp
+++ b/src/jobs/TeamShares.cpp
@@ -26,15 +26,15 @@
     return Duration(static_cast<Duration::rep>(std::clamp(1e6 / team.m_weight, 1.0, maxIntervalMicros)));
 }
 
-TeamNumber TeamShares::numberOf(const TeamId& team)
+ShareNumber TeamShares::numberOf(const TeamId& team)
 {
-    const auto [found, isNew] = m_numbers.try_emplace(team, static_cast<TeamNumber>(m_teams.size()));
+    const auto [found, isNew] = m_numbers.try_emplace(team, static_cast<ShareNumber>(m_teams.size()));
     if (isNew)
         m_teams.emplace_back().m_team = team;
     return found->second;
 }
 
-void TeamShares::markDirty(TeamNumber number, const Key& key)
+void TeamShares::markDirty(ShareNumber number, const Key& key)
 {
     Team& team = m_teams[number];
     if (!team.m_isDirty)
@@ -52,7 +52,7 @@
     }
     const bool hadWeights = std::exchange(m_hasWeights,
         std::any_of(weights.begin(), weights.end(), [](const auto& weight) { return weight.second > 0; }));
-    for (TeamNumber number = 0; number < m_teams.size(); ++number) {
+    for (ShareNumber number = 0; number < m_teams.size(); ++number) {
         Team& team = m_teams[number];
         const auto found = weights.find(team.m_team);
         team.m_isConfigured = found != weights.end();
@@ -63,16 +63,16 @@
     }
 }
 
-TeamNumber TeamShares::add(const JobId& job, const TeamId& name, std::int64_t acceptedMs)
+ShareNumber TeamShares::add(const JobId& job, const TeamId& name, std::int64_t acceptedMs)
 {
-    const TeamNumber number = numberOf(name);
+    const ShareNumber number = numberOf(name);
     const Key key = keyOf(job, acceptedMs);
     if (m_teams[number].m_jobs.try_emplace(key).second)
         markDirty(number, key);
     return number;
 }
 
-void TeamShares::remove(const JobId& job, TeamNumber number, std::int64_t acceptedMs)
+void TeamShares::remove(const JobId& job, ShareNumber number, std::int64_t acceptedMs)
 {
     m_teams[number].m_jobs.erase(keyOf(job, acceptedMs));
 }
@@ -85,7 +85,7 @@
 std::vector<TeamShares::MarkChange> TeamShares::takeMarkChanges()
 {
     std::vector<MarkChange> changes;
-    for (const TeamNumber number : std::exchange(m_dirtyTeams, {}))
+    for (const ShareNumber number : std::exchange(m_dirtyTeams, {}))
         remark(m_teams[number], changes);
     return changes;
 }
--- a/src/jobs/TeamShares.h
+++ b/src/jobs/TeamShares.h
@@ -36,8 +36,8 @@
 /// second.
 inline constexpr Duration roomWaitMemory = std::chrono::seconds(1);
 
-/// Dense number of a team that has been seen.
-using TeamNumber = std::uint32_t;
+/// Dense number of a team among the shares.
+using ShareNumber = std::uint32_t;
 
 /// Position of a job relative to the share of its team.
 struct ShareMark {
@@ -78,14 +78,14 @@
     void setTeams(const std::vector<TeamPolicy>&);
     /// Adds a job of a team, which is within the share until takeMarkChanges() says otherwise. A job without a team
     /// needs not be added.
-    TeamNumber add(const JobId&, const TeamId&, std::int64_t acceptedMs);
+    ShareNumber add(const JobId&, const TeamId&, std::int64_t acceptedMs);
     /// Forgets a job. The marks of the others stay.
-    void remove(const JobId&, TeamNumber, std::int64_t acceptedMs);
+    void remove(const JobId&, ShareNumber, std::int64_t acceptedMs);
     /// Jobs whose mark has changed since the last call. Takes time only for jobs accepted after a changed one.
     std::vector<MarkChange> takeMarkChanges();
 
     /// Notes that a step of the team that is beyond its share, and could still be useful, waits for room.
-    void noteRoomWait(TeamNumber team, TimePoint now) { m_teams[team].m_roomWaitEnd = now + roomWaitMemory; }
+    void noteRoomWait(ShareNumber team, TimePoint now) { m_teams[team].m_roomWaitEnd = now + roomWaitMemory; }
     /// Decides which teams are refused.
     void updateRefusals(std::int64_t wallNowMs, TimePoint now);
     std::vector<TeamRefusal> refusedTeams(TimePoint now) const;
@@ -123,14 +123,14 @@
     static Key keyOf(const JobId&, std::int64_t acceptedMs);
     /// Interval between jobs at the rate of the team's share.
     static Duration interval(const Team&);
-    TeamNumber numberOf(const TeamId&);
-    void markDirty(TeamNumber, const Key&);
+    ShareNumber numberOf(const TeamId&);
+    void markDirty(ShareNumber, const Key&);
     void remark(Team&, std::vector<MarkChange>&) const;
     static void count(Team&, const Acceptance&, std::uint64_t change);
 
-    std::unordered_map<TeamId, TeamNumber> m_numbers;
+    std::unordered_map<TeamId, ShareNumber> m_numbers;
     std::vector<Team> m_teams;
-    std::vector<TeamNumber> m_dirtyTeams;
+    std::vector<ShareNumber> m_dirtyTeams;
     bool m_hasWeights = false;
     std::vector<TeamRefusalChange> m_refusalChanges;
     std::uint64_t m_refusalCount = 0;
--- a/tests/jobs/TeamLimitTest.cpp
+++ b/tests/jobs/TeamLimitTest.cpp
@@ -115,12 +115,12 @@
     {
         JobSpec spec;
         spec.m_steps = { SimulatedCell::step(100, 4 * core, seconds(1)), SimulatedCell::step(3, 4 * core, seconds(1)) };
-        CPPUNIT_ASSERT(!stepBeyondLimit(spec, { 4 * core, 0, 0 }));
-        CPPUNIT_ASSERT(!stepBeyondLimit(spec, {}));
-        CPPUNIT_ASSERT(stepBeyondLimit(spec, { 4 * core - 1, 0, 0 }) == 0U);
+        CPPUNIT_ASSERT(succeeded(checkLimit(spec, { 4 * core, 0, 0 })));
+        CPPUNIT_ASSERT(succeeded(checkLimit(spec, {})));
+        CPPUNIT_ASSERT(errorOf(checkLimit(spec, { 4 * core - 1, 0, 0 })).m_detail.starts_with("steps[0]"));
         spec.m_steps[1].m_isGang = true;
-        CPPUNIT_ASSERT(stepBeyondLimit(spec, { 11 * core, 0, 0 }) == 1U);
-        CPPUNIT_ASSERT(!stepBeyondLimit(spec, { 12 * core, 0, 0 }));
+        CPPUNIT_ASSERT(errorOf(checkLimit(spec, { 11 * core, 0, 0 })).m_detail.starts_with("steps[1]"));
+        CPPUNIT_ASSERT(succeeded(checkLimit(spec, { 12 * core, 0, 0 })));
     }
 
     // Guards against a step wider than its team's limit that exceeds it, or that never ends.
