Let new peers replace silent connections; count peer connections; leave small answers uncounted

Sixteen silent connections could have shut out every peer that connects later. One that has sent no message of a peer for 5 s now gives way to a new one. Answers up to 32 KB are not counted in the budget of answers, so that large ones of one server do not make the reports of workers fail.

--- a/src/daemon/Application.cpp
+++ b/src/daemon/Application.cpp
@@ -258,6 +258,7 @@
     return { { "memory", callers.m_memoryEnds + operators.m_memoryEnds },
         { "header-limit", callers.m_headerEnds + operators.m_headerEnds },
         { "request-time", callers.m_callerTimeouts + operators.m_callerTimeouts },
+        { "peer-connections", m_peers.refusedConnections() },
         { "answers", platform::AnswerBudget::ofProcess().refusedAnswers() } };
 }
 
--- a/src/daemon/PeerLink.h
+++ b/src/daemon/PeerLink.h
@@ -74,6 +74,8 @@
     void setLeaving();
     /// Copies the counters of the transport to the metrics.
     void updateMetrics();
+    /// Connections of other daemons that were closed because too many had sent no message of a peer.
+    std::uint64_t refusedConnections() const { return m_transport->statistics().m_refusedConnections; }
 
 private:
     void received(peer::Envelope&&);
--- a/src/peer/PeerTransport.cpp
+++ b/src/peer/PeerTransport.cpp
@@ -51,6 +51,9 @@
     /// Connections from which no message of a peer has arrived. Each may hold an unfinished message of maxMessageBytes,
     /// so that they hold at most 16 MiB together. A peer sends heartbeats, so that it is known after about a second.
     constexpr std::size_t maxUnknownPipes = 16;
+    /// After this time a connection without a message of a peer gives way to a new one, so that silent connections
+    /// cannot shut out the peers.
+    constexpr auto unknownPipeTime = std::chrono::seconds(5);
     /// Connections of peers; a cell has some 40 daemons with one or two each.
     constexpr std::size_t maxPipes = 256;
 
@@ -68,20 +71,10 @@
         static void onEvent(nng_pipe pipe, nng_pipe_ev event, void* self)
         {
             Pipes& pipes = *static_cast<Pipes*>(self);
-            const int id = nng_pipe_id(pipe);
-            const std::lock_guard lock(pipes.m_mutex);
-            if (event == NNG_PIPE_EV_REM_POST) {
-                std::erase(pipes.m_unknown, id);
-                pipes.m_known.erase(id);
-            } else if (event == NNG_PIPE_EV_ADD_PRE) {
-                if (pipes.m_unknown.size() < maxUnknownPipes
-                    && pipes.m_unknown.size() + pipes.m_known.size() < maxPipes) {
-                    pipes.m_unknown.push_back(id);
-                    return;
-                }
-                ++pipes.m_refused;
-                nng_pipe_close(pipe);
-            }
+            if (event == NNG_PIPE_EV_REM_POST)
+                pipes.removed(pipe);
+            else if (event == NNG_PIPE_EV_ADD_PRE)
+                pipes.added(pipe);
         }
 
         /// A message of a peer has arrived.
@@ -89,7 +82,7 @@
         {
             const int id = nng_pipe_id(pipe);
             const std::lock_guard lock(m_mutex);
-            if (std::erase(m_unknown, id) > 0)
+            if (eraseUnknown(id))
                 m_known.insert(id);
         }
 
@@ -100,8 +93,48 @@
         }
 
     private:
+        struct Unknown {
+            nng_pipe m_pipe;
+            SteadyClock::time_point m_since;
+        };
+
+        void added(nng_pipe pipe)
+        {
+            nng_pipe closed = pipe;
+            {
+                const auto now = SteadyClock::now();
+                const std::lock_guard lock(m_mutex);
+                const bool isFull = m_unknown.size() >= maxUnknownPipes;
+                if (m_unknown.size() + m_known.size() < maxPipes
+                    && (!isFull || now - m_unknown.front().m_since >= unknownPipeTime)) {
+                    m_unknown.push_back({ pipe, now });
+                    if (!isFull)
+                        return;
+                    closed = m_unknown.front().m_pipe;
+                    m_unknown.pop_front();
+                }
+                ++m_refused;
+            }
+            nng_pipe_close(closed);
+        }
+
+        void removed(nng_pipe pipe)
+        {
+            const int id = nng_pipe_id(pipe);
+            const std::lock_guard lock(m_mutex);
+            eraseUnknown(id);
+            m_known.erase(id);
+        }
+
+        bool eraseUnknown(int id)
+        {
+            return std::erase_if(m_unknown, [id](const Unknown& unknown) { return nng_pipe_id(unknown.m_pipe) == id; })
+                > 0;
+        }
+
         mutable std::mutex m_mutex;
-        std::vector<int> m_unknown;
+        /// In the order of their connections.
+        std::deque<Unknown> m_unknown;
         std::set<int> m_known;
         std::uint64_t m_refused = 0;
     };
--- a/src/platform/HttpChannel.cpp
+++ b/src/platform/HttpChannel.cpp
@@ -38,6 +38,9 @@
     /// Space beyond it for the size lines of chunks and the line ends in the buffer of a connection.
     constexpr std::size_t bufferReserve = 1024;
 
+    /// Smaller answers are not counted, so that large ones of one server cannot make the reports of workers fail.
+    constexpr std::size_t uncountedBytes = 32 << 10;
+
     /// Parses "address:port" or "[address]:port"; null when the text is neither.
     std::unique_ptr<const tcp::endpoint> parseEndpoint(const std::string& text)
     {
@@ -142,7 +145,9 @@
         /// Counts what the answer takes; false if the answers of the process together take too much.
         bool hold()
         {
-            const std::size_t bytes = m_parser ? m_input.capacity() + m_parser->get().body().capacity() : 0;
+            std::size_t bytes = m_parser ? m_input.capacity() + m_parser->get().body().capacity() : 0;
+            if (bytes <= uncountedBytes)
+                bytes = 0;
             if (bytes > m_heldBytes && !AnswerBudget::ofProcess().add(bytes - m_heldBytes))
                 return false;
             if (bytes < m_heldBytes)
