--- a/src/forwarding/Attempt.cpp
+++ b/src/forwarding/Attempt.cpp
@@ -228,7 +228,7 @@
 {
     for (;;) {
         m_answer = std::make_unique<ResponseParser>();
-        m_answer->header_limit(m_server.m_settings.m_maxHeader);
+        m_answer->setHeaderLimit(m_server.m_settings.m_maxHeader);
         m_answer->body_limit(boost::none);
         if (m_request->get().method() == http::verb::head)
             m_answer->skip(true);
--- a/src/forwarding/MessageReader.h
+++ b/src/forwarding/MessageReader.h
@@ -27,7 +27,7 @@
     BoundedParser& operator=(const BoundedParser&) = delete;
 
     /// Most bytes of the header, of the trailers, and of the extensions of all chunks.
-    void header_limit(std::uint32_t limit)
+    void setHeaderLimit(std::uint32_t limit)
     {
         m_headerLimit = limit;
         http::parser<isRequest, http::buffer_body>::header_limit(limit);
--- a/src/forwarding/Session.cpp
+++ b/src/forwarding/Session.cpp
@@ -181,7 +181,7 @@
 Awaitable<bool> Session::readRequest()
 {
     m_request = std::make_unique<RequestParser>();
-    m_request->header_limit(m_server.m_settings.m_maxHeader);
+    m_request->setHeaderLimit(m_server.m_settings.m_maxHeader);
     m_request->body_limit(m_server.m_settings.m_maxBody);
     m_stop = Stop::None;
     m_requestDeadline = TimePoint::max();
