--- a/fuzz/DocumentsFuzz.cpp
+++ b/fuzz/DocumentsFuzz.cpp
@@ -56,8 +56,8 @@
                 ["00112233445566aa.0.0.2",1,"",5,0]],"finished":[[58,"00112233445566aa.0.0.0",1,"done",""]]})";
         case Kind::StoredJob: {
             auto spec = userplatform::decodeSubmission(validDocument(Kind::Submission));
-            return jobs::encodeJobRecord(
-                { JobId(jobName), { "q", "s", 1, 3, 1.5, seconds(1), std::nullopt }, valueOf(spec), 1000 });
+            return jobs::encodeJobRecord({ JobId(jobName), { "q", "s", 1, 3, 1.5, seconds(1), std::nullopt },
+                valueOf(spec), 1000, TeamId("t"), { 4000, 8192, 0 } });
         }
         case Kind::StoredProgress: {
             jobs::JobProgress progress;
@@ -171,7 +171,7 @@
         const auto entryText = kind == Kind::WorkerEntry ? document : validDocument(Kind::WorkerEntry);
         if (const auto entry = userplatform::decodeWorkerEntry("i-1", entryText))
             scheduler.workerListed(*entry, begin);
-        jobs::JobRecord record { JobId(jobName), { "q", "s", 1, 3, 1.5, seconds(1), std::nullopt }, {}, 1000 };
+        jobs::JobRecord record { JobId(jobName), { "q", "s", 1, 3, 1.5, seconds(1), std::nullopt }, {}, 1000, {}, {} };
         record.m_spec = valueOf(userplatform::decodeSubmission(validDocument(Kind::Submission)));
         if (kind == Kind::Submission) {
             const auto spec = userplatform::decodeSubmission(document);
