--- a/tests/controller/TeamDaemonTest.cpp
+++ b/tests/controller/TeamDaemonTest.cpp
@@ -54,6 +54,7 @@
 
         const std::string& callers() const { return m_settings.m_callers; }
         const std::string& inner() const { return m_settings.m_inner; }
+        const std::string& operators() const { return m_settings.m_operators; }
 
     private:
         SiteSettings m_settings;
@@ -133,21 +134,31 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(method + ' ' + key, expected, seen);
         }
 
+        bool showsLimit(const std::string& millis)
+        {
+            const std::string metrics = send(m_daemon->operators(), "GET /metrics HTTP/1.1", "");
+            return metrics.find(R"(sapphire_team_limit{team="a",resource="cpu_millis"} )" + millis + '\n')
+                != std::string::npos;
+        }
+
         boost::asio::io_context m_context;
         StoreStandIn m_store;
         std::unique_ptr<Daemon> m_daemon;
     };
 
 public:
-    // Guards against a daemon that does not take over keys, that serves calls before it has a configuration, or that
-    // does not tell other daemons the team of a job and the refused teams.
+    // Guards against a daemon that does not take over keys, that serves calls before it has a configuration, that does
+    // not tell other daemons the team of a job and the refused teams, or whose scheduler does not learn the limits of
+    // teams and their changes.
     void keysFollowTheConfiguration()
     {
         Cell cell;
         CPPUNIT_ASSERT_EQUAL(503U, cell.status("POST", "key-a"));
-        cell.configure(1, R"([{"name":"a","api_keys":["key-a"]},{"name":"b","api_keys":["key-b"]}])");
+        cell.configure(
+            1, R"([{"name":"a","api_keys":["key-a"],"max_count":{"cpu":4000}},{"name":"b","api_keys":["key-b"]}])");
         cell.awaitStatus("POST", "key-a", 200);
         cell.awaitStatus("GET", "key-a", 200);
+        CPPUNIT_ASSERT(cell.showsLimit("4000"));
         CPPUNIT_ASSERT_EQUAL(403U, cell.status("GET", "key-b"));
         CPPUNIT_ASSERT_EQUAL(403U, cell.status("DELETE", "key-b"));
         const std::string refusal = cell.call("GET", "key-c");
@@ -160,10 +171,12 @@
             = cell.send(cell.m_daemon->inner(), std::string("POST ") + inner::helloPath + " HTTP/1.1",
                 inner::encode(inner::Hello { DaemonId("d2"), "127.0.0.1:1", false, false }));
         CPPUNIT_ASSERT_MESSAGE(hello, hello.ends_with(R"({"refused":[]})"));
-        cell.configure(3, R"([{"name":"a","api_keys":["key-a3"]},{"name":"b","api_keys":["key-b"]}])");
+        cell.configure(
+            3, R"([{"name":"a","api_keys":["key-a3"],"max_count":{"cpu":8000}},{"name":"b","api_keys":["key-b"]}])");
         cell.configure(2, R"([{"name":"a","api_keys":["key-a"]},{"name":"b","api_keys":["key-b"]}])");
         cell.awaitStatus("GET", "key-a", 401);
         CPPUNIT_ASSERT_EQUAL(401U, cell.status("DELETE", "key-a"));
+        CPPUNIT_ASSERT(cell.showsLimit("8000"));
         // The job goes on after its key was removed, until its team cancels it.
         CPPUNIT_ASSERT_EQUAL(200U, cell.status("GET", "key-a3"));
         CPPUNIT_ASSERT_EQUAL(200U, cell.status("DELETE", "key-a3"));
