Overload tests: check the calls that open sockets

Change: a socket that cannot be bound ends the test with its reason; crowd and bounds are unchanged.

--- a/tests/overload/ClientCrowd.cpp
+++ b/tests/overload/ClientCrowd.cpp
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <stdexcept>
 #include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -127,9 +128,10 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
-    ::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    ::listen(m_listener, SOMAXCONN);
-    ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
+    if (::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0
+        || ::listen(m_listener, SOMAXCONN) != 0
+        || ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length) != 0)
+        throw std::runtime_error("cannot listen on the loopback interface");
     m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
     m_thread = std::thread([this] { serve(); });
 }
--- a/tests/overload/OverloadedProcess.cpp
+++ b/tests/overload/OverloadedProcess.cpp
@@ -13,6 +13,7 @@
 #include <iterator>
 #include <netinet/in.h>
 #include <poll.h>
+#include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -50,9 +51,11 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
-    ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+    const bool isBound = ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0
+        && ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length) == 0;
     ::close(socket);
+    if (!isBound)
+        throw std::runtime_error("no port is free on the loopback interface");
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
--- a/tests/overload/OverloadedProcess.h
+++ b/tests/overload/OverloadedProcess.h
@@ -17,7 +17,7 @@
 
 /// Peak resident memory that a daemon may reach. The smallest host has 120 MB; about half of it is left for the jobs
 /// and tables of a cell, which are empty in these tests.
-inline constexpr std::size_t maxPeakKb = 64 * 1024;
+inline constexpr std::size_t maxPeakKb = std::size_t { 64 } * 1024;
 /// The platform allows 3,000 connections per daemon; the rest are listeners, connections to the platform and timers.
 inline constexpr std::size_t maxDescriptors = 3000 + 64;
 /// Descriptors by which a process without clients may exceed its number before the crowd: a daemon that has just
