Bound the times of stored jobs, so that objectives do not overflow

Cause: the fuzz of stored documents under the undefined-behaviour sanitizer, reached an overflow in JobScheduler::createJob: a damaged record may hold any slack factor, latency target and advice time. Change: decodeJobRecord bounds these values and the time of acceptance, and createJob the objective.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -13,6 +13,8 @@
 
     /// Number of workers per advice request that objectives allow for.
     constexpr int workersPerAdviceRequest = 30;
+    /// Longer objectives would overflow, as multiples of them are added to times.
+    constexpr Duration maxObjective = std::chrono::hours(24 * 36500);
     /// A result that is later than this multiple of the objective has no value.
     constexpr int usefulObjectives = 3;
     /// Time after the expiry of a ticket here by which it has expired on each worker.
@@ -51,7 +53,8 @@
     job.m_team = m_teamLimits.numberOf(record.m_team);
     const Duration age = std::chrono::milliseconds(std::max<std::int64_t>(0, wallNowMs - record.m_acceptedMs));
     job.m_acceptedAt = now - age;
-    const Duration objective = scaled(criticalPathLength(withAdviceTime(record)), record.m_policy.m_slackFactor)
+    const Duration objective
+        = std::min(scaled(criticalPathLength(withAdviceTime(record)), record.m_policy.m_slackFactor), maxObjective)
         + record.m_policy.m_latencyTarget;
     job.m_chain = criticalPathLength(record.m_spec);
     job.m_objective = job.m_acceptedAt + objective;
--- a/src/jobs/JobSpec.cpp
+++ b/src/jobs/JobSpec.cpp
@@ -127,6 +127,16 @@
         return step;
     }
 
+    /// Bounds of a stored policy. A damaged record must not let objectives overflow.
+    constexpr double maxSlackFactor = 1000;
+    constexpr Duration maxLatencyTarget = std::chrono::hours(24 * 1000);
+    constexpr Duration maxAdviceTime = std::chrono::hours(24);
+
+    Duration boundedTime(std::int64_t micros, Duration most)
+    {
+        return Duration(std::clamp<std::int64_t>(micros, -most.count(), most.count()));
+    }
+
 } // namespace
 
 Result<Unit> validate(const JobSpec& spec)
@@ -197,12 +207,13 @@
     record.m_policy.m_service = reader.text("pool");
     record.m_policy.m_priority = reader.count("priority");
     record.m_policy.m_maxAttempts = std::max(1U, reader.count("maxAttempts"));
-    record.m_policy.m_slackFactor = reader.real("slack");
-    record.m_policy.m_latencyTarget = Duration(reader.number("latencyTargetMicros"));
+    record.m_policy.m_slackFactor = std::clamp(reader.real("slack"), 0.0, maxSlackFactor);
+    record.m_policy.m_latencyTarget = boundedTime(reader.number("latencyTargetMicros"), maxLatencyTarget);
     if (const json::object* object = reader.object("advice")) {
         const Reader advice(*object);
-        record.m_policy.m_advice = AdvicePolicy { Duration(advice.number("baseMicros")),
-            Duration(advice.number("perWorkerMicros")), Duration(advice.number("validityMicros")) };
+        record.m_policy.m_advice = AdvicePolicy { boundedTime(advice.number("baseMicros"), maxAdviceTime),
+            boundedTime(advice.number("perWorkerMicros"), maxAdviceTime),
+            boundedTime(advice.number("validityMicros"), maxAdviceTime) };
     }
     record.m_team = TeamId(reader.text("team"));
     if (const json::object* object = reader.object("teamLimit")) {
@@ -213,7 +224,7 @@
     record.m_spec.m_occurrences = reader.count("occurrences");
     record.m_spec.m_firstDueMs = reader.number("firstDueMs");
     record.m_spec.m_intervalMs = reader.number("intervalMs");
-    record.m_acceptedMs = reader.number("acceptedMs");
+    record.m_acceptedMs = std::clamp<std::int64_t>(reader.number("acceptedMs"), 0, maxFirstDueMs);
     if (const json::array* steps = reader.list("steps")) {
         for (const json::value& step : *steps) {
             if (step.is_object())
