Overload tests: a longer limit on the wait for closed connections

Cause: SiteOverloadTest::connectionsThatReadNothing failed in the build with the address sanitizer, in 2 of 2 runs: there the daemon needs 70 s of processor time for the 800,000 requests of the crowd, and the test waited 60 s for its connections to close. The wait is not meant to check a time. Change: the wait ends after 300 s. Crowd, memory bound and bound on descriptors are unchanged.

--- a/tests/overload/OverloadedProcess.cpp
+++ b/tests/overload/OverloadedProcess.cpp
@@ -156,7 +156,8 @@
 
 bool OverloadedProcess::waitForDescriptors(std::size_t most) const
 {
-    return waitUntil(std::chrono::seconds(60), [&] { return descriptors() <= most; });
+    // Only ends a test that fails: with sanitizers the daemon needs over a minute for what the crowd has sent.
+    return waitUntil(std::chrono::seconds(300), [&] { return descriptors() <= most; });
 }
 
 } // namespace sapphiredale::overload
