--- a/cmake/SapphirePackage.cmake
+++ b/cmake/SapphirePackage.cmake
@@ -31,7 +31,7 @@
         target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR})
         target_link_libraries(test_${name} PRIVATE ${target} ${ARG_TEST_DEPENDS} cppunit)
         add_test(NAME ${name} COMMAND test_${name} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
-        set_tests_properties(${name} PROPERTIES TIMEOUT 600)
+        set_tests_properties(${name} PROPERTIES TIMEOUT 1800)
     endif()
 endfunction()
 
