--- a/review/stand-in-2/Cell.h
+++ b/review/stand-in-2/Cell.h
@@ -97,6 +97,17 @@
         }
         throw std::runtime_error("no daemon has written to the store under a condition");
     }
+    /// Resident memory of a daemon's process; 0 if it does not run.
+    std::int64_t residentMb(std::size_t daemon) const
+    {
+        const pid_t process = m_daemons.at(daemon).m_process;
+        std::ifstream file("/proc/" + std::to_string(process) + "/statm");
+        std::int64_t size = 0;
+        std::int64_t resident = 0;
+        if (process <= 0 || !(file >> size >> resident))
+            return 0;
+        return (resident * ::sysconf(_SC_PAGESIZE)) >> 20;
+    }
     /// Whether a process of the system has ended by itself.
     bool hasEnded(std::size_t daemon)
     {
