--- a/review/stand-in-2/Worker.h
+++ b/review/stand-in-2/Worker.h
@@ -66,6 +66,25 @@
         m_ends.clear();
         m_waiting.clear();
     }
+    /// Ends the process: its connections are closed, and calls on new ones get no answer until the next process begins.
+    void crashSilently()
+    {
+        crash();
+        m_server.open();
+    }
+    /// Begins the next process under the id that the minion had.
+    void beginAgain() { begin(m_id); }
+    /// Cuts the minion off from the daemons and the store, or ends that. Its runs go on.
+    void setCut(bool isCut)
+    {
+        m_isCut = isCut;
+        m_nextEntryAt = 0;
+        if (isCut)
+            m_waiting.clear();
+    }
+    /// While it is set, each second start gets no answer and is carried out this many milliseconds later.
+    void setLate(std::int64_t delayMs) { m_lateMs = delayMs; }
+
     /// Begins a new incarnation under another id at the same address.
     void restart(std::string id)
     {
@@ -110,9 +129,9 @@
     void tick()
     {
         const std::int64_t now = nowMs();
-        if (m_isUp && m_nextEntryAt <= now)
+        if (m_isUp && !m_isCut && m_nextEntryAt <= now)
             writeEntry();
-        if (!m_isUp && m_entryExpiresAt != 0 && m_entryExpiresAt <= now) {
+        if ((!m_isUp || m_isCut) && m_entryExpiresAt != 0 && m_entryExpiresAt <= now) {
             m_store.put("keyed.servers", m_entryId, std::nullopt);
             m_entryExpiresAt = 0;
         }
@@ -180,6 +199,8 @@
 
     void handle(const Request& request, const Respond& respond)
     {
+        if (!m_isUp || m_isCut)
+            return;
         if (!request.m_expectedInstance.empty() && request.m_expectedInstance != m_id)
             return respond(421, "{}");
         if (request.m_method == "GET" && request.path() == "/health")
@@ -193,8 +214,11 @@
         if (token < m_token)
             return answer(respond, 409, { { "reason", "fence" } });
         m_token = token;
-        if (request.path() == "/-/run-start")
-            return start(body, respond);
+        if (request.path() == "/-/run-start") {
+            if (m_lateMs == 0 || ++m_starts % 2 == 0)
+                return start(body, respond);
+            return carryOutLate(body);
+        }
         if (request.path() == "/-/run-stop")
             return stop(body, respond);
         if (request.path() == "/-/hold")
@@ -202,6 +226,21 @@
         answer(respond, request.path() == "/-/pace" ? 200 : 404);
     }
 
+    /// Carries a start out later, by the process that runs then, without an answer.
+    void carryOutLate(const json::object& body)
+    {
+        const auto timer = std::make_shared<asio::steady_timer>(m_context, Milliseconds(m_lateMs));
+        timer->async_wait([this, timer, body](error_code error) {
+            if (error || !m_isUp)
+                return;
+            const auto token = static_cast<std::uint64_t>(numberOf(body, "fencing_token", 0));
+            if (token < m_token)
+                return;
+            m_token = token;
+            start(body, [](unsigned, const std::string&) {});
+        });
+    }
+
     void extendLease(const json::object& body)
     {
         m_leaseEnd = std::max(m_leaseEnd, std::min(numberOf(body, "until_ms", 0), clock() + maxHoldMs));
@@ -305,6 +344,9 @@
     std::map<std::string, std::uint64_t> m_barred;
     std::vector<End> m_ends;
     std::vector<Waiting> m_waiting;
+    bool m_isCut = false;
+    std::int64_t m_lateMs = 0;
+    std::uint64_t m_starts = 0;
     asio::steady_timer m_timer;
     Server m_server;
 };
