Log what a move of the progress leaves behind

Change: progress-moves has the fields unlistedPartitions and inheritedRecords, and late-partition-restored (3031) tells of each partition that is read late. No decision changes.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -345,7 +345,9 @@
     m_openBatch = batch.m_number;
     m_log.write(LogEvent::ProgressMoves,
         { { "term", m_settings.m_term }, { "partition", std::uint64_t { m_writer->partition() } },
-            { "jobs", std::uint64_t { batch.m_records.size() } } });
+            { "jobs", std::uint64_t { batch.m_records.size() } },
+            { "unlistedPartitions", std::uint64_t { unlistedPartitionCount() } },
+            { "inheritedRecords", std::uint64_t { unmatchedRecordCount() } } });
     ProgressWriter::Records records;
     records.reserve(batch.m_records.size());
     for (const jobs::ProgressRecord& record : batch.m_records)
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -109,6 +109,8 @@
     /// Whether enough of the store has been read to begin scheduling; starts the listing timeout when it is needed.
     bool canBeginScheduling();
     std::size_t unlistedPartitionCount() const;
+    /// Number of progress records of earlier terms whose jobs are not known, as their partition has not been read.
+    std::size_t unmatchedRecordCount() const;
     void restorePartition(JobObserver&);
     /// Restores a partition of the accepted jobs whose listing ended after the recovery.
     void restoreLatePartition(JobObserver&);
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -16,6 +16,9 @@
     /// A registry entry may be missing for about 2 s while the store recovers.
     constexpr Duration missingEntryGracePeriod = std::chrono::milliseconds(2500);
 
+    /// The job that a key of the progress topic belongs to.
+    JobId jobOf(const std::string& key) { return JobId(key.front() == runningJobPrefix ? key.substr(1) : key); }
+
 } // namespace
 
 void SchedulerTerm::recover()
@@ -66,6 +69,13 @@
         m_jobObservers.begin(), m_jobObservers.end(), [](const auto& observer) { return !observer->m_isListed; }));
 }
 
+std::size_t SchedulerTerm::unmatchedRecordCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_progressObserver->m_records.begin(), m_progressObserver->m_records.end(),
+            [this](const auto& record) { return !m_scheduler->knows(jobOf(record.first)); }));
+}
+
 bool SchedulerTerm::canBeginScheduling()
 {
     if (!m_workerObserver->m_isListed || !m_progressObserver->m_isListed)
@@ -87,7 +97,14 @@
 
 void SchedulerTerm::restoreLatePartition(JobObserver& observer)
 {
+    const std::size_t jobs = m_scheduler->jobCount();
+    const std::size_t unmatched = unmatchedRecordCount();
     restorePartition(observer);
+    m_log.write(LogEvent::LatePartitionRestored,
+        { { "term", m_settings.m_term }, { "partition", std::uint64_t { observer.m_partition } },
+            { "jobs", std::uint64_t { m_scheduler->jobCount() - jobs } },
+            { "progressRecords", std::uint64_t { unmatched - unmatchedRecordCount() } },
+            { "unlistedPartitions", std::uint64_t { unlistedPartitionCount() } } });
     finishRestoration();
     scheduleStep();
 }
@@ -98,8 +115,7 @@
         return;
     // Progress of jobs that are not stored elsewhere is left over from a move to another partition and back.
     for (const auto& [key, value] : m_progressObserver->m_records) {
-        const bool isRunningJob = key.front() == runningJobPrefix;
-        if (!m_scheduler->knows(JobId(isRunningJob ? key.substr(1) : key)))
+        if (!m_scheduler->knows(jobOf(key)))
             m_removals.emplace_back(key, std::nullopt);
     }
     m_progressObserver->m_records.clear();
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -46,6 +46,8 @@
         { RunInLaterProcess, 3027, Info, "run-in-later-process",
             "A worker has begun a run that was sent to an earlier process of it" },
         { MachineTypeSpeed, 3030, Info, "machine-type-speed", "The speed of a machine type is known or has changed" },
+        { LatePartitionRestored, 3031, Info, "late-partition-restored",
+            "A partition of the accepted jobs was read after the recovery" },
         { TaskStarted, 4001, Debug, "task-started", "A task was started" },
         { TaskStopped, 4002, Debug, "task-stopped", "A task was stopped" },
         { JobAccepted, 4008, Info, "job-accepted", "A job was accepted" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -43,6 +43,7 @@
     RunStarted,
     RunInLaterProcess,
     MachineTypeSpeed,
+    LatePartitionRestored,
     TaskStarted,
     TaskStopped,
     JobAccepted,
