A move of the progress takes along what the term does not know yet

Cause: a term may begin without some partitions of the accepted jobs. It holds the progress of jobs in them unmatched in memory.

--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -343,13 +343,17 @@
 {
     const jobs::JobScheduler::Batch batch = m_scheduler->takeEverything(m_openBatch);
     m_openBatch = batch.m_number;
+    const auto& unmatched = m_progressObserver->unmatched();
     m_log.write(LogEvent::ProgressMoves,
         { { "term", m_settings.m_term }, { "partition", std::uint64_t { m_writer->partition() } },
             { "jobs", std::uint64_t { batch.m_records.size() } },
             { "unlistedPartitions", std::uint64_t { unlistedPartitionCount() } },
-            { "inheritedRecords", std::uint64_t { unmatchedRecordCount() } } });
-    ProgressWriter::Records records;
-    records.reserve(batch.m_records.size());
+            { "inheritedRecords", std::uint64_t { unmatched.size() } } });
+    // A successor reads the new partition only. Jobs that the scheduler does not know have records in the job topic
+    // too: those that this term has not read yet, and those whose records are being removed.
+    ProgressWriter::Records records(unmatched.begin(), unmatched.end());
+    for (const auto& [job, state] : m_recordRemoval.ended())
+        addRecords(records, { job, { state, {}, {}, {}, {} }, std::nullopt, false });
     for (const jobs::ProgressRecord& record : batch.m_records)
         addRecords(records, record);
     return records;
@@ -468,9 +472,9 @@
                 { "otherTeam", reused.m_otherTeam.value() }, { "term", m_settings.m_term } });
 }
 
-void SchedulerTerm::removeExpiredJobs(const std::vector<JobId>& jobs)
+void SchedulerTerm::removeExpiredJobs(const std::vector<jobs::ExpiredJob>& jobs)
 {
-    for (const JobId& job : jobs)
+    for (const jobs::ExpiredJob& job : jobs)
         m_recordRemoval.begin(job);
     removeStoredJobs();
 }
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -109,14 +109,13 @@
     /// Whether enough of the store has been read to begin scheduling; starts the listing timeout when it is needed.
     bool canBeginScheduling();
     std::size_t unlistedPartitionCount() const;
-    /// Number of progress records of earlier terms whose jobs are not known, as their partition has not been read.
-    std::size_t unmatchedRecordCount() const;
     void restorePartition(JobObserver&);
     /// Restores a partition of the accepted jobs whose listing ended after the recovery.
     void restoreLatePartition(JobObserver&);
     void finishRestoration();
     void addJob(const JobId&, const std::string& record, TimePoint now);
-    jobs::JobProgress storedProgress(const JobId&) const;
+    /// Empty if the text is; logs a text that cannot be read.
+    jobs::JobProgress decodeStoredProgress(const JobId&, const std::string& text) const;
     void scheduleStep();
     void step();
     /// Holds back starts while the view of the registry or of the accepted jobs is too old.
@@ -159,7 +158,7 @@
     void openLink(const WorkerId&);
     void closeLink(const WorkerId&);
     /// Removes the stored records of jobs that the scheduler has dropped after their retention time.
-    void removeExpiredJobs(const std::vector<JobId>&);
+    void removeExpiredJobs(const std::vector<jobs::ExpiredJob>&);
     void removeStoredJobs();
 
     boost::asio::io_context& m_context;
--- a/src/controller/TermObservers.h
+++ b/src/controller/TermObservers.h
@@ -109,11 +109,11 @@
         : m_term(term)
     {
     }
-    void listingBegan() override { m_records.clear(); }
+    void listingBegan() override { m_unmatched.clear(); }
     void recordRead(const userplatform::KeyedRecord& record) override
     {
         if (!m_isListed && record.m_value && !record.m_key.empty())
-            m_records[record.m_key] = *record.m_value;
+            m_unmatched[record.m_key] = *record.m_value;
     }
     void listingEnded() override
     {
@@ -122,11 +122,30 @@
         m_term.recover();
     }
 
+    /// What earlier terms stored of a job.
+    struct JobRecords {
+        /// Empty if there is none.
+        std::string m_progress;
+        bool m_hasRunningRecord = false;
+    };
+    /// Removes and returns the records of a job that becomes known.
+    JobRecords take(const JobId& job)
+    {
+        JobRecords records;
+        if (auto progress = m_unmatched.extract(job.value()))
+            records.m_progress = std::move(progress.mapped());
+        records.m_hasRunningRecord = m_unmatched.erase(runningJobPrefix + job.value()) > 0;
+        return records;
+    }
+    /// Records by key of jobs that are not known yet.
+    const std::map<std::string, std::string>& unmatched() const { return m_unmatched; }
+    std::map<std::string, std::string> takeUnmatched() { return std::exchange(m_unmatched, {}); }
+
     bool m_isListed = false;
-    std::map<std::string, std::string> m_records;
 
 private:
     SchedulerTerm& m_term;
+    std::map<std::string, std::string> m_unmatched;
 };
 
 } // namespace sapphiredale::controller
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -16,9 +16,6 @@
     /// A registry entry may be missing for about 2 s while the store recovers.
     constexpr Duration missingEntryGracePeriod = std::chrono::milliseconds(2500);
 
-    /// The job that a key of the progress topic belongs to.
-    JobId jobOf(const std::string& key) { return JobId(key.front() == runningJobPrefix ? key.substr(1) : key); }
-
 } // namespace
 
 void SchedulerTerm::recover()
@@ -40,10 +37,14 @@
         m_scheduler->workerListed(worker, now);
         openLink(id);
     }
-    for (const auto& [key, value] : m_progressObserver->m_records) {
+    const std::size_t progressRecords = m_progressObserver->unmatched().size();
+    std::vector<std::pair<JobId, std::string>> runningJobs;
+    for (const auto& [key, value] : m_progressObserver->unmatched()) {
         if (key.front() == runningJobPrefix)
-            addJob(JobId(key.substr(1)), value, now);
+            runningJobs.emplace_back(key.substr(1), value);
     }
+    for (const auto& [job, record] : runningJobs)
+        addJob(job, record, now);
     for (const auto& observer : m_jobObservers) {
         if (observer->m_isListed)
             restorePartition(*observer);
@@ -52,7 +53,7 @@
         { { "term", m_settings.m_term }, { "jobs", std::uint64_t { m_scheduler->jobCount() } },
             { "openJobs", std::uint64_t { m_scheduler->openJobCount() } },
             { "progressPartition", std::uint64_t { m_settings.m_progressPartition } },
-            { "progressRecords", std::uint64_t { m_progressObserver->m_records.size() } },
+            { "progressRecords", std::uint64_t { progressRecords } },
             { "workers", std::uint64_t { m_workerObserver->m_entries.size() } },
             { "earlierLeasesMs", millisecondsOf(std::max(m_settings.m_earlierLeases.m_end - now, Duration::zero())) },
             { "knownLeases", std::uint64_t { m_settings.m_earlierLeases.m_byWorker.size() } },
@@ -69,13 +70,6 @@
         m_jobObservers.begin(), m_jobObservers.end(), [](const auto& observer) { return !observer->m_isListed; }));
 }
 
-std::size_t SchedulerTerm::unmatchedRecordCount() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_progressObserver->m_records.begin(), m_progressObserver->m_records.end(),
-            [this](const auto& record) { return !m_scheduler->knows(jobOf(record.first)); }));
-}
-
 bool SchedulerTerm::canBeginScheduling()
 {
     if (!m_workerObserver->m_isListed || !m_progressObserver->m_isListed)
@@ -98,12 +92,12 @@
 void SchedulerTerm::restoreLatePartition(JobObserver& observer)
 {
     const std::size_t jobs = m_scheduler->jobCount();
-    const std::size_t unmatched = unmatchedRecordCount();
+    const std::size_t unmatched = m_progressObserver->unmatched().size();
     restorePartition(observer);
     m_log.write(LogEvent::LatePartitionRestored,
         { { "term", m_settings.m_term }, { "partition", std::uint64_t { observer.m_partition } },
             { "jobs", std::uint64_t { m_scheduler->jobCount() - jobs } },
-            { "progressRecords", std::uint64_t { unmatched - unmatchedRecordCount() } },
+            { "progressRecords", std::uint64_t { unmatched - m_progressObserver->unmatched().size() } },
             { "unlistedPartitions", std::uint64_t { unlistedPartitionCount() } } });
     finishRestoration();
     scheduleStep();
@@ -114,11 +108,8 @@
     if (unlistedPartitionCount() > 0)
         return;
     // Progress of jobs that are not stored elsewhere is left over from a move to another partition and back.
-    for (const auto& [key, value] : m_progressObserver->m_records) {
-        if (!m_scheduler->knows(jobOf(key)))
-            m_removals.emplace_back(key, std::nullopt);
-    }
-    m_progressObserver->m_records.clear();
+    for (const auto& [key, value] : m_progressObserver->takeUnmatched())
+        m_removals.emplace_back(key, std::nullopt);
 }
 
 void SchedulerTerm::restorePartition(JobObserver& observer)
@@ -132,18 +123,17 @@
 void SchedulerTerm::addJob(const JobId& id, const std::string& text, TimePoint now)
 {
     const Result<jobs::JobRecord> job = jobs::decodeJobRecord(id, text);
-    if (succeeded(job))
-        m_scheduler->addJob(valueOf(job), storedProgress(id), wallNowMs(), now);
-    else
-        m_log.write(LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
+    if (!succeeded(job))
+        return m_log.write(
+            LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
+    const ProgressObserver::JobRecords stored = m_progressObserver->take(id);
+    m_scheduler->addJob(
+        valueOf(job), decodeStoredProgress(id, stored.m_progress), wallNowMs(), now, stored.m_hasRunningRecord);
 }
 
-jobs::JobProgress SchedulerTerm::storedProgress(const JobId& id) const
+jobs::JobProgress SchedulerTerm::decodeStoredProgress(const JobId& id, const std::string& text) const
 {
-    const auto found = m_progressObserver->m_records.find(id.value());
-    if (found == m_progressObserver->m_records.end())
-        return {};
-    const Result<jobs::JobProgress> progress = jobs::decodeProgress(found->second);
+    const Result<jobs::JobProgress> progress = jobs::decodeProgress(text);
     if (succeeded(progress))
         return valueOf(progress);
     m_log.write(LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(progress).m_detail } });
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -65,12 +65,14 @@
     return job;
 }
 
-void JobScheduler::addJob(const JobRecord& record, const JobProgress& stored, std::int64_t wallNowMs, TimePoint now)
+void JobScheduler::addJob(
+    const JobRecord& record, const JobProgress& stored, std::int64_t wallNowMs, TimePoint now, bool isRecordStored)
 {
     if (const auto known = m_jobs.find(record.m_job); known != m_jobs.end())
         return handleReusedId(*known->second, record);
     Job& job = createJob(record, wallNowMs, now);
     job.m_storedState = stored.m_state;
+    job.m_isRecordKept = isRecordStored;
     if (isFinal(stored.m_state)) {
         job.m_state = stored.m_state;
         job.m_closedAt = now;
@@ -80,7 +82,6 @@
         closeJob(job, JobState::Cancelled, now);
         return restorePlacesOfEndedJob(job, stored, now);
     }
-    job.m_isRecordKept = stored.m_state == JobState::Running || !stored.m_places.empty();
     openDueOccurrences(job, wallNowMs, now);
     restoreTasks(job, stored, now);
     updatePending(job);
@@ -173,7 +174,6 @@
 {
     if (job.m_team == noTeam || progress.m_places.empty())
         return;
-    job.m_isRecordKept = true;
     m_areInheritedPlacesChanged = true;
     for (const auto& [index, workers] : progress.m_places) {
         Step* step = stepOf({ job.m_record.m_job, { index.m_occurrence, index.m_step, 0 } }, now);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -118,9 +118,11 @@
     void setWithheldLeases(const std::set<WorkerId>&, TimePoint now);
     /// @}
 
-    /// Adds a job with the progress that earlier terms stored, which is empty for a new job. If the job is known, the
-    /// first record is kept; a record of another team under its ID is reported by takeReusedIds().
-    void addJob(const JobRecord&, const JobProgress& stored, std::int64_t wallNowMs, TimePoint now);
+    /// Adds a job with the progress that earlier terms stored, which is empty for a new job, and whether they stored
+    /// its record beside the progress. If the job is known, the first record is kept; a record of another team under
+    /// its ID is reported by takeReusedIds().
+    void addJob(const JobRecord&, const JobProgress& stored, std::int64_t wallNowMs, TimePoint now,
+        bool isRecordStored = false);
     /// Cancels an open job, unless it belongs to another team than the canceller's. A job that is added after its
     /// cancellation is cancelled at once.
     void cancelJob(const JobId&, TimePoint now, const Canceller& = {});
@@ -199,7 +201,7 @@
     std::vector<EndedJob> takeEnded() { return std::exchange(m_ended, {}); }
     /// Removes and returns the closed jobs whose retention time is over, and the jobs that were cancelled and never
     /// added in that time.
-    std::vector<JobId> takeExpired(TimePoint now);
+    std::vector<ExpiredJob> takeExpired(TimePoint now);
     /// @}
 
     /// \name Queries
--- a/src/jobs/RecordRemoval.cpp
+++ b/src/jobs/RecordRemoval.cpp
@@ -7,7 +7,7 @@
 std::optional<RecordRemoval::Batch> RecordRemoval::nextBatch(std::uint32_t after) const
 {
     std::map<std::uint32_t, std::vector<JobId>> jobs;
-    for (const JobId& job : m_ended) {
+    for (const auto& [job, state] : m_ended) {
         if (const auto found = m_partitions.find(job); found != m_partitions.end()) {
             for (const std::uint32_t partition : found->second)
                 jobs[partition].push_back(job);
@@ -36,10 +36,10 @@
 std::vector<JobId> RecordRemoval::takeFinished()
 {
     std::vector<JobId> finished;
-    std::erase_if(m_ended, [&](const JobId& job) {
-        const bool isFinished = !m_partitions.contains(job);
+    std::erase_if(m_ended, [&](const auto& job) {
+        const bool isFinished = !m_partitions.contains(job.first);
         if (isFinished)
-            finished.push_back(job);
+            finished.push_back(job.first);
         return isFinished;
     });
     return finished;
--- a/src/jobs/RecordRemoval.h
+++ b/src/jobs/RecordRemoval.h
@@ -3,7 +3,7 @@
 // would run the job again, so the progress goes last.
 #pragma once
 
-#include "model/Identifier.h"
+#include "jobs/SchedulerTypes.h"
 
 #include <cstdint>
 #include <map>
@@ -20,10 +20,13 @@
     /// and was repeated.
     void recordFound(const JobId& job, std::uint32_t partition) { m_partitions[job].insert(partition); }
     /// Begins the removal of the records of an ended job.
-    void begin(const JobId& job) { m_ended.insert(job); }
+    void begin(const ExpiredJob& job) { m_ended.insert_or_assign(job.m_job, job.m_state); }
     /// Whether the records of the job are being removed; one that is read meanwhile must not bring the job back.
     bool isRemoving(const JobId& job) const { return m_ended.contains(job); }
 
+    /// Ended jobs that still have records, with their states. Their progress has to stay in the store.
+    const std::map<JobId, JobState>& ended() const { return m_ended; }
+
     /// Jobs whose records can be removed from a partition with one append.
     struct Batch {
         std::uint32_t m_partition = 0;
@@ -41,7 +44,7 @@
 private:
     /// Partitions that have a record of the job or its cancellation.
     std::map<JobId, std::set<std::uint32_t>> m_partitions;
-    std::set<JobId> m_ended;
+    std::map<JobId, JobState> m_ended;
 };
 
 } // namespace sapphiredale::jobs
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -134,20 +134,20 @@
     return found->m_storedEnd;
 }
 
-std::vector<JobId> JobScheduler::takeExpired(TimePoint now)
+std::vector<ExpiredJob> JobScheduler::takeExpired(TimePoint now)
 {
-    std::vector<JobId> expired;
+    std::vector<ExpiredJob> expired;
     for (const auto& [id, job] : m_jobs) {
         if (!job->isOpen() && isFinal(job->m_storedState) && job->m_closedAt + m_settings.m_retention < now)
-            expired.push_back(id);
+            expired.push_back({ id, job->m_storedState });
     }
-    const auto hasRuns = [this](const JobId& id) {
-        const auto& steps = m_jobs.at(id)->m_steps;
+    const auto hasRuns = [this](const ExpiredJob& job) {
+        const auto& steps = m_jobs.at(job.m_job)->m_steps;
         return std::any_of(steps.begin(), steps.end(),
             [](const Step& step) { return !step.m_places.empty() || !step.m_inheritedCharge.isZero(); });
     };
     std::erase_if(expired, hasRuns);
-    for (const JobId& id : expired) {
+    for (const auto& [id, state] : expired) {
         const Job* job = m_jobs.at(id).get();
         for (Step& step : m_jobs.at(id)->m_steps) {
             m_waitingSteps.erase(step);
@@ -163,7 +163,7 @@
     std::erase_if(m_cancelledEarly, [&](const auto& cancelled) {
         const bool isExpired = cancelled.second.m_at + m_settings.m_retention < now;
         if (isExpired)
-            expired.push_back(cancelled.first);
+            expired.push_back({ cancelled.first, JobState::Cancelled });
         return isExpired;
     });
     return expired;
--- a/src/jobs/SchedulerTypes.h
+++ b/src/jobs/SchedulerTypes.h
@@ -252,6 +252,14 @@
     friend bool operator==(const EndedJob&, const EndedJob&) = default;
 };
 
+/// A job whose outcome is no longer kept.
+struct ExpiredJob {
+    JobId m_job;
+    JobState m_state = JobState::Done;
+
+    friend bool operator==(const ExpiredJob&, const ExpiredJob&) = default;
+};
+
 /// Why the scheduler counts a run as over although no report has listed its end.
 enum class RunLossReason : std::uint8_t {
     /// The worker was silent until its lease had certainly ended.
--- a/tests/controller/TeamJobsTest.cpp
+++ b/tests/controller/TeamJobsTest.cpp
@@ -212,8 +212,8 @@
         other.addJob(recordOf("a", ""), {}, 0, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.openJobCount());
         other.cancelJob(JobId("u"), now, { true, TeamId("b") });
-        CPPUNIT_ASSERT(
-            other.takeExpired(now + settings.m_retention + milliseconds(1)) == std::vector<JobId> { JobId("u") });
+        const std::vector<jobs::ExpiredJob> expired = other.takeExpired(now + settings.m_retention + milliseconds(1));
+        CPPUNIT_ASSERT((expired == std::vector<jobs::ExpiredJob> { { JobId("u"), jobs::JobState::Cancelled } }));
     }
 
     // Guards against cancellations that an upgrade makes unreadable.
--- a/tests/controller/TermFixture.h
+++ b/tests/controller/TermFixture.h
@@ -12,7 +12,7 @@
 /// A term with its collaborators; none of them outlives it. Without other daemons and with authority throughout.
 struct TermFixture {
     TermFixture(StoreStandIn& store, boost::asio::io_context& context, std::uint64_t number = 2,
-        Duration jobRetention = std::chrono::seconds(150))
+        Duration jobRetention = std::chrono::seconds(150), std::uint32_t progressPartition = 0)
         : m_adviceDispatcher(context, nullptr)
         , m_log(openLog())
     {
@@ -32,8 +32,8 @@
         const jobs::LeaseBounds earlierLeases { bootNow() + std::chrono::seconds(8) + std::chrono::milliseconds(600),
             {} };
         m_term = std::make_unique<SchedulerTerm>(context, m_site,
-            TermSettings { number, 0, earlierLeases, std::chrono::seconds(8), jobRetention }, m_adviceDispatcher,
-            *m_log, std::move(authority));
+            TermSettings { number, progressPartition, earlierLeases, std::chrono::seconds(8), jobRetention },
+            m_adviceDispatcher, *m_log, std::move(authority));
     }
 
     static std::unique_ptr<observability::EventLog> openLog()
--- a/tests/jobs/JobSchedulerTest.cpp
+++ b/tests/jobs/JobSchedulerTest.cpp
@@ -220,8 +220,8 @@
         scheduler.addJob(late, {}, 0, now);
         CPPUNIT_ASSERT(scheduler.state(late.m_job) == JobState::Cancelled);
         CPPUNIT_ASSERT(scheduler.takeExpired(now + settings.m_retention).empty());
-        const std::vector<JobId> expired = scheduler.takeExpired(now + settings.m_retention + seconds(1));
-        CPPUNIT_ASSERT(expired == std::vector<JobId> { JobId("unknown") });
+        const std::vector<ExpiredJob> expired = scheduler.takeExpired(now + settings.m_retention + seconds(1));
+        CPPUNIT_ASSERT((expired == std::vector<ExpiredJob> { { JobId("unknown"), JobState::Cancelled } }));
     }
 
     void jobIsShownAsDoneOnceThatIsStored()
--- a/tests/jobs/RecordRemovalTest.cpp
+++ b/tests/jobs/RecordRemovalTest.cpp
@@ -23,7 +23,7 @@
         removal.recordFound(JobId("a"), 3);
         removal.recordFound(JobId("a"), 5);
         removal.recordFound(JobId("open"), 3);
-        removal.begin(JobId("a"));
+        removal.begin({ JobId("a"), JobState::Done });
         CPPUNIT_ASSERT(removal.takeFinished().empty());
         const Batch first { 3, { JobId("a") } };
         CPPUNIT_ASSERT(removal.nextBatch(0) == first);
@@ -43,7 +43,7 @@
     {
         RecordRemoval removal;
         removal.recordFound(JobId("a"), 1);
-        removal.begin(JobId("a"));
+        removal.begin({ JobId("a"), JobState::Done });
         removal.recordFound(JobId("a"), 2);
         removal.removed({ 1, { JobId("a") } });
         CPPUNIT_ASSERT(removal.takeFinished().empty());
@@ -56,8 +56,8 @@
         RecordRemoval removal;
         removal.recordFound(JobId("a"), 1);
         removal.recordFound(JobId("b"), 4);
-        removal.begin(JobId("a"));
-        removal.begin(JobId("b"));
+        removal.begin({ JobId("a"), JobState::Done });
+        removal.begin({ JobId("b"), JobState::Done });
         CPPUNIT_ASSERT_EQUAL(1U, removal.nextBatch(0)->m_partition);
         CPPUNIT_ASSERT_EQUAL(4U, removal.nextBatch(1)->m_partition);
         CPPUNIT_ASSERT_EQUAL(1U, removal.nextBatch(4)->m_partition);
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -149,7 +149,7 @@
                 m_scheduler->workerListed(m_registry.at(id), m_now);
         }
         for (const auto& [id, record] : m_keptRecords)
-            m_scheduler->addJob(record, progressOf(id), wallMs(), m_now);
+            m_scheduler->addJob(record, progressOf(id), wallMs(), m_now, true);
         if (!m_isAcceptedTopicUnavailable)
             readAccepted();
         m_announcedLeaseEnds = m_storedLeaseEnds;
