Log appends of progress that the store refuses

Change: progress-append-failed (5010) has the answer, the size of the append and its largest record. No decision changes.

--- a/src/controller/ProgressWriter.cpp
+++ b/src/controller/ProgressWriter.cpp
@@ -90,7 +90,7 @@
     case EndDiffers:
     case NotAppended:
     case Unknown:
-        return handleFailure();
+        return handleFailure(answer);
     }
 }
 
@@ -115,8 +115,12 @@
     awaitAnnouncement();
 }
 
-void ProgressWriter::handleFailure()
+void ProgressWriter::handleFailure(const userplatform::AppendAnswer& answer)
 {
+    const auto begin = m_records.begin() + static_cast<std::ptrdiff_t>(m_position);
+    const auto end
+        = m_records.begin() + static_cast<std::ptrdiff_t>(m_stage == Stage::Writing ? m_sentEnd : m_position);
+    m_term.m_appendFailed({ begin, end }, answer);
     // Before the first write there is no progress to store in another partition.
     const bool canMove = m_isMoving || m_stage == Stage::Writing;
     if (++m_failures >= failuresBeforeMove && canMove)
--- a/src/controller/ProgressWriter.h
+++ b/src/controller/ProgressWriter.h
@@ -36,6 +36,9 @@
         /// Requests the announcement of a partition; m_isPartitionAnnounced tells whether the announcement is stored.
         std::function<void(std::uint32_t)> m_announcePartition;
         std::function<bool(std::uint32_t)> m_isPartitionAnnounced;
+        /// Called after each append that was not confirmed, with its records and the answer.
+        std::function<void(const Records&, const userplatform::AppendAnswer&)> m_appendFailed
+            = [](const Records&, const userplatform::AppendAnswer&) {};
     };
 
     ProgressWriter(boost::asio::io_context&, const std::string& store, Term);
@@ -58,7 +61,7 @@
     void send();
     void handleAnswer(const userplatform::AppendAnswer&);
     void advance();
-    void handleFailure();
+    void handleFailure(const userplatform::AppendAnswer&);
     void moveToNextPartition();
     void awaitAnnouncement();
     void runAfter(Duration, void (ProgressWriter::*function)());
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -64,7 +64,10 @@
     , m_authority(std::move(authority))
     , m_writer(std::make_shared<ProgressWriter>(context, site.m_store,
           ProgressWriter::Term { settings.m_term, settings.m_progressPartition, [this] { return progressSnapshot(); },
-              m_authority.m_announceProgressPartition, m_authority.m_isProgressPartitionAnnounced }))
+              m_authority.m_announceProgressPartition, m_authority.m_isProgressPartitionAnnounced,
+              [this](const ProgressWriter::Records& records, const userplatform::AppendAnswer& answer) {
+                  logFailedAppend(records, answer);
+              } }))
     , m_workerObserver(std::make_unique<WorkerObserver>(*this))
     , m_progressObserver(std::make_unique<ProgressObserver>(*this))
     , m_removalStore(context, site.m_store)
@@ -359,6 +362,26 @@
     return records;
 }
 
+void SchedulerTerm::logFailedAppend(const ProgressWriter::Records& records, const userplatform::AppendAnswer& answer)
+{
+    std::size_t bytes = 0;
+    std::size_t largestBytes = 0;
+    std::string largestKey;
+    for (const auto& [key, value] : records) {
+        const std::size_t size = key.size() + value.value_or("").size();
+        bytes += size;
+        if (size > largestBytes) {
+            largestBytes = size;
+            largestKey = key;
+        }
+    }
+    m_log.write(LogEvent::ProgressAppendFailed,
+        { { "term", m_settings.m_term }, { "partition", std::uint64_t { m_writer->partition() } },
+            { "records", std::uint64_t { records.size() } }, { "bytes", std::uint64_t { bytes } },
+            { "largestKey", largestKey }, { "largestBytes", std::uint64_t { largestBytes } },
+            { "detail", answer.m_detail } });
+}
+
 void SchedulerTerm::logEnded()
 {
     const TimePoint now = bootNow();
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -129,6 +129,7 @@
     void execute(const jobs::AdviceRequest&);
     void writeProgress();
     ProgressWriter::Records progressSnapshot();
+    void logFailedAppend(const ProgressWriter::Records&, const userplatform::AppendAnswer&);
     void logEnded();
     /// Logs runs that were given up and runs that were listed unexpectedly.
     void logRuns();
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -66,6 +66,7 @@
         { DependencyLost, 5007, Warning, "dependency-lost", "A dependency does not answer" },
         { DependencyRegained, 5008, Info, "dependency-regained", "A dependency answers again" },
         { SettingsReloaded, 5009, Info, "settings-reloaded", "The settings file was read again" },
+        { ProgressAppendFailed, 5010, Warning, "progress-append-failed", "The store did not append progress of jobs" },
         { PeerJoined, 6001, Info, "peer-joined", "A peer has joined" },
         { PeerSuspected, 6002, Warning, "peer-suspected", "A peer is suspected" },
         { PeerLeft, 6003, Info, "peer-left", "A peer has left" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -61,6 +61,7 @@
     DependencyLost,
     DependencyRegained,
     SettingsReloaded,
+    ProgressAppendFailed,
     PeerJoined,
     PeerSuspected,
     PeerLeft,
