Divide the progress of large jobs into records that the store takes

Cause: the progress of a job was one record without a bound. The job of the case, 15,360 tasks on 48 workers, reached 274,003 bytes; the store takes 262,144. The refusal (400) was taken for an outage of the partition, and the same append repeated at one partition after the other while all jobs waited for it.

Change: progress above 32 KB is divided by steps into records of at most 64 KB (jobs::ProgressRecords); a change stores only the steps that it concerns, and a reader takes the union. A rejection is told apart from an outage: ProgressWriter finds the record and leaves it out, its job alone stops, and record-rejected (5011) names it. JobAppender repeats the records of a rejected append each alone; four rejections made a daemon refuse all callers before. A job whose stored form exceeds a record is refused at once with 413 (bounds.recordBytes).

Why it holds: no record is longer than 64 KB or the limit, whatever the job; each prefix of a change is valid, and what the store rejects all the same is left out of the append.

--- a/src/controller/ElectionDriver.cpp
+++ b/src/controller/ElectionDriver.cpp
@@ -25,6 +25,7 @@
         case Fenced:
         case OutOfSequence:
         case NotAppended:
+        case Rejected:
             return jobs::AppendOutcome::NotAppended;
         case Unknown:
             break;
--- a/src/controller/Gateway.cpp
+++ b/src/controller/Gateway.cpp
@@ -38,6 +38,8 @@
     /// Age from which an answer to a hello has no effect.
     constexpr Duration maxRefusedTeamsAge = std::chrono::seconds(3);
     constexpr std::int64_t maxShareRetryAfterSeconds = 10;
+    /// Length of the key of a job with a prefix, and of its length.
+    constexpr std::uint32_t jobKeyBytes = 18;
 
     std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
@@ -94,6 +96,7 @@
                       std::hash<std::string> {}(settings.m_daemon.value()) % (jobPartitions - 1)) },
           jobPartitions)
     , m_sharedAppender(context, settings.m_store, { jobTopic, 0 }, jobPartitions)
+    , m_maxJobBytes(settings.m_recordBytes - jobKeyBytes)
 {
 }
 
@@ -287,28 +290,34 @@
 {
     const jobs::JobRecord record { call->m_job, call->m_route->m_policy, spec, wallNowMs(), call->team(),
         call->m_team == nullptr ? Resources {} : call->m_team->m_limit };
+    std::string text = jobs::encodeJobRecord(record);
+    if (text.size() > m_maxJobBytes) {
+        ++m_counters.m_invalid;
+        return refuse(call, ErrorKind::BodyTooLarge,
+            "the job takes " + std::to_string(text.size()) + " bytes in the store, which allows "
+                + std::to_string(m_maxJobBytes));
+    }
     const bool isTracked = call->m_configuration->m_requiresKeys;
     if (isTracked)
         m_openAppends.began(call->m_job.value(), bootNow());
-    store(call->m_job.value(), jobs::encodeJobRecord(record), call->m_deadline,
-        [this, call, isTracked](StoreOutcome outcome) {
-            if (isTracked)
-                m_openAppends.ended(call->m_job.value(), outcome, bootNow());
-            switch (outcome) {
-            case StoreOutcome::Stored:
-                ++m_counters.m_accepted;
-                m_log.write(LogEvent::JobAccepted,
-                    { { "job", call->m_job.value() }, { "queue", call->m_route->m_policy.m_queue },
-                        { "team", call->team().value() }, { "version", call->m_configuration->m_version } });
-                return call->m_respond({ 200, "{}" });
-            case StoreOutcome::NotStored:
-                ++m_counters.m_refused;
-                return refuse(call, ErrorKind::LogUnavailable, "the job was not stored");
-            case StoreOutcome::Unknown:
-                ++m_counters.m_unknownOutcome;
-                return refuse(call, ErrorKind::DeadlineExceededMayHaveRun, "the job may have been stored");
-            }
-        });
+    store(call->m_job.value(), text, call->m_deadline, [this, call, isTracked](StoreOutcome outcome) {
+        if (isTracked)
+            m_openAppends.ended(call->m_job.value(), outcome, bootNow());
+        switch (outcome) {
+        case StoreOutcome::Stored:
+            ++m_counters.m_accepted;
+            m_log.write(LogEvent::JobAccepted,
+                { { "job", call->m_job.value() }, { "queue", call->m_route->m_policy.m_queue },
+                    { "team", call->team().value() }, { "version", call->m_configuration->m_version } });
+            return call->m_respond({ 200, "{}" });
+        case StoreOutcome::NotStored:
+            ++m_counters.m_refused;
+            return refuse(call, ErrorKind::LogUnavailable, "the job was not stored");
+        case StoreOutcome::Unknown:
+            ++m_counters.m_unknownOutcome;
+            return refuse(call, ErrorKind::DeadlineExceededMayHaveRun, "the job may have been stored");
+        }
+    });
 }
 
 void Gateway::answerState(const CallPointer& call)
--- a/src/controller/Gateway.h
+++ b/src/controller/Gateway.h
@@ -129,6 +129,8 @@
     JobAppender m_appender;
     /// Stores the records of all daemons while this one schedules, in a partition that the others do not use first.
     JobAppender m_sharedAppender;
+    /// Maximum length of the stored form of a job; its record beside the progress has a longer key.
+    const std::size_t m_maxJobBytes;
     StoreRoute m_storeRoute;
     std::string m_channelAddress;
     std::shared_ptr<platform::HttpChannel> m_channel;
--- a/src/controller/JobAppender.cpp
+++ b/src/controller/JobAppender.cpp
@@ -67,6 +67,8 @@
     std::vector<std::pair<std::string, std::optional<std::string>>> records;
     std::size_t bytes = 0;
     while (!m_queue.empty() && records.size() < maxRecords && bytes < maxBytes) {
+        if (m_queue.front()->m_goesAlone && !records.empty())
+            break;
         EntryPointer entry = std::move(m_queue.front());
         m_queue.pop_front();
         if (!entry->m_handler)
@@ -74,6 +76,8 @@
         bytes += entry->m_value.size();
         records.emplace_back(entry->m_key, entry->m_value);
         m_sent.push_back(std::move(entry));
+        if (m_sent.back()->m_goesAlone)
+            break;
     }
     if (records.empty())
         return;
@@ -96,6 +100,10 @@
             complete(entry, StoreOutcome::Stored);
         return send();
     }
+    if (answer.m_kind == Kind::Rejected) {
+        handleRejection(sent);
+        return send();
+    }
     useNextPartition();
     m_failures += answer.m_kind == Kind::Unknown ? timeoutWeight : 1;
     const bool triesAnother = m_failures < failuresUntilUnavailable;
@@ -117,6 +125,18 @@
     probe();
 }
 
+void JobAppender::handleRejection(const std::vector<EntryPointer>& sent)
+{
+    // One record may be at fault for all; no partition takes it.
+    if (sent.size() == 1)
+        return complete(sent.front(), sent.front()->m_mayBeStored ? StoreOutcome::Unknown : StoreOutcome::NotStored);
+    for (auto it = sent.rbegin(); it != sent.rend(); ++it) {
+        (*it)->m_goesAlone = true;
+        m_queue.push_front(*it);
+    }
+    armExpiryTimer();
+}
+
 void JobAppender::probe()
 {
     m_retryTimer.expires_after(retryInterval);
@@ -136,8 +156,8 @@
 
 void JobAppender::handleProbeAnswer(const userplatform::AppendAnswer& answer)
 {
-    if (answer.m_kind == userplatform::AppendAnswer::Kind::NotAppended
-        || answer.m_kind == userplatform::AppendAnswer::Kind::Unknown) {
+    using enum userplatform::AppendAnswer::Kind;
+    if (answer.m_kind == NotAppended || answer.m_kind == Rejected || answer.m_kind == Unknown) {
         useNextPartition();
         return probe();
     }
--- a/src/controller/JobAppender.h
+++ b/src/controller/JobAppender.h
@@ -42,11 +42,15 @@
         std::function<void(StoreOutcome)> m_handler;
         /// Whether an append with this record had no answer.
         bool m_mayBeStored = false;
+        /// The store has rejected an append of several records with this one among them.
+        bool m_goesAlone = false;
     };
     using EntryPointer = std::shared_ptr<Entry>;
 
     void send();
     void handleAnswer(const std::vector<EntryPointer>&, const userplatform::AppendAnswer&);
+    /// Repeats records that were rejected together, each alone; one that was rejected alone fails.
+    void handleRejection(const std::vector<EntryPointer>&);
     void expire();
     void probe();
     void handleProbeAnswer(const userplatform::AppendAnswer&);
--- a/src/controller/ProgressWriter.cpp
+++ b/src/controller/ProgressWriter.cpp
@@ -2,6 +2,8 @@
 
 #include "controller/ProgressWriter.h"
 
+#include <algorithm>
+
 namespace sapphiredale::controller {
 
 namespace {
@@ -38,6 +40,7 @@
     m_stage = Stage::Writing;
     m_records = std::move(records);
     m_position = 0;
+    m_maxRecords = std::numeric_limits<std::size_t>::max();
     m_handler = std::move(handler);
     ++m_sequence;
     send();
@@ -59,7 +62,8 @@
     Records part;
     m_sentEnd = m_position;
     if (m_stage == Stage::Writing) {
-        for (std::size_t bytes = 0; m_sentEnd < m_records.size() && bytes < maxBytes; ++m_sentEnd) {
+        for (std::size_t bytes = 0; m_sentEnd < m_records.size() && bytes < maxBytes && part.size() < m_maxRecords;
+             ++m_sentEnd) {
             part.push_back(m_records[m_sentEnd]);
             bytes += part.back().first.size() + part.back().second.value_or("").size();
         }
@@ -87,6 +91,8 @@
             return advance();
         m_sequence = answer.m_expected;
         return runAfter(retryInterval, &ProgressWriter::send);
+    case Rejected:
+        return m_stage == Stage::Writing ? handleRejection(answer) : handleFailure(answer);
     case EndDiffers:
     case NotAppended:
     case Unknown:
@@ -108,6 +114,11 @@
         ++m_sequence;
         return send();
     }
+    completeWrite();
+}
+
+void ProgressWriter::completeWrite()
+{
     if (!m_isMoving)
         return finish(true);
     m_stage = Stage::Announcing;
@@ -115,12 +126,33 @@
     awaitAnnouncement();
 }
 
+void ProgressWriter::reportFailure(const userplatform::AppendAnswer& answer) const
+{
+    const auto at = [this](std::size_t position) { return m_records.begin() + static_cast<std::ptrdiff_t>(position); };
+    m_term.m_appendFailed({ at(m_position), at(m_stage == Stage::Writing ? m_sentEnd : m_position) }, answer);
+}
+
+void ProgressWriter::handleRejection(const userplatform::AppendAnswer& answer)
+{
+    reportFailure(answer);
+    const std::size_t count = m_sentEnd - m_position;
+    m_maxRecords = std::max<std::size_t>(count / 2, 1);
+    if (count == 1) {
+        m_term.m_recordRejected(m_records[m_position].first);
+        m_records.erase(m_records.begin() + static_cast<std::ptrdiff_t>(m_position));
+        m_maxRecords = std::numeric_limits<std::size_t>::max();
+        if (m_position == m_records.size())
+            return completeWrite();
+    }
+    // A number that the store has not used up is corrected by its answer; one that is used again would be taken for a
+    // repetition.
+    ++m_sequence;
+    send();
+}
+
 void ProgressWriter::handleFailure(const userplatform::AppendAnswer& answer)
 {
-    const auto begin = m_records.begin() + static_cast<std::ptrdiff_t>(m_position);
-    const auto end
-        = m_records.begin() + static_cast<std::ptrdiff_t>(m_stage == Stage::Writing ? m_sentEnd : m_position);
-    m_term.m_appendFailed({ begin, end }, answer);
+    reportFailure(answer);
     // Before the first write there is no progress to store in another partition.
     const bool canMove = m_isMoving || m_stage == Stage::Writing;
     if (++m_failures >= failuresBeforeMove && canMove)
--- a/src/controller/ProgressWriter.h
+++ b/src/controller/ProgressWriter.h
@@ -4,12 +4,16 @@
 // In a partial outage of the store some partitions refuse every append. The writer then stores a snapshot of the term's
 // progress in another partition, which is announced with the next renewal of the term; a successor reads only the
 // partition that was announced last.
+//
+// A record that the store rejects is left out, so that it does not keep the others from the store; the handler of the
+// write is called once these are stored.
 #pragma once
 
 #include "platform/Store.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <utility>
@@ -39,6 +43,8 @@
         /// Called after each append that was not confirmed, with its records and the answer.
         std::function<void(const Records&, const userplatform::AppendAnswer&)> m_appendFailed
             = [](const Records&, const userplatform::AppendAnswer&) {};
+        /// Called for a record that is left out of the write.
+        std::function<void(const std::string& key)> m_recordRejected = [](const std::string&) {};
     };
 
     ProgressWriter(boost::asio::io_context&, const std::string& store, Term);
@@ -61,6 +67,10 @@
     void send();
     void handleAnswer(const userplatform::AppendAnswer&);
     void advance();
+    /// Ends a write whose records are stored.
+    void completeWrite();
+    void handleRejection(const userplatform::AppendAnswer&);
+    void reportFailure(const userplatform::AppendAnswer&) const;
     void handleFailure(const userplatform::AppendAnswer&);
     void moveToNextPartition();
     void awaitAnnouncement();
@@ -82,6 +92,8 @@
     /// Records before this position are stored; those from here to m_sentEnd are being appended.
     std::size_t m_position = 0;
     std::size_t m_sentEnd = 0;
+    /// Maximum number of records in one append; reduced to find a record that the store rejects.
+    std::size_t m_maxRecords = std::numeric_limits<std::size_t>::max();
     std::function<void(bool)> m_handler;
 };
 
--- a/src/controller/SchedulerTerm.cpp
+++ b/src/controller/SchedulerTerm.cpp
@@ -27,6 +27,8 @@
     constexpr Duration waitLogInterval = std::chrono::seconds(3);
     constexpr std::size_t waitLogLines = 12;
     constexpr Duration expiryInterval = std::chrono::seconds(5);
+    /// Length of the longest key of the progress topic, with its length byte: a job ID, occurrence, step and part.
+    constexpr std::size_t maxProgressKeyBytes = 64;
     /// Maximum number of workers whose lease a term record names; some 25 bytes each, in every renewal.
     constexpr std::size_t maxAnnouncedLeases = 64;
     /// Timeout for the removal of old records, on which no request depends.
@@ -41,15 +43,6 @@
     /// Age of the registry view up to which tasks may start; the rest of the notice is left to the order.
     Duration maxRegistryAge(Duration drainNotice) { return drainNotice - drainNotice / 4; }
 
-    void addRecords(ProgressWriter::Records& records, const jobs::ProgressRecord& record)
-    {
-        records.emplace_back(record.m_job.value(), jobs::encodeProgress(record.m_progress));
-        if (record.m_record)
-            records.emplace_back(runningJobPrefix + record.m_job.value(), jobs::encodeJobRecord(*record.m_record));
-        else if (record.m_removesRecord)
-            records.emplace_back(runningJobPrefix + record.m_job.value(), std::nullopt);
-    }
-
 } // namespace
 
 std::string cancellationKey(const JobId& job) { return cancellationPrefix + job.value(); }
@@ -67,7 +60,9 @@
               m_authority.m_announceProgressPartition, m_authority.m_isProgressPartitionAnnounced,
               [this](const ProgressWriter::Records& records, const userplatform::AppendAnswer& answer) {
                   logFailedAppend(records, answer);
-              } }))
+              },
+              [this](const std::string& key) { noteRejectedRecord(key); } }))
+    , m_progressRecords(site.m_recordBytes - maxProgressKeyBytes)
     , m_workerObserver(std::make_unique<WorkerObserver>(*this))
     , m_progressObserver(std::make_unique<ProgressObserver>(*this))
     , m_removalStore(context, site.m_store)
@@ -331,7 +326,7 @@
             return;
         if (!isWritten)
             return stepDown();
-        m_scheduler->stored(m_openBatch);
+        m_scheduler->stored(m_openBatch, std::exchange(m_rejectedJobs, {}));
         logEnded();
         for (const WorkerId& worker : m_reportSchedule.takeStored())
             awaitReport(worker);
@@ -346,6 +341,8 @@
 {
     const jobs::JobScheduler::Batch batch = m_scheduler->takeEverything(m_openBatch);
     m_openBatch = batch.m_number;
+    m_rejectedJobs.clear();
+    m_progressRecords.clear();
     const auto& unmatched = m_progressObserver->unmatched();
     m_log.write(LogEvent::ProgressMoves,
         { { "term", m_settings.m_term }, { "partition", std::uint64_t { m_writer->partition() } },
@@ -362,6 +359,23 @@
     return records;
 }
 
+void SchedulerTerm::addRecords(ProgressWriter::Records& records, const jobs::ProgressRecord& record)
+{
+    m_progressRecords.appendChanges(record.m_job, record.m_progress, records);
+    if (record.m_record)
+        records.emplace_back(runningJobPrefix + record.m_job.value(), jobs::encodeJobRecord(*record.m_record));
+    else if (record.m_removesRecord)
+        records.emplace_back(runningJobPrefix + record.m_job.value(), std::nullopt);
+}
+
+void SchedulerTerm::noteRejectedRecord(const std::string& key)
+{
+    const bool isRunningJob = key.front() == runningJobPrefix;
+    const JobId job = isRunningJob ? JobId(key.substr(1)) : jobs::jobOfProgressKey(key);
+    m_log.write(LogEvent::RecordRejected, { { "job", job.value() }, { "key", key }, { "term", m_settings.m_term } });
+    m_rejectedJobs.insert(job);
+}
+
 void SchedulerTerm::logFailedAppend(const ProgressWriter::Records& records, const userplatform::AppendAnswer& answer)
 {
     std::size_t bytes = 0;
@@ -506,7 +520,7 @@
 {
     for (const JobId& job : m_recordRemoval.takeFinished()) {
         m_removals.emplace_back(runningJobPrefix + job.value(), std::nullopt);
-        m_removals.emplace_back(job.value(), std::nullopt);
+        m_progressRecords.appendRemoval(job, m_removals);
     }
     const std::optional<jobs::RecordRemoval::Batch> batch = m_recordRemoval.nextBatch(m_lastRemovalPartition);
     if (m_isRemoving || !batch)
--- a/src/controller/SchedulerTerm.h
+++ b/src/controller/SchedulerTerm.h
@@ -9,6 +9,7 @@
 #include "controller/WorkerLink.h"
 #include "jobs/EntryFreshness.h"
 #include "jobs/JobScheduler.h"
+#include "jobs/ProgressRecords.h"
 #include "jobs/RecordRemoval.h"
 #include "jobs/ReportSchedule.h"
 #include "observability/EventLog.h"
@@ -114,8 +115,6 @@
     void restoreLatePartition(JobObserver&);
     void finishRestoration();
     void addJob(const JobId&, const std::string& record, TimePoint now);
-    /// Empty if the text is; logs a text that cannot be read.
-    jobs::JobProgress decodeStoredProgress(const JobId&, const std::string& text) const;
     void scheduleStep();
     void step();
     /// Holds back starts while the view of the registry or of the accepted jobs is too old.
@@ -129,6 +128,8 @@
     void execute(const jobs::AdviceRequest&);
     void writeProgress();
     ProgressWriter::Records progressSnapshot();
+    void addRecords(ProgressWriter::Records&, const jobs::ProgressRecord&);
+    void noteRejectedRecord(const std::string& key);
     void logFailedAppend(const ProgressWriter::Records&, const userplatform::AppendAnswer&);
     void logEnded();
     /// Logs runs that were given up and runs that were listed unexpectedly.
@@ -169,8 +170,10 @@
     observability::EventLog& m_log;
     const TermAuthority m_authority;
     std::shared_ptr<ProgressWriter> m_writer;
-    /// Number of the batch that is being stored.
+    /// Number of the batch that is being stored, and the jobs in it whose records the store does not take.
     std::uint64_t m_openBatch = 0;
+    std::set<JobId> m_rejectedJobs;
+    jobs::ProgressRecords m_progressRecords;
     std::vector<std::unique_ptr<JobObserver>> m_jobObservers;
     std::unique_ptr<WorkerObserver> m_workerObserver;
     std::unique_ptr<ProgressObserver> m_progressObserver;
--- a/src/controller/SiteSettings.cpp
+++ b/src/controller/SiteSettings.cpp
@@ -59,6 +59,7 @@
             r.bounded("memoryMb", settings.m_memoryMb, 64U, 1048576U);
         });
         reader.section("bounds", false, [&](SectionReader& r) {
+            r.bounded("recordBytes", settings.m_recordBytes, 4096U, 1U << 20);
             readMillis(r, "longestLeaseMs", settings.m_longestLease, 2000, 600000);
             readMillis(r, "drainNoticeMs", settings.m_drainNotice, 500, 600000);
             std::uint32_t grace = 6;
--- a/src/controller/SiteSettings.h
+++ b/src/controller/SiteSettings.h
@@ -29,6 +29,8 @@
     /// Memory of this host in MB; a part of it is the limit of what all connections hold together. The default is the
     /// smallest host of the platform.
     std::uint32_t m_memoryMb = 120;
+    /// Maximum length of a record of the store, with its key, in bytes.
+    std::uint32_t m_recordBytes = 262144;
     /// Longest lease that a worker grants.
     Duration m_longestLease = std::chrono::seconds(10);
     /// Time after the drain notice of a worker by which no task starts there any more.
--- a/src/controller/TermObservers.h
+++ b/src/controller/TermObservers.h
@@ -124,17 +124,20 @@
 
     /// What earlier terms stored of a job.
     struct JobRecords {
-        /// Empty if there is none.
-        std::string m_progress;
+        /// Texts of the progress by key.
+        std::map<std::string, std::string> m_progress;
         bool m_hasRunningRecord = false;
     };
     /// Removes and returns the records of a job that becomes known.
     JobRecords take(const JobId& job)
     {
         JobRecords records;
-        if (auto progress = m_unmatched.extract(job.value()))
-            records.m_progress = std::move(progress.mapped());
         records.m_hasRunningRecord = m_unmatched.erase(runningJobPrefix + job.value()) > 0;
+        const std::string parts = job.value() + jobs::progressPartMark;
+        if (auto progress = m_unmatched.extract(job.value()))
+            records.m_progress.insert(std::move(progress));
+        for (auto part = m_unmatched.lower_bound(parts); part != m_unmatched.end() && part->first.starts_with(parts);)
+            records.m_progress.insert(m_unmatched.extract(part++));
         return records;
     }
     /// Records by key of jobs that are not known yet.
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -127,17 +127,17 @@
         return m_log.write(
             LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(job).m_detail } });
     const ProgressObserver::JobRecords stored = m_progressObserver->take(id);
-    m_scheduler->addJob(
-        valueOf(job), decodeStoredProgress(id, stored.m_progress), wallNowMs(), now, stored.m_hasRunningRecord);
-}
-
-jobs::JobProgress SchedulerTerm::decodeStoredProgress(const JobId& id, const std::string& text) const
-{
-    const Result<jobs::JobProgress> progress = jobs::decodeProgress(text);
-    if (succeeded(progress))
-        return valueOf(progress);
-    m_log.write(LogEvent::StoredRecordUnreadable, { { "job", id.value() }, { "detail", errorOf(progress).m_detail } });
-    return {};
+    jobs::JobProgress progress;
+    for (const auto& [key, part] : stored.m_progress) {
+        const Result<jobs::JobProgress> decoded = jobs::decodeProgress(part);
+        if (succeeded(decoded))
+            jobs::mergeProgress(progress, valueOf(decoded));
+        else
+            m_log.write(LogEvent::StoredRecordUnreadable, { { "job", key }, { "detail", errorOf(decoded).m_detail } });
+        if (key != id.value())
+            m_progressRecords.noteStored(key, part);
+    }
+    m_scheduler->addJob(valueOf(job), progress, wallNowMs(), now, stored.m_hasRunningRecord);
 }
 
 void SchedulerTerm::handleWorkerEntry(const userplatform::KeyedRecord& record)
--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    void appendRanges(std::string& text, const std::vector<TaskIndex>& tasks)
+    void appendRanges(std::vector<std::string>& entries, const std::vector<TaskIndex>& tasks)
     {
         std::vector<TaskIndex> sorted = tasks;
         std::sort(sorted.begin(), sorted.end());
@@ -23,8 +23,9 @@
             };
             while (continues(last + 1))
                 ++last;
-            text += " d " + std::to_string(sorted[first].m_occurrence) + ' ' + std::to_string(sorted[first].m_step)
-                + ' ' + std::to_string(sorted[first].m_task) + ' ' + std::to_string(sorted[last].m_task);
+            entries.push_back("d " + std::to_string(sorted[first].m_occurrence) + ' '
+                + std::to_string(sorted[first].m_step) + ' ' + std::to_string(sorted[first].m_task) + ' '
+                + std::to_string(sorted[last].m_task));
             first = last + 1;
         }
     }
@@ -37,23 +38,33 @@
     return names[static_cast<std::size_t>(state)];
 }
 
-std::string encodeProgress(const JobProgress& progress)
+std::vector<std::string> encodeEntries(const JobProgress& progress)
 {
-    std::string text = "s " + std::to_string(static_cast<int>(progress.m_state));
-    appendRanges(text, progress.m_done);
+    const auto nameOfTask = [](const TaskIndex& task) {
+        return std::to_string(task.m_occurrence) + ' ' + std::to_string(task.m_step) + ' ' + std::to_string(task.m_task)
+            + ' ';
+    };
+    std::vector<std::string> entries;
+    appendRanges(entries, progress.m_done);
     for (const auto& [task, runs] : progress.m_failedRuns) {
         for (const std::uint32_t run : runs)
-            text += " f " + std::to_string(task.m_occurrence) + ' ' + std::to_string(task.m_step) + ' '
-                + std::to_string(task.m_task) + ' ' + std::to_string(run);
+            entries.push_back("f " + nameOfTask(task) + std::to_string(run));
     }
     for (const auto& [task, crashes] : progress.m_crashes)
-        text += " c " + std::to_string(task.m_occurrence) + ' ' + std::to_string(task.m_step) + ' '
-            + std::to_string(task.m_task) + ' ' + std::to_string(crashes);
+        entries.push_back("c " + nameOfTask(task) + std::to_string(crashes));
     for (const auto& [step, workers] : progress.m_places) {
+        const std::string name = "p " + std::to_string(step.m_occurrence) + ' ' + std::to_string(step.m_step) + ' ';
         for (const WorkerId& worker : workers)
-            text
-                += " p " + std::to_string(step.m_occurrence) + ' ' + std::to_string(step.m_step) + ' ' + worker.value();
+            entries.push_back(name + worker.value());
     }
+    return entries;
+}
+
+std::string encodeProgress(const JobProgress& progress)
+{
+    std::string text = "s " + std::to_string(static_cast<int>(progress.m_state));
+    for (const std::string& entry : encodeEntries(progress))
+        text += ' ' + entry;
     return text;
 }
 
--- a/src/jobs/JobProgress.h
+++ b/src/jobs/JobProgress.h
@@ -58,6 +58,8 @@
 };
 
 std::string encodeProgress(const JobProgress&);
+/// Everything but the state, in pieces that may be stored apart. Joined by blanks, some of them are a valid text.
+std::vector<std::string> encodeEntries(const JobProgress&);
 /// Fails with InvalidRequest when the text was not written by encodeProgress.
 Result<JobProgress> decodeProgress(std::string_view);
 
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -423,7 +423,7 @@
             continue;
         Step& step = *run->second.m_step;
         const bool isRecorded = step.isRecordedPlace(number);
-        if (!isRecorded && !m_isStoreUnavailable) {
+        if (!isRecorded && !m_isStoreUnavailable && !step.m_job->m_isRejected) {
             m_recordingRuns.emplace_back(number, name);
             continue;
         }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -178,7 +178,9 @@
     /// The progress of all jobs; replaces the batch with this number, which will not be stored.
     Batch takeEverything(std::uint64_t insteadOf);
     bool hasChanges() const { return !m_dirty.empty() || m_hasNewEnds; }
-    void stored(std::uint64_t batch);
+    /// Notes that the store has the batch, but for the records of `rejected` jobs, which it does not take. No task of
+    /// these starts until a later batch has their progress.
+    void stored(std::uint64_t batch, const std::set<JobId>& rejected = {});
     /// Highest end number of the worker that is stored; ends up to it may be acknowledged.
     std::uint64_t storedEnd(const WorkerId&) const;
     /// Runs that were given up, and runs that were listed unexpectedly, since the last call.
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -73,7 +73,7 @@
             continue;
         }
         ++it;
-        if (waitsForTeamLimit(step))
+        if (step.m_job->m_isRejected || waitsForTeamLimit(step))
             continue;
         // A gang looks ahead: it reserves workers that have no room yet.
         const bool isGang = step.m_spec->m_isGang;
@@ -675,6 +675,8 @@
         ++reasons[reason];
     }
     std::string text = "waiting " + std::to_string(step.m_waitingTasks) + " of " + std::to_string(step.m_tasks.size());
+    if (step.m_job->m_isRejected)
+        text += ", the store does not take its progress";
     if (waitsForTeamLimit(step))
         text += m_scheduler.m_teamLimits.isConfigured() ? ", teamLimit" : ", teamLimit unknown";
     if (!step.m_reservedWorkers.empty())
--- /dev/null
+++ b/src/jobs/ProgressRecords.cpp
@@ -0,0 +1,126 @@
+// Division of the progress of a job into records.
+
+#include "jobs/ProgressRecords.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace sapphiredale::jobs {
+
+namespace {
+
+    /// Progress up to this length is one record. Longer records would be written anew with each change.
+    constexpr std::size_t maxUndividedBytes = 32 * 1024;
+    constexpr std::size_t maxPartBytes = 64 * 1024;
+
+    std::size_t hashOf(const std::string& text) { return std::hash<std::string> {}(text); }
+
+} // namespace
+
+JobId jobOfProgressKey(const std::string& key) { return JobId(key.substr(0, key.find(progressPartMark))); }
+
+void mergeProgress(JobProgress& into, const JobProgress& other)
+{
+    into.m_state = std::max(into.m_state, other.m_state);
+    into.m_done.insert(into.m_done.end(), other.m_done.begin(), other.m_done.end());
+    for (const auto& [task, runs] : other.m_failedRuns) {
+        std::vector<std::uint32_t>& known = into.m_failedRuns[task];
+        for (const std::uint32_t run : runs) {
+            if (std::find(known.begin(), known.end(), run) == known.end())
+                known.push_back(run);
+        }
+        std::sort(known.begin(), known.end());
+    }
+    for (const auto& [task, crashes] : other.m_crashes)
+        into.m_crashes[task] = std::max(into.m_crashes[task], crashes);
+    for (const auto& [step, workers] : other.m_places)
+        into.m_places[step].insert(workers.begin(), workers.end());
+}
+
+ProgressRecords::ProgressRecords(std::size_t maxBytes)
+    : m_maxBytes(maxBytes)
+{
+}
+
+void ProgressRecords::noteStored(const std::string& key, const std::string& text)
+{
+    m_divided[jobOfProgressKey(key)][key] = hashOf(text);
+}
+
+ProgressRecords::Texts ProgressRecords::textsOfSteps(const JobId& job, const JobProgress& progress) const
+{
+    std::map<StepIndex, JobProgress> steps;
+    const auto stepOf = [&steps](const TaskIndex& task) -> JobProgress& {
+        return steps[{ task.m_occurrence, task.m_step }];
+    };
+    for (const TaskIndex& task : progress.m_done)
+        stepOf(task).m_done.push_back(task);
+    for (const auto& [task, runs] : progress.m_failedRuns)
+        stepOf(task).m_failedRuns[task] = runs;
+    for (const auto& [task, crashes] : progress.m_crashes)
+        stepOf(task).m_crashes[task] = crashes;
+    for (const auto& [step, workers] : progress.m_places)
+        steps[step].m_places[step] = workers;
+    const std::size_t maxBytes = std::min(maxPartBytes, m_maxBytes);
+    Texts texts;
+    for (const auto& [index, step] : steps) {
+        const std::string first
+            = job.value() + progressPartMark + std::to_string(index.m_occurrence) + '.' + std::to_string(index.m_step);
+        std::string key = first;
+        std::uint32_t continuations = 0;
+        for (const std::string& entry : encodeEntries(step)) {
+            if (!texts[key].empty() && texts[key].size() + 1 + entry.size() > maxBytes)
+                key = first + '.' + std::to_string(++continuations);
+            std::string& text = texts[key];
+            text += (text.empty() ? "" : " ") + entry;
+        }
+    }
+    return texts;
+}
+
+void ProgressRecords::appendChanges(const JobId& job, const JobProgress& progress, std::vector<KeyValue>& records)
+{
+    auto divided = m_divided.find(job);
+    if (divided == m_divided.end()) {
+        std::string text = encodeProgress(progress);
+        if (text.size() <= std::min(maxUndividedBytes, m_maxBytes)) {
+            records.emplace_back(job.value(), std::move(text));
+            return;
+        }
+        divided = m_divided.try_emplace(job).first;
+    }
+    Texts texts = textsOfSteps(job, progress);
+    // The undivided record, whose entries this one lacks, is replaced after all others are stored; records of steps
+    // that have ended with their job are removed after its state is stored.
+    std::map<std::string, std::size_t>& stored = divided->second;
+    const auto appendIfChanged = [&](const std::string& key, std::string text) {
+        const auto [known, isNew] = stored.try_emplace(key, 0);
+        const std::size_t hash = hashOf(text);
+        if (isNew || known->second != hash)
+            records.emplace_back(key, std::move(text));
+        known->second = hash;
+    };
+    for (auto& [key, text] : texts)
+        appendIfChanged(key, std::move(text));
+    appendIfChanged(job.value(), encodeProgress({ progress.m_state, {}, {}, {}, {} }));
+    std::erase_if(stored, [&](const auto& part) {
+        const bool isRemoved = part.first != job.value() && !texts.contains(part.first);
+        if (isRemoved)
+            records.emplace_back(part.first, std::nullopt);
+        return isRemoved;
+    });
+}
+
+void ProgressRecords::appendRemoval(const JobId& job, std::vector<KeyValue>& records)
+{
+    if (const auto divided = m_divided.find(job); divided != m_divided.end()) {
+        for (const auto& [key, hash] : divided->second) {
+            if (key != job.value())
+                records.emplace_back(key, std::nullopt);
+        }
+        m_divided.erase(divided);
+    }
+    records.emplace_back(job.value(), std::nullopt);
+}
+
+} // namespace sapphiredale::jobs
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -206,6 +206,8 @@
     /// Counted as a job of its queue that has not started.
     bool m_isPending = false;
     bool m_isDirty = false;
+    /// The store did not take the last progress of the job.
+    bool m_isRejected = false;
     /// The job's record is stored beside its progress, or on its way there.
     bool m_isRecordKept = false;
     /// Another team has submitted a job under the same ID. The record is kept beside the progress until the job is
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -99,13 +99,16 @@
     return takeChanges();
 }
 
-void JobScheduler::stored(std::uint64_t batch)
+void JobScheduler::stored(std::uint64_t batch, const std::set<JobId>& rejected)
 {
     for (SentProgress& sent : m_batchRecords[batch]) {
         const auto found = m_jobs.find(sent.m_job);
         if (found == m_jobs.end())
             continue;
         Job& job = *found->second;
+        job.m_isRejected = rejected.contains(sent.m_job);
+        if (job.m_isRejected)
+            continue;
         if (!isFinal(job.m_storedState) && isFinal(sent.m_state))
             m_ended.push_back(
                 { sent.m_job, sent.m_state, job.m_acceptedAt, job.m_objective, job.m_closedAt, job.m_history });
--- a/src/observability/LogEvent.cpp
+++ b/src/observability/LogEvent.cpp
@@ -67,6 +67,7 @@
         { DependencyRegained, 5008, Info, "dependency-regained", "A dependency answers again" },
         { SettingsReloaded, 5009, Info, "settings-reloaded", "The settings file was read again" },
         { ProgressAppendFailed, 5010, Warning, "progress-append-failed", "The store did not append progress of jobs" },
+        { RecordRejected, 5011, Error, "record-rejected", "The store does not take a record of a job" },
         { PeerJoined, 6001, Info, "peer-joined", "A peer has joined" },
         { PeerSuspected, 6002, Warning, "peer-suspected", "A peer is suspected" },
         { PeerLeft, 6003, Info, "peer-left", "A peer has left" },
--- a/src/observability/LogEvent.h
+++ b/src/observability/LogEvent.h
@@ -62,6 +62,7 @@
     DependencyRegained,
     SettingsReloaded,
     ProgressAppendFailed,
+    RecordRejected,
     PeerJoined,
     PeerSuspected,
     PeerLeft,
--- a/tests/controller/GatewayTest.cpp
+++ b/tests/controller/GatewayTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(slowStoreIsBypassedWithoutFurtherAppends);
     CPPUNIT_TEST(recordIsStoredThoughTheSchedulerDoesNotAnswer);
     CPPUNIT_TEST(cancellationOfAJobThatTheSchedulerDoesNotKnowIsStored);
+    CPPUNIT_TEST(jobThatNoRecordHoldsIsRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
     /// A gateway whose direct appends are refused, and a stand-in for the scheduler's daemon.
@@ -92,6 +93,20 @@
         CPPUNIT_ASSERT_EQUAL(1, fixture.m_schedulerCalls);
     }
 
+    // Guards against a caller that repeats a submission which the store never takes.
+    void jobThatNoRecordHoldsIsRefusedAtOnce()
+    {
+        Fixture fixture;
+        fixture.setFault(StoreStandIn::Fault::None);
+        const std::string label(fixture.m_site.m_recordBytes, 'x');
+        const auto [status, retryAfter]
+            = fixture.call("POST", R"({"spec":"","steps":[{"count":1,"requires":")" + label + R"("}]})");
+        CPPUNIT_ASSERT_EQUAL(413U, status);
+        CPPUNIT_ASSERT_EQUAL(0U, retryAfter);
+        CPPUNIT_ASSERT_EQUAL(0U, fixture.storeCalls());
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.submit().first);
+    }
+
     // Guards against callers that wait until their deadlines, too late to retry, for a scheduler that lost power during
     // an outage of the store.
     void failedSchedulerIsNotAwaited()
--- a/tests/controller/StoreStandIn.h
+++ b/tests/controller/StoreStandIn.h
@@ -48,6 +48,9 @@
     {
     }
 
+    /// Appends with a longer record, counted with its key, are rejected.
+    std::size_t m_maxRecordBytes = 262144;
+
     const std::string& address() const { return m_address; }
     Part& part(const std::string& topic, std::uint32_t number = 0) { return m_parts[{ topic, number }]; }
 
@@ -141,13 +144,18 @@
         read(place, request, respond);
     }
 
-    static ServerResponse append(Part& part, const ServerRequest& request)
+    ServerResponse append(Part& part, const ServerRequest& request) const
     {
         namespace json = boost::json;
         const std::string asOf = parameter(request.m_target, "as_of");
         if (!asOf.empty() && number(asOf) != part.m_records.size())
             return { 412, json::serialize(json::object { { "end", part.m_records.size() } }) };
         const std::vector<Record> records = decode(request.m_body);
+        const auto isTooLong = [this](const Record& record) {
+            return 1 + record.m_key.size() + record.m_value.value_or("").size() > m_maxRecordBytes;
+        };
+        if (std::any_of(records.begin(), records.end(), isTooLong))
+            return { 400, "{}" };
         const std::string writer = parameter(request.m_target, "producer");
         if (!writer.empty()) {
             const std::uint64_t epoch = number(parameter(request.m_target, "epoch"));
--- a/tests/controller/TermFixture.h
+++ b/tests/controller/TermFixture.h
@@ -12,11 +12,13 @@
 /// A term with its collaborators; none of them outlives it. Without other daemons and with authority throughout.
 struct TermFixture {
     TermFixture(StoreStandIn& store, boost::asio::io_context& context, std::uint64_t number = 2,
-        Duration jobRetention = std::chrono::seconds(150), std::uint32_t progressPartition = 0)
+        Duration jobRetention = std::chrono::seconds(150), std::uint32_t progressPartition = 0,
+        std::uint32_t recordBytes = 262144)
         : m_adviceDispatcher(context, nullptr)
         , m_log(openLog())
     {
         m_site.m_store = store.address();
+        m_site.m_recordBytes = recordBytes;
         TermAuthority authority;
         authority.m_mayIssueOrders = [this] { return m_mayIssueOrders; };
         authority.m_steppedDown = [] {};
