Log and export how many steps and tasks the scheduler holds

Change: recovery-finished has steps and tasks, and the gauges sapphire_held_steps and sapphire_held_tasks are new. No decision changes.

--- a/src/controller/Controller.cpp
+++ b/src/controller/Controller.cpp
@@ -451,6 +451,9 @@
     if (m_term && m_term->scheduler() != nullptr) {
         const jobs::SchedulerCounters& counters = m_term->scheduler()->counters();
         put("term", m_term->term());
+        const jobs::JobScheduler::HeldWork held = m_term->scheduler()->heldWork();
+        put("held_steps", held.m_steps);
+        put("held_tasks", held.m_tasks);
         put("starts_total", counters.m_starts);
         put("refused_starts_total", counters.m_refusedStarts);
         put("unknown_starts_total", counters.m_unknownStarts);
--- a/src/controller/TermRecovery.cpp
+++ b/src/controller/TermRecovery.cpp
@@ -51,7 +51,8 @@
     }
     m_log.write(LogEvent::RecoveryFinished,
         { { "term", m_settings.m_term }, { "jobs", std::uint64_t { m_scheduler->jobCount() } },
-            { "openJobs", std::uint64_t { m_scheduler->openJobCount() } },
+            { "openJobs", std::uint64_t { m_scheduler->openJobCount() } }, { "steps", m_scheduler->heldWork().m_steps },
+            { "tasks", m_scheduler->heldWork().m_tasks },
             { "progressPartition", std::uint64_t { m_settings.m_progressPartition } },
             { "progressRecords", std::uint64_t { progressRecords } },
             { "workers", std::uint64_t { m_workerObserver->m_entries.size() } },
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -464,6 +464,17 @@
         std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto& entry) { return entry.second->isOpen(); }));
 }
 
+JobScheduler::HeldWork JobScheduler::heldWork() const
+{
+    HeldWork held;
+    for (const auto& [id, job] : m_jobs) {
+        held.m_steps += job->m_steps.size();
+        for (const Step& step : job->m_steps)
+            held.m_tasks += step.m_tasks.size();
+    }
+    return held;
+}
+
 JobState JobScheduler::state(const JobId& id) const
 {
     const Job& job = *m_jobs.at(id);
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -229,6 +229,12 @@
     std::size_t jobCount() const { return m_jobs.size(); }
     /// Number of jobs that have not ended.
     std::size_t openJobCount() const;
+    /// Steps and tasks that take memory.
+    struct HeldWork {
+        std::uint64_t m_steps = 0;
+        std::uint64_t m_tasks = 0;
+    };
+    HeldWork heldWork() const;
     /// @}
 
 private:
