Keep the tasks of a long step in one record each

Cause: the progress of a step beyond 64 KB was divided where a record was full. An entry that grew moved those behind it to the next record. Each record is replaced by an append of its own, so a term that ended between two of them left finished tasks in neither record: its successor would run them again. Evidence: ProgressRecordsTest::anyPrefixOfAChangeOfALongStepIsValid fails on (a prefix of the records of a change lacks finished tasks) and passes here. Change: the record of a task follows from its number, 512 tasks of a step share one, and places are in the first.

--- a/src/jobs/ProgressRecords.cpp
+++ b/src/jobs/ProgressRecords.cpp
@@ -11,7 +11,9 @@
 
     /// Progress up to this length is one record. Longer records would be written anew with each change.
     constexpr std::size_t maxUndividedBytes = 32 * 1024;
-    constexpr std::size_t maxPartBytes = 64 * 1024;
+    /// Tasks of a step whose entries share a record. Each task has one record as long as the job exists: if it moved to
+    /// another, no record would have it after the first of both changes.
+    constexpr std::uint32_t tasksPerPart = 512;
 
     std::size_t hashOf(const std::string& text) { return std::hash<std::string> {}(text); }
 
@@ -47,33 +49,31 @@
     m_divided[jobOfProgressKey(key)][key] = hashOf(text);
 }
 
-ProgressRecords::Texts ProgressRecords::textsOfSteps(const JobId& job, const JobProgress& progress) const
+ProgressRecords::Texts ProgressRecords::textsOfSteps(const JobId& job, const JobProgress& progress)
 {
-    std::map<StepIndex, JobProgress> steps;
-    const auto stepOf = [&steps](const TaskIndex& task) -> JobProgress& {
-        return steps[{ task.m_occurrence, task.m_step }];
+    std::map<std::string, JobProgress> parts;
+    const auto partOfStep = [&](std::uint32_t occurrence, std::uint32_t step) -> JobProgress& {
+        return parts[std::to_string(occurrence) + '.' + std::to_string(step)];
+    };
+    const auto partOf = [&](const TaskIndex& task) -> JobProgress& {
+        const std::uint32_t block = task.m_task / tasksPerPart;
+        return block == 0 ? partOfStep(task.m_occurrence, task.m_step)
+                          : parts[std::to_string(task.m_occurrence) + '.' + std::to_string(task.m_step) + '.'
+                              + std::to_string(block)];
     };
     for (const TaskIndex& task : progress.m_done)
-        stepOf(task).m_done.push_back(task);
+        partOf(task).m_done.push_back(task);
     for (const auto& [task, runs] : progress.m_failedRuns)
-        stepOf(task).m_failedRuns[task] = runs;
+        partOf(task).m_failedRuns[task] = runs;
     for (const auto& [task, crashes] : progress.m_crashes)
-        stepOf(task).m_crashes[task] = crashes;
+        partOf(task).m_crashes[task] = crashes;
     for (const auto& [step, workers] : progress.m_places)
-        steps[step].m_places[step] = workers;
-    const std::size_t maxBytes = std::min(maxPartBytes, m_maxBytes);
+        partOfStep(step.m_occurrence, step.m_step).m_places[step] = workers;
     Texts texts;
-    for (const auto& [index, step] : steps) {
-        const std::string first
-            = job.value() + progressPartMark + std::to_string(index.m_occurrence) + '.' + std::to_string(index.m_step);
-        std::string key = first;
-        std::uint32_t continuations = 0;
-        for (const std::string& entry : encodeEntries(step)) {
-            if (!texts[key].empty() && texts[key].size() + 1 + entry.size() > maxBytes)
-                key = first + '.' + std::to_string(++continuations);
-            std::string& text = texts[key];
+    for (const auto& [name, part] : parts) {
+        std::string& text = texts[job.value() + progressPartMark + name];
+        for (const std::string& entry : encodeEntries(part))
             text += (text.empty() ? "" : " ") + entry;
-        }
     }
     return texts;
 }
--- a/src/jobs/ProgressRecords.h
+++ b/src/jobs/ProgressRecords.h
@@ -48,7 +48,7 @@
 private:
     using Texts = std::map<std::string, std::string>;
 
-    Texts textsOfSteps(const JobId&, const JobProgress&) const;
+    static Texts textsOfSteps(const JobId&, const JobProgress&);
 
     const std::size_t m_maxBytes;
     /// Hashes of the stored texts by key, for jobs whose progress is divided by steps.
--- a/tests/jobs/ProgressRecordsTest.cpp
+++ b/tests/jobs/ProgressRecordsTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(longStepIsDivided);
     CPPUNIT_TEST(changeStoresOnlyTheStepsThatItConcerns);
     CPPUNIT_TEST(anyPrefixOfADivisionIsValid);
+    CPPUNIT_TEST(anyPrefixOfAChangeOfALongStepIsValid);
     CPPUNIT_TEST(stateOfAnEndedJobIsStoredBeforeItsStepsAreRemoved);
     CPPUNIT_TEST(successorKnowsTheRecordsOfSteps);
     CPPUNIT_TEST(failedRunsAreCountedOnce);
@@ -146,6 +147,33 @@
         }
     }
 
+    // Guards against the same, since an entry moved from one record of its step to another.
+    void anyPrefixOfAChangeOfALongStepIsValid()
+    {
+        ProgressRecords records(maxBytes);
+        const auto doneTasks = [](std::uint32_t first, std::uint32_t interval) {
+            JobProgress progress;
+            progress.m_state = JobState::Running;
+            for (std::uint32_t task = first; task < maxTasksPerStep; task += interval)
+                progress.m_done.push_back({ 99999, 0, task });
+            return progress;
+        };
+        for (const auto& [before, after] :
+            { std::pair { doneTasks(4000, 2), doneTasks(0, 2) }, std::pair { doneTasks(0, 2), doneTasks(0, 1) } }) {
+            Stored whole;
+            apply(whole, changes(records, before));
+            const std::vector<KeyValue> change = changes(records, after);
+            for (std::size_t count = 0; count <= change.size(); ++count) {
+                Stored stored = whole;
+                apply(stored, change, count);
+                const JobProgress known = read(stored);
+                CPPUNIT_ASSERT(std::includes(
+                    known.m_done.begin(), known.m_done.end(), before.m_done.begin(), before.m_done.end()));
+            }
+            records.clear();
+        }
+    }
+
     // Guards against a job that runs again since its steps were removed and its end was not stored.
     void stateOfAnEndedJobIsStoredBeforeItsStepsAreRemoved()
     {
