Hold only the occurrences and tasks that are needed in memory

Cause: JobScheduler held a Step of some 1.1 KB and a Task of 177 bytes for each step and task of each due occurrence, in each term anew. Change: an occurrence is held while something refers to it, while its tasks have a history, or while it is among the first 2 to 32 that wait at one of its steps (jobs/Occurrences.cpp). Others are known by their finished steps, as ranges, from which a successor reads them too. Beyond 1,024 finished steps the stored progress names ranges. The tasks of a step share one state until they differ (TaskList), so that wide steps which wait cost as little. Not told by a test: the team metrics of waiting tasks count held occurrences. Only jobs with more than 1,024 finished steps have progress that the earlier version cannot read.

--- a/src/jobs/JobProgress.cpp
+++ b/src/jobs/JobProgress.cpp
@@ -1,5 +1,6 @@
 // Stored form of a job's progress: words separated by blanks, "s" for the state, "d" for succeeded tasks of one step as
-// ranges, "f" for a failed run of one task, "c" for the number of crashes under one task, "p" for a worker of one step.
+// ranges, "o" for a step that is finished in a range of occurrences, "f" for a failed run of one task, "c" for the
+// number of crashes under one task, "p" for a worker of one step.
 
 #include "jobs/JobProgress.h"
 
@@ -45,6 +46,10 @@
             + ' ';
     };
     std::vector<std::string> entries;
+    entries.reserve(progress.m_finished.size());
+    for (const FinishedRange& range : progress.m_finished)
+        entries.push_back("o " + std::to_string(range.m_step) + ' ' + std::to_string(range.m_occurrences.m_first) + ' '
+            + std::to_string(range.m_occurrences.m_last));
     appendRanges(entries, progress.m_done);
     for (const auto& [task, runs] : progress.m_failedRuns) {
         for (const std::uint32_t run : runs)
@@ -90,6 +95,15 @@
             progress.m_places[step].insert(WorkerId(worker));
             continue;
         }
+        if (kind == "o") {
+            FinishedRange range;
+            OccurrenceRange& occurrences = range.m_occurrences;
+            if (!(words >> range.m_step >> occurrences.m_first >> occurrences.m_last)
+                || occurrences.m_last < occurrences.m_first || occurrences.m_last >= maxTasksPerJob)
+                return malformed;
+            progress.m_finished.push_back(range);
+            continue;
+        }
         TaskIndex task;
         std::uint32_t value = 0;
         if (!(words >> task.m_occurrence >> task.m_step >> task.m_task >> value))
--- a/src/jobs/JobProgress.h
+++ b/src/jobs/JobProgress.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jobs/JobSpec.h"
+#include "jobs/OccurrenceSet.h"
 
 #include <cstdint>
 #include <map>
@@ -32,6 +33,15 @@
     friend auto operator<=>(const StepIndex&, const StepIndex&) = default;
 };
 
+/// Occurrences in which all tasks of a step have succeeded.
+struct FinishedRange {
+    std::uint32_t m_step = 0;
+    OccurrenceRange m_occurrences;
+
+    friend bool operator==(const FinishedRange&, const FinishedRange&) = default;
+    friend auto operator<=>(const FinishedRange&, const FinishedRange&) = default;
+};
+
 /// State of a job as its caller sees it.
 enum class JobState : std::uint8_t { Queued, Running, Done, Failed, Cancelled };
 
@@ -53,6 +63,8 @@
     /// Workers on which tasks of a step may run, by occurrence and step. A task is started only on a worker that the
     /// stored record names, so that a successor knows which tasks an unreachable worker may be running.
     std::map<StepIndex, std::set<WorkerId>> m_places;
+    /// Further tasks that have succeeded, of jobs with many finished steps. Earlier versions cannot read these.
+    std::vector<FinishedRange> m_finished {};
 
     friend bool operator==(const JobProgress&, const JobProgress&) = default;
 };
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -56,6 +56,7 @@
     const Duration objective
         = std::min(scaled(criticalPathLength(withAdviceTime(record)), record.m_policy.m_slackFactor), maxObjective)
         + record.m_policy.m_latencyTarget;
+    job.m_finishedIn.resize(job.stepsPerOccurrence());
     job.m_chain = criticalPathLength(record.m_spec);
     job.m_objective = job.m_acceptedAt + objective;
     job.m_usefulUntil = job.m_acceptedAt + objective * usefulObjectives;
@@ -82,11 +83,11 @@
         closeJob(job, JobState::Cancelled, now);
         return restorePlacesOfEndedJob(job, stored, now);
     }
-    openDueOccurrences(job, wallNowMs, now);
     restoreTasks(job, stored, now);
+    updateHeldOccurrences(job, wallNowMs, now);
     updatePending(job);
-    if (job.isOpen() && job.m_openedOccurrences < record.m_spec.occurrenceCount())
-        m_jobsWithFutureOccurrences.push_back(&job);
+    if (job.isOpen() && record.m_spec.occurrenceCount() > 1)
+        m_jobsWithOccurrences.push_back(&job);
 }
 
 void JobScheduler::handleReusedId(Job& job, const JobRecord& record)
@@ -132,19 +133,20 @@
 
 void JobScheduler::restoreTasks(Job& job, const JobProgress& progress, TimePoint now)
 {
+    job.m_hasStarted
+        = progress.m_state == JobState::Running || !progress.m_done.empty() || !progress.m_finished.empty();
+    if (job.m_hasStarted)
+        job.m_state = JobState::Running;
+    if (!progress.m_done.empty() || !progress.m_finished.empty())
+        markChanged(job);
+    const std::vector<TaskIndex> unfinished = restoreFinishedSteps(job, progress);
     const auto find = [&](const TaskIndex& index) -> std::pair<Step*, Task*> {
-        // The clock of the daemon that opened the occurrence may have been ahead of this one.
-        while (index.m_occurrence >= job.m_openedOccurrences
-            && job.m_openedOccurrences < job.m_record.m_spec.occurrenceCount())
-            openOccurrence(job, now);
-        Step* step = job.step(index.m_occurrence, index.m_step);
+        Step* step
+            = openOccurrence(job, index.m_occurrence, now) ? job.step(index.m_occurrence, index.m_step) : nullptr;
         if (step == nullptr || index.m_task >= step->m_tasks.size())
             return { nullptr, nullptr };
-        return { step, &step->m_tasks[index.m_task] };
+        return { step, &step->m_tasks.own(index.m_task) };
     };
-    job.m_hasStarted = progress.m_state == JobState::Running || !progress.m_done.empty();
-    if (job.m_hasStarted)
-        job.m_state = JobState::Running;
     for (const auto& [index, runs] : progress.m_failedRuns) {
         if (const auto [step, task] = find(index); task != nullptr) {
             task->m_failedRuns = runs;
@@ -160,7 +162,7 @@
             step->m_inheritedPlaces = workers;
     }
     m_areInheritedPlacesChanged = m_areInheritedPlacesChanged || !progress.m_places.empty();
-    for (const TaskIndex& index : progress.m_done) {
+    for (const TaskIndex& index : unfinished) {
         if (const auto [step, task] = find(index); task != nullptr)
             finishTask(*step, *task, now);
     }
@@ -168,6 +170,7 @@
         if (const auto [step, task] = find({ index.m_occurrence, index.m_step, 0 }); step != nullptr)
             updateInheritedCharge(*step);
     }
+    closeIfFinished(job, now);
 }
 
 void JobScheduler::restorePlacesOfEndedJob(Job& job, const JobProgress& progress, TimePoint now)
@@ -195,43 +198,15 @@
         const auto perTask = std::min<std::size_t>(step.m_inheritedPlaces.size(), maxUnresolvedCopies);
         runs = static_cast<std::int64_t>(step.m_tasks.size() * perTask);
     } else if (!step.m_inheritedPlaces.empty()) {
-        runs = std::count_if(step.m_tasks.begin(), step.m_tasks.end(),
-            [](const Task& task) { return !task.m_isDone && task.m_liveRuns == 0; });
+        step.m_tasks.visit([&runs](const Task& task, std::size_t tasks) {
+            runs += !task.m_isDone && task.m_liveRuns == 0 ? static_cast<std::int64_t>(tasks) : 0;
+        });
     }
     m_teamLimits.refund(job.m_team, step.m_inheritedCharge);
     step.m_inheritedCharge = step.m_spec->m_need * runs;
     m_teamLimits.charge(job.m_team, step.m_inheritedCharge);
 }
 
-void JobScheduler::openDueOccurrences(Job& job, std::int64_t wallNowMs, TimePoint now)
-{
-    const JobSpec& spec = job.m_record.m_spec;
-    while (job.m_openedOccurrences < spec.occurrenceCount()) {
-        if (spec.m_occurrences > 0 && wallNowMs < spec.m_firstDueMs + spec.m_intervalMs * job.m_openedOccurrences)
-            return;
-        openOccurrence(job, now);
-    }
-}
-
-void JobScheduler::openOccurrence(Job& job, TimePoint now)
-{
-    const std::uint32_t occurrence = job.m_openedOccurrences++;
-    const std::vector<StepSpec>& specs = job.m_record.m_spec.m_steps;
-    const std::size_t first = job.m_steps.size();
-    const std::vector<Duration> rest = criticalPaths(job.m_record.m_spec);
-    for (std::uint32_t i = 0; i < specs.size(); ++i) {
-        Step& step = job.m_steps.emplace_back();
-        step.m_job = &job;
-        step.m_spec = &specs[i];
-        step.m_name = { job.m_record.m_job, occurrence, i };
-        step.m_tasks.resize(specs[i].m_count);
-        step.m_criticalPath = rest[i];
-        step.m_openDependencies = static_cast<std::uint32_t>(specs[i].m_dependsOn.size());
-    }
-    for (std::size_t i = first; i < job.m_steps.size(); ++i)
-        refreshAllWaiting(job.m_steps[i], now);
-}
-
 void JobScheduler::cancelJob(const JobId& id, TimePoint now, const Canceller& canceller)
 {
     const auto found = m_jobs.find(id);
@@ -251,8 +226,10 @@
     job.m_closedAt = now;
     updatePending(job);
     markChanged(job);
-    for (Step& step : job.m_steps)
-        refreshAllWaiting(step, now);
+    for (auto& [occurrence, steps] : job.m_occurrences) {
+        for (Step& step : steps)
+            refreshAllWaiting(step, now);
+    }
     if (state != JobState::Done)
         stopAllRuns(job, now);
 }
@@ -269,15 +246,16 @@
     if (found == m_jobs.end())
         return nullptr;
     Job& job = *found->second;
-    // The steps of a job that had ended before this term are needed only for runs that still exist.
-    while (!job.isOpen() && job.m_openedOccurrences <= name.m_index.m_occurrence
-        && job.m_openedOccurrences < job.m_record.m_spec.occurrenceCount())
-        openOccurrence(job, now);
-    Step* step = job.step(name.m_index.m_occurrence, name.m_index.m_step);
-    return step != nullptr && name.m_index.m_task < step->m_tasks.size() ? step : nullptr;
+    const TaskIndex& index = name.m_index;
+    // The occurrences of a job that has ended are needed only for runs that still exist.
+    const bool isDue = index.m_occurrence < job.m_dueOccurrences || !job.isOpen();
+    if (!isDue || !openOccurrence(job, index.m_occurrence, now))
+        return nullptr;
+    Step* step = job.step(index.m_occurrence, index.m_step);
+    return step != nullptr && index.m_task < step->m_tasks.size() ? step : nullptr;
 }
 
-void JobScheduler::refreshWaiting(Step& step, Task& task, TimePoint now)
+void JobScheduler::refreshWaiting(Step& step, Task& task, TimePoint now, std::size_t tasks)
 {
     // Copies of a task whose workers fall silent one after the other wait until it is known why.
     const bool mayCopy = step.m_spec->m_allowsCopies && task.m_liveRuns < maxUnresolvedCopies;
@@ -286,12 +264,13 @@
     if (isWaiting == task.m_isWaiting)
         return;
     task.m_isWaiting = isWaiting;
+    step.m_job->m_areHeldOccurrencesStale = true;
     if (!isWaiting) {
-        --step.m_waitingTasks;
+        step.m_waitingTasks -= static_cast<std::uint32_t>(tasks);
         return;
     }
     task.m_waitingSince = now;
-    ++step.m_waitingTasks;
+    step.m_waitingTasks += static_cast<std::uint32_t>(tasks);
     if (!step.m_isQueued) {
         step.m_queuedFactor = m_speeds.fastestFactor(step.m_job->m_pool);
         m_waitingSteps.insert(step, now);
@@ -300,8 +279,7 @@
 
 void JobScheduler::refreshAllWaiting(Step& step, TimePoint now)
 {
-    for (Task& task : step.m_tasks)
-        refreshWaiting(step, task, now);
+    step.m_tasks.visit([&](Task& task, std::size_t tasks) { refreshWaiting(step, task, now, tasks); });
 }
 
 void JobScheduler::finishTask(Step& step, Task& task, TimePoint now)
@@ -320,7 +298,9 @@
 void JobScheduler::finishStep(Step& step, TimePoint now)
 {
     Job& job = *step.m_job;
+    job.m_finishedIn[step.m_name.m_step].add(step.m_name.m_occurrence);
     ++job.m_finishedSteps;
+    job.m_areHeldOccurrencesStale = true;
     for (std::uint32_t i = step.m_name.m_step + 1; i < job.stepsPerOccurrence(); ++i) {
         Step& other = *job.step(step.m_name.m_occurrence, i);
         const auto& dependencies = other.m_spec->m_dependsOn;
@@ -328,7 +308,12 @@
             -= static_cast<std::uint32_t>(std::count(dependencies.begin(), dependencies.end(), step.m_name.m_step));
         refreshAllWaiting(other, now);
     }
-    const std::size_t allSteps = std::size_t { job.stepsPerOccurrence() } * job.m_record.m_spec.occurrenceCount();
+    closeIfFinished(job, now);
+}
+
+void JobScheduler::closeIfFinished(Job& job, TimePoint now)
+{
+    const std::uint64_t allSteps = std::uint64_t { job.stepsPerOccurrence() } * job.m_record.m_spec.occurrenceCount();
     if (job.isOpen() && job.m_finishedSteps == allSteps)
         closeJob(job, JobState::Done, now);
 }
@@ -357,13 +342,9 @@
 
 std::vector<SchedulerAction> JobScheduler::step(std::int64_t wallNowMs, TimePoint now, const AdviceCapacity& advice)
 {
-    for (Job* job : m_jobsWithFutureOccurrences) {
-        if (job->isOpen())
-            openDueOccurrences(*job, wallNowMs, now);
-    }
-    std::erase_if(m_jobsWithFutureOccurrences, [](const Job* job) {
-        return !job->isOpen() || job->m_openedOccurrences == job->m_record.m_spec.occurrenceCount();
-    });
+    std::erase_if(m_jobsWithOccurrences, [](const Job* job) { return !job->isOpen(); });
+    for (Job* job : m_jobsWithOccurrences)
+        updateHeldOccurrences(*job, wallNowMs, now);
     superviseWorkers(now);
     applyShareMarks(now);
     m_speeds.update(now);
@@ -383,8 +364,10 @@
         if (found == m_jobs.end())
             continue;
         found->second->m_share = mark;
-        for (Step& step : found->second->m_steps)
-            m_waitingSteps.refresh(step, now);
+        for (auto& [occurrence, steps] : found->second->m_occurrences) {
+            for (Step& step : steps)
+                m_waitingSteps.refresh(step, now);
+        }
     }
 }
 
@@ -468,9 +451,11 @@
 {
     HeldWork held;
     for (const auto& [id, job] : m_jobs) {
-        held.m_steps += job->m_steps.size();
-        for (const Step& step : job->m_steps)
-            held.m_tasks += step.m_tasks.size();
+        for (const auto& [occurrence, steps] : job->m_occurrences) {
+            held.m_steps += steps.size();
+            for (const Step& step : steps)
+                held.m_tasks += step.m_tasks.stateCount();
+        }
     }
     return held;
 }
@@ -519,9 +504,9 @@
 {
     std::vector<Step*> due;
     for (const auto& [rank, step] : m_waitingSteps) {
-        const bool isLong = step->m_nextWaitLogAt <= now
-            && std::any_of(step->m_tasks.begin(), step->m_tasks.end(),
-                [&](const Task& task) { return task.m_isWaiting && now - task.m_waitingSince > age; });
+        const bool isLong = step->m_nextWaitLogAt <= now && step->m_tasks.anyOf([&](const Task& task) {
+            return task.m_isWaiting && now - task.m_waitingSince > age;
+        });
         if (isLong)
             due.push_back(step);
     }
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -245,23 +245,38 @@
     void handleReusedId(Job&, const JobRecord&);
     /// Whether a cancellation that was read before the job applies to it.
     bool takeEarlyCancellation(const JobRecord&);
-    void openOccurrence(Job&, TimePoint now);
-    void openDueOccurrences(Job&, std::int64_t wallNowMs, TimePoint now);
+    /// \name Occurrences in memory; see Occurrences.cpp
+    /// @{
+    /// Holds the occurrence in memory; returns whether the job has it.
+    bool openOccurrence(Job&, std::uint32_t occurrence, TimePoint now);
+    /// Notes the occurrences that are due, and decides which ones are held.
+    void updateHeldOccurrences(Job&, std::int64_t wallNowMs, TimePoint now);
+    /// Opens due occurrences in which the step is ready, until `count` were opened.
+    void openReadyOccurrences(Job&, std::uint32_t step, std::uint32_t count, TimePoint now);
+    /// Drops the steps of the occurrence from memory; nothing may refer to them.
+    void releaseOccurrence(Job&, std::uint32_t occurrence, TimePoint now);
+    /// Notes the steps that the stored progress shows as finished, and returns the finished tasks of other steps.
+    static std::vector<TaskIndex> restoreFinishedSteps(Job&, const JobProgress&);
+    /// @}
     ProgressRecord progressOf(const Job&) const;
+    /// Adds the finished steps of the job, and what is known of a step that is held.
+    static void addFinishedSteps(const Job&, JobProgress&);
+    void addProgressOf(const Step&, JobProgress&) const;
     /// Workers that the next record of the step's job names as its places.
     PlaceSet placesOf(const Step&) const;
     void restoreTasks(Job&, const JobProgress&, TimePoint now);
     /// Restores the places of a job that has ended while its tasks may go on, for the limit of its team.
     void restorePlacesOfEndedJob(Job&, const JobProgress&, TimePoint now);
     Step* stepOf(const TaskName&, TimePoint now);
-    static Task& taskOf(Step& step, const RunName& run) { return step.m_tasks[run.m_task.m_index.m_task]; }
+    static Task& taskOf(Step& step, const RunName& run) { return step.m_tasks.own(run.m_task.m_index.m_task); }
     /// The task that counts the failures and crashes of the run. The members of a gang start and fail together: the
     /// first one counts for all.
     static Task& countingTaskOf(Step& step, const RunName& run)
     {
-        return step.m_spec->m_isGang ? step.m_tasks.front() : taskOf(step, run);
+        return step.m_spec->m_isGang ? step.m_tasks.own(0) : taskOf(step, run);
     }
-    void refreshWaiting(Step&, Task&, TimePoint now);
+    /// Updates whether tasks that share a state wait.
+    void refreshWaiting(Step&, Task&, TimePoint now, std::size_t tasks = 1);
     void refreshAllWaiting(Step&, TimePoint now);
     void setActive(Run&, bool, TimePoint now);
     /// Counts the job as pending or not, after its state has changed.
@@ -272,6 +287,8 @@
     void confirm(Run&, TimePoint now);
     void finishTask(Step&, Task&, TimePoint now);
     void finishStep(Step&, TimePoint now);
+    /// Ends the job as done once all steps of all occurrences are finished.
+    void closeIfFinished(Job&, TimePoint now);
     void closeJob(Job&, JobState, TimePoint now);
     void markChanged(Job&);
     /// Applies the marks of jobs that have changed.
@@ -385,6 +402,7 @@
     void superviseRuns(Worker&, TimePoint now);
     /// Forgets inherited places whose runs are known from a report or whose lease has ended.
     void forgetInheritedPlaces(TimePoint now);
+    void forgetInheritedPlaces(Step&, TimePoint now);
     /// Time by which the runs of a worker that does not report have ended.
     TimePoint unreportedLeaseEnd(const WorkerId&) const;
     /// The time by which leases have ended that earlier terms granted the worker on the clock of a known process.
@@ -431,8 +449,8 @@
     std::uint64_t m_lastJobNumber = 0;
     /// Open jobs that have not started, by queue.
     std::unordered_map<std::string, std::uint32_t> m_pending;
-    /// Jobs with occurrences that are not due yet.
-    std::vector<Job*> m_jobsWithFutureOccurrences;
+    /// Open jobs with more than one occurrence.
+    std::vector<Job*> m_jobsWithOccurrences;
     std::vector<Job*> m_dirty;
     bool m_hasNewEnds = false;
     /// Workers with reported ends that are not stored.
@@ -453,8 +471,8 @@
     struct SentProgress {
         JobId m_job;
         JobState m_state = JobState::Queued;
-        /// By step.
-        std::vector<PlaceSet> m_places;
+        /// Places of the steps that have any.
+        std::map<StepIndex, PlaceSet> m_places;
     };
     std::map<std::uint64_t, std::vector<SentProgress>> m_batchRecords;
     TimePoint m_nextSupervision {};
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -115,7 +115,7 @@
 inline constexpr std::size_t maxPayloadBytes = 4000; // the callers' interface allows no more
 inline constexpr std::size_t maxSteps = 256; // bounds the memory of one job; callers use up to 5
 inline constexpr std::uint32_t maxTasksPerStep = 10000; // bounds the memory of one job; callers use up to 52
-/// Bounds the memory of one job with all its occurrences: some 20 MB.
+/// Bounds the tasks of one job with all its occurrences, of which few are held in memory; see Occurrences.cpp.
 inline constexpr std::uint64_t maxTasksPerJob = 100000;
 /// Longer estimates would overflow objectives, which are multiples of the sum of all steps.
 inline constexpr Duration maxEstimate = std::chrono::hours(24 * 100);
--- a/src/jobs/LocalityPlacement.cpp
+++ b/src/jobs/LocalityPlacement.cpp
@@ -100,10 +100,10 @@
     LocalityQuestion question;
     question.m_now = m_now;
     question.m_readySince = m_now;
-    for (const Task& task : step.m_tasks) {
+    step.m_tasks.visit([&question](const Task& task, std::size_t) {
         if (task.m_isWaiting)
             question.m_readySince = std::min(question.m_readySince, task.m_waitingSince);
-    }
+    });
     question.m_estimate = spec.m_estimate;
     question.m_remoteFactor = settings.m_remoteFactor;
     question.m_latestNearStart = step.m_job->m_objective - step.m_criticalPath;
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -270,10 +270,10 @@
     if (!preference.m_isUrgent || preference.m_limit < preference.m_fastest)
         return preference;
     TimePoint waitingSince = m_now;
-    for (const Task& task : step.m_tasks) {
+    step.m_tasks.visit([&waitingSince](const Task& task, std::size_t) {
         if (task.m_isWaiting)
             waitingSince = std::min(waitingSince, task.m_waitingSince);
-    }
+    });
     const double saved = (preference.m_slowest - preference.m_fastest) * waitPart;
     preference.m_waits = m_now < waitingSince + overhead + scaled(step.m_spec->m_estimate, saved);
     return preference;
@@ -353,8 +353,7 @@
 {
     const StepSpec& spec = *step.m_spec;
     // A task under which a worker has crashed needs one that has started nothing lately.
-    const bool hasTrial = std::any_of(step.m_tasks.begin(), step.m_tasks.end(),
-        [](const Task& task) { return task.m_isWaiting && task.m_crashes > 0; });
+    const bool hasTrial = step.m_tasks.anyOf([](const Task& task) { return task.m_isWaiting && task.m_crashes > 0; });
     // Workers come in the order of best fit; enough of them without another cost make further ones superfluous.
     const bool isOrdered = !step.m_job->m_record.m_policy.m_advice && !spec.m_isFilling && spec.m_dataRack.empty()
         && rack.empty() && !hasTrial;
@@ -449,7 +448,7 @@
         std::push_heap(candidates.begin(), candidates.end(), isWorse);
     };
     for (std::uint32_t i = 0; i < step.m_tasks.size() && step.m_waitingTasks > 0 && !candidates.empty(); ++i) {
-        Task& task = step.m_tasks[i];
+        const Task& task = step.m_tasks[i];
         if (!task.m_isWaiting)
             continue;
         if (!m_scheduler.hasTeamRoom(step) || (step.m_job->m_share.m_isBeyond && !respectsHeadroom(step, 1)))
@@ -522,11 +521,12 @@
     if (workers.empty())
         return;
     std::uint32_t run = 0;
-    for (const Task& task : step.m_tasks)
+    step.m_tasks.visit([&](const Task& task, std::size_t) {
         run = std::max(run, JobScheduler::nextRun(m_scheduler.m_settings, task));
+    });
     // All members must carry the same checkpoint.
-    for (Task& task : step.m_tasks)
-        task.m_checkpoint = step.m_tasks.front().m_checkpoint;
+    const std::string checkpoint = step.m_tasks[0].m_checkpoint;
+    step.m_tasks.visit([&checkpoint](Task& task, std::size_t) { task.m_checkpoint = checkpoint; });
     endReservation(step);
     for (std::uint32_t i = 0; i < step.m_tasks.size(); ++i)
         start(step, i, *workers[i], run);
@@ -534,7 +534,7 @@
 
 void PlacementPass::start(Step& step, std::uint32_t index, Worker& worker, std::uint32_t number)
 {
-    Task& task = step.m_tasks[index];
+    Task& task = step.m_tasks.own(index);
     const RunName name { { step.m_name.m_job, { step.m_name.m_occurrence, step.m_name.m_step, index } }, number };
     m_scheduler.addRun(step, task, worker, name, RunPhase::Recording, m_now);
     if (const auto room = m_poolRoom.find(step.m_job->m_pool); room != m_poolRoom.end())
--- a/src/jobs/ProgressRecords.cpp
+++ b/src/jobs/ProgressRecords.cpp
@@ -10,10 +10,12 @@
 namespace {
 
     /// Progress up to this length is one record. Longer records would be written anew with each change.
-    constexpr std::size_t maxUndividedBytes = 32 * 1024;
+    constexpr std::size_t maxUndividedBytes = 32768;
     /// Tasks of a step whose entries share a record. Each task has one record as long as the job exists: if it moved to
     /// another, no record would have it after the first of both changes.
     constexpr std::uint32_t tasksPerPart = 512;
+    /// The same for the occurrences in which a step is finished.
+    constexpr std::uint32_t occurrencesPerPart = 4096;
 
     std::size_t hashOf(const std::string& text) { return std::hash<std::string> {}(text); }
 
@@ -25,6 +27,7 @@
 {
     into.m_state = std::max(into.m_state, other.m_state);
     into.m_done.insert(into.m_done.end(), other.m_done.begin(), other.m_done.end());
+    into.m_finished.insert(into.m_finished.end(), other.m_finished.begin(), other.m_finished.end());
     for (const auto& [task, runs] : other.m_failedRuns) {
         std::vector<std::uint32_t>& known = into.m_failedRuns[task];
         for (const std::uint32_t run : runs) {
@@ -52,6 +55,17 @@
 ProgressRecords::Texts ProgressRecords::textsOfSteps(const JobId& job, const JobProgress& progress)
 {
     std::map<std::string, JobProgress> parts;
+    std::map<std::string, JobProgress> finished;
+    for (const FinishedRange& range : progress.m_finished) {
+        const OccurrenceRange& whole = range.m_occurrences;
+        for (std::uint32_t block = whole.m_first / occurrencesPerPart; block <= whole.m_last / occurrencesPerPart;
+             ++block) {
+            const OccurrenceRange part { std::max(whole.m_first, block * occurrencesPerPart),
+                std::min(whole.m_last, (block + 1) * occurrencesPerPart - 1) };
+            finished["finished." + std::to_string(range.m_step) + '.' + std::to_string(block)].m_finished.push_back(
+                { range.m_step, part });
+        }
+    }
     const auto partOfStep = [&](std::uint32_t occurrence, std::uint32_t step) -> JobProgress& {
         return parts[std::to_string(occurrence) + '.' + std::to_string(step)];
     };
@@ -70,11 +84,17 @@
     for (const auto& [step, workers] : progress.m_places)
         partOfStep(step.m_occurrence, step.m_step).m_places[step] = workers;
     Texts texts;
-    for (const auto& [name, part] : parts) {
-        std::string& text = texts[job.value() + progressPartMark + name];
-        for (const std::string& entry : encodeEntries(part))
-            text += (text.empty() ? "" : " ") + entry;
-    }
+    const auto append = [&](const std::map<std::string, JobProgress>& all) {
+        for (const auto& [name, part] : all) {
+            std::string text;
+            for (const std::string& entry : encodeEntries(part))
+                text += (text.empty() ? "" : " ") + entry;
+            texts.emplace_back(job.value() + progressPartMark + name, std::move(text));
+        }
+    };
+    // What moves from the records of steps to those of ranges is stored there first.
+    append(finished);
+    append(parts);
     return texts;
 }
 
@@ -100,11 +120,14 @@
             records.emplace_back(key, std::move(text));
         known->second = hash;
     };
-    for (auto& [key, text] : texts)
+    std::set<std::string> keys { job.value() };
+    for (auto& [key, text] : texts) {
+        keys.insert(key);
         appendIfChanged(key, std::move(text));
+    }
     appendIfChanged(job.value(), encodeProgress({ progress.m_state, {}, {}, {}, {} }));
     std::erase_if(stored, [&](const auto& part) {
-        const bool isRemoved = part.first != job.value() && !texts.contains(part.first);
+        const bool isRemoved = !keys.contains(part.first);
         if (isRemoved)
             records.emplace_back(part.first, std::nullopt);
         return isRemoved;
--- a/src/jobs/ProgressRecords.h
+++ b/src/jobs/ProgressRecords.h
@@ -2,7 +2,8 @@
 // has no limit: a job may have thousands of tasks on each of hundreds of workers.
 //
 // The progress of a job is one record under its ID as long as it is short. Beyond that the record keeps only the state
-// of the job, and each step has records of its own, so that a change stores only the steps that it concerns. Nothing
+// of the job, and each step has records of its own, so that a change stores only the steps that it concerns, beside
+// records of the ranges of occurrences in which a step is finished. Nothing
 // returns to the first form in a term. A reader takes the union of all records of a job: entries never contradict each
 // other, so that any prefix of the records of a change, and the record of the first form beside them, is valid.
 #pragma once
@@ -46,7 +47,8 @@
     void clear() { m_divided.clear(); }
 
 private:
-    using Texts = std::map<std::string, std::string>;
+    /// Values by key, in the order in which they are stored.
+    using Texts = std::vector<std::pair<std::string, std::string>>;
 
     static Texts textsOfSteps(const JobId&, const JobProgress&);
 
--- a/src/jobs/SchedulerReports.cpp
+++ b/src/jobs/SchedulerReports.cpp
@@ -174,8 +174,8 @@
         if (const auto run = worker.m_runs.find(end.m_run); run != worker.m_runs.end())
             measureSpeed(run->second, 100, now);
         if (step->m_spec->m_isGang) {
-            for (Task& member : step->m_tasks)
-                finishTask(*step, member, now);
+            for (std::size_t member = 0; member < step->m_tasks.size(); ++member)
+                finishTask(*step, step->m_tasks.own(member), now);
         } else {
             finishTask(*step, task, now);
         }
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -121,6 +121,7 @@
     const auto place = step.m_places.find(worker.m_number);
     if (--place->second == 0) {
         step.m_places.erase(place);
+        step.m_job->m_areHeldOccurrencesStale = true;
         // A successor waits for all places that the stored record names, including those of workers that have left.
         if (step.m_job->needsPlaces())
             markChanged(*step.m_job);
@@ -194,9 +195,11 @@
 
 void JobScheduler::stopAllRuns(const Job& job, TimePoint now)
 {
-    for (const Step& step : job.m_steps)
-        stopRuns(
-            step, [](const Run&) { return true; }, now);
+    for (const auto& [occurrence, steps] : job.m_occurrences) {
+        for (const Step& step : steps)
+            stopRuns(
+                step, [](const Run&) { return true; }, now);
+    }
 }
 
 void JobScheduler::stopGang(const Step& step, std::uint32_t number, TimePoint now)
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -1,9 +1,11 @@
 // State of the job scheduler: jobs with their steps and tasks, workers with their runs.
 #pragma once
 
+#include "jobs/OccurrenceSet.h"
 #include "jobs/RoomIndex.h"
 #include "jobs/SchedulerTypes.h"
 #include "jobs/StepQueue.h"
+#include "jobs/TaskList.h"
 #include "jobs/TeamLimits.h"
 #include "jobs/TeamShares.h"
 #include "jobs/WorkerHealth.h"
@@ -133,7 +135,7 @@
     Job* m_job = nullptr;
     const StepSpec* m_spec = nullptr;
     StepName m_name;
-    std::vector<Task> m_tasks;
+    TaskList<Task> m_tasks;
     std::uint32_t m_doneTasks = 0;
     std::uint32_t m_waitingTasks = 0;
     /// Steps of this occurrence on which it depends and that are not finished.
@@ -222,10 +224,17 @@
     TimePoint m_closedAt {};
     /// Failure domain in which the tasks are kept together, so that the loss of a domain hits few jobs.
     std::optional<DomainNumber> m_domain;
-    /// Ordered by occurrence, then step; an occurrence is added when it is due.
-    std::deque<Step> m_steps;
-    std::uint32_t m_openedOccurrences = 0;
-    std::uint32_t m_finishedSteps = 0;
+    /// Occurrences that are held in memory, with all their steps; see Occurrences.cpp. Steps are referred to by
+    /// pointers, so that the vectors never change their size.
+    std::map<std::uint32_t, std::vector<Step>> m_occurrences;
+    /// For each step, the occurrences in which it is finished, held or not.
+    std::vector<OccurrenceSet> m_finishedIn;
+    /// Sum of the sizes of m_finishedIn.
+    std::uint64_t m_finishedSteps = 0;
+    /// Occurrences below this one are due.
+    std::uint32_t m_dueOccurrences = 0;
+    /// Something has changed that decides which occurrences are held.
+    bool m_areHeldOccurrencesStale = true;
     JobHistory m_history;
 
     bool isOpen() const { return !isFinal(m_state); }
@@ -233,10 +242,11 @@
     /// the limit of a team.
     bool needsPlaces() const { return isOpen() || m_team != noTeam; }
     std::uint32_t stepsPerOccurrence() const { return static_cast<std::uint32_t>(m_record.m_spec.m_steps.size()); }
+    /// Null for a step that is not held.
     Step* step(std::uint32_t occurrence, std::uint32_t step)
     {
-        const std::size_t index = std::size_t { occurrence } * stepsPerOccurrence() + step;
-        return step < stepsPerOccurrence() && index < m_steps.size() ? &m_steps[index] : nullptr;
+        const auto held = m_occurrences.find(occurrence);
+        return held != m_occurrences.end() && step < held->second.size() ? &held->second[step] : nullptr;
     }
 };
 
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -9,39 +9,73 @@
 
 namespace sapphiredale::jobs {
 
+namespace {
+
+    /// Up to this many finished steps of a job are stored by their tasks, which earlier versions can read.
+    constexpr std::uint64_t maxFinishedStepsByTask = 1024;
+
+} // namespace
+
 ProgressRecord JobScheduler::progressOf(const Job& job) const
 {
     ProgressRecord record { job.m_record.m_job, {}, std::nullopt, false };
     record.m_progress.m_state = job.m_state;
     if (!job.needsPlaces())
         return record;
-    for (const Step& step : job.m_steps) {
-        const StepIndex place { step.m_name.m_occurrence, step.m_name.m_step };
-        for (std::uint32_t i = 0; job.isOpen() && i < step.m_tasks.size(); ++i) {
-            const TaskIndex index { step.m_name.m_occurrence, step.m_name.m_step, i };
-            if (step.m_tasks[i].m_isDone)
-                record.m_progress.m_done.push_back(index);
-            else if (!step.m_tasks[i].m_failedRuns.empty())
-                record.m_progress.m_failedRuns[index] = step.m_tasks[i].m_failedRuns;
-            if (!step.m_tasks[i].m_isDone && step.m_tasks[i].m_crashes > 0)
-                record.m_progress.m_crashes[index] = step.m_tasks[i].m_crashes;
-        }
-        const bool isOver = step.isFinished() || !job.isOpen();
-        if (isOver && job.m_team == noTeam)
-            continue;
-        std::set<WorkerId> places = step.m_inheritedPlaces;
-        if (!isOver) {
-            for (const WorkerNumber worker : step.m_plannedPlaces)
-                places.insert(m_workersByNumber[worker]->m_description.m_worker);
-        }
-        for (const auto& [worker, runs] : step.m_places)
-            places.insert(m_workersByNumber[worker]->m_description.m_worker);
-        if (!places.empty())
-            record.m_progress.m_places[place] = std::move(places);
+    if (job.isOpen())
+        addFinishedSteps(job, record.m_progress);
+    for (const auto& [occurrence, steps] : job.m_occurrences) {
+        for (const Step& step : steps)
+            addProgressOf(step, record.m_progress);
     }
+    std::sort(record.m_progress.m_done.begin(), record.m_progress.m_done.end());
     return record;
 }
 
+void JobScheduler::addFinishedSteps(const Job& job, JobProgress& progress)
+{
+    for (std::uint32_t step = 0; step < job.m_finishedIn.size(); ++step) {
+        const std::uint32_t tasks = job.m_record.m_spec.m_steps[step].m_count;
+        job.m_finishedIn[step].visitRanges([&](const OccurrenceRange& range) {
+            if (job.m_finishedSteps > maxFinishedStepsByTask) {
+                progress.m_finished.push_back({ step, range });
+                return;
+            }
+            for (std::uint32_t occurrence = range.m_first; occurrence <= range.m_last; ++occurrence) {
+                for (std::uint32_t task = 0; task < tasks; ++task)
+                    progress.m_done.push_back({ occurrence, step, task });
+            }
+        });
+    }
+}
+
+void JobScheduler::addProgressOf(const Step& step, JobProgress& progress) const
+{
+    const Job& job = *step.m_job;
+    const StepIndex place { step.m_name.m_occurrence, step.m_name.m_step };
+    const bool isOver = step.isFinished() || !job.isOpen();
+    for (std::uint32_t i = 0; !isOver && i < step.m_tasks.size(); ++i) {
+        const TaskIndex index { place.m_occurrence, place.m_step, i };
+        if (step.m_tasks[i].m_isDone)
+            progress.m_done.push_back(index);
+        else if (!step.m_tasks[i].m_failedRuns.empty())
+            progress.m_failedRuns[index] = step.m_tasks[i].m_failedRuns;
+        if (!step.m_tasks[i].m_isDone && step.m_tasks[i].m_crashes > 0)
+            progress.m_crashes[index] = step.m_tasks[i].m_crashes;
+    }
+    if (isOver && job.m_team == noTeam)
+        return;
+    std::set<WorkerId> places = step.m_inheritedPlaces;
+    if (!isOver) {
+        for (const WorkerNumber worker : step.m_plannedPlaces)
+            places.insert(m_workersByNumber[worker]->m_description.m_worker);
+    }
+    for (const auto& [worker, runs] : step.m_places)
+        places.insert(m_workersByNumber[worker]->m_description.m_worker);
+    if (!places.empty())
+        progress.m_places[place] = std::move(places);
+}
+
 PlaceSet JobScheduler::placesOf(const Step& step) const
 {
     PlaceSet places = step.m_plannedPlaces;
@@ -72,9 +106,12 @@
             batch.m_records.back().m_removesRecord = std::exchange(job->m_isRecordKept, false);
         }
         SentProgress& sent = sentProgress.emplace_back(SentProgress { job->m_record.m_job, job->m_state, {} });
-        for (Step& step : job->m_steps) {
-            step.m_sentPlaces = job->isOpen() && !step.isFinished() ? placesOf(step) : PlaceSet();
-            sent.m_places.push_back(step.m_sentPlaces);
+        for (auto& [occurrence, steps] : job->m_occurrences) {
+            for (Step& step : steps) {
+                step.m_sentPlaces = job->isOpen() && !step.isFinished() ? placesOf(step) : PlaceSet();
+                if (!step.m_sentPlaces.empty())
+                    sent.m_places[{ occurrence, step.m_name.m_step }] = step.m_sentPlaces;
+            }
         }
     }
     m_dirty.clear();
@@ -113,8 +150,12 @@
             m_ended.push_back(
                 { sent.m_job, sent.m_state, job.m_acceptedAt, job.m_objective, job.m_closedAt, job.m_history });
         job.m_storedState = sent.m_state;
-        for (std::size_t i = 0; i < job.m_steps.size(); ++i)
-            job.m_steps[i].m_storedPlaces = i < sent.m_places.size() ? std::move(sent.m_places[i]) : PlaceSet();
+        for (auto& [occurrence, steps] : job.m_occurrences) {
+            for (Step& step : steps) {
+                const auto places = sent.m_places.find({ occurrence, step.m_name.m_step });
+                step.m_storedPlaces = places == sent.m_places.end() ? PlaceSet() : std::move(places->second);
+            }
+        }
     }
     for (const SeenEnd& seen : m_batchEnds[batch]) {
         Worker* worker = findWorker(seen.m_worker);
@@ -145,22 +186,21 @@
             expired.push_back({ id, job->m_storedState });
     }
     const auto hasRuns = [this](const ExpiredJob& job) {
-        const auto& steps = m_jobs.at(job.m_job)->m_steps;
-        return std::any_of(steps.begin(), steps.end(),
-            [](const Step& step) { return !step.m_places.empty() || !step.m_inheritedCharge.isZero(); });
+        const auto& occurrences = m_jobs.at(job.m_job)->m_occurrences;
+        return std::any_of(occurrences.begin(), occurrences.end(), [](const auto& occurrence) {
+            return std::any_of(occurrence.second.begin(), occurrence.second.end(),
+                [](const Step& step) { return !step.m_places.empty() || !step.m_inheritedCharge.isZero(); });
+        });
     };
     std::erase_if(expired, hasRuns);
     for (const auto& [id, state] : expired) {
-        const Job* job = m_jobs.at(id).get();
-        for (Step& step : m_jobs.at(id)->m_steps) {
-            m_waitingSteps.erase(step);
-            endTeamClaim(step);
-            PlacementPass(*this, now).endReservation(step);
-        }
+        Job* job = m_jobs.at(id).get();
+        while (!job->m_occurrences.empty())
+            releaseOccurrence(*job, job->m_occurrences.begin()->first, now);
         if (!job->m_record.m_team.value().empty())
             m_shares.remove(id, job->m_shareNumber, job->m_record.m_acceptedMs);
         std::erase(m_dirty, job);
-        std::erase(m_jobsWithFutureOccurrences, job);
+        std::erase(m_jobsWithOccurrences, job);
         m_jobs.erase(id);
     }
     std::erase_if(m_cancelledEarly, [&](const auto& cancelled) {
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -280,13 +280,9 @@
             m_newExpiredPlaces.push_back({ place, now, unreportedLeaseEnd(place) });
     }
     for (const auto& [id, job] : m_jobs) {
-        for (Step& step : job->m_steps) {
-            const auto forgotten = std::erase_if(
-                step.m_inheritedPlaces, [&](const WorkerId& place) { return !mayRunInherited(place, now); });
-            m_inheritedPlaces.insert(step.m_inheritedPlaces.begin(), step.m_inheritedPlaces.end());
-            updateInheritedCharge(step);
-            if (forgotten > 0 && job->needsPlaces())
-                markChanged(*job);
+        for (auto& [occurrence, steps] : job->m_occurrences) {
+            for (Step& step : steps)
+                forgetInheritedPlaces(step, now);
         }
     }
     std::erase_if(m_inheritedLateLeases, [now](const auto& late) { return late.second < now; });
@@ -295,6 +291,19 @@
         m_nextInheritedEnd = std::min(m_nextInheritedEnd, unreportedLeaseEnd(place));
 }
 
+void JobScheduler::forgetInheritedPlaces(Step& step, TimePoint now)
+{
+    const auto forgotten
+        = std::erase_if(step.m_inheritedPlaces, [&](const WorkerId& place) { return !mayRunInherited(place, now); });
+    m_inheritedPlaces.insert(step.m_inheritedPlaces.begin(), step.m_inheritedPlaces.end());
+    updateInheritedCharge(step);
+    if (forgotten == 0)
+        return;
+    step.m_job->m_areHeldOccurrencesStale = true;
+    if (step.m_job->needsPlaces())
+        markChanged(*step.m_job);
+}
+
 std::map<WorkerId, TimePoint> JobScheduler::leaseEndsOfUnreachable(std::size_t most, TimePoint now) const
 {
     std::map<WorkerId, TimePoint> ends;
@@ -333,9 +342,11 @@
     for (const auto& [name, job] : m_jobs) {
         if (!job->isOpen())
             continue;
-        for (Step& step : job->m_steps) {
-            if (step.m_plannedPlaces.erase(worker) > 0)
-                markChanged(*job);
+        for (auto& [occurrence, steps] : job->m_occurrences) {
+            for (Step& step : steps) {
+                if (step.m_plannedPlaces.erase(worker) > 0)
+                    markChanged(*job);
+            }
         }
     }
 }
