Let late work take turns behind steps without workers

Cause: a placement pass examines at most 200 waiting steps in the order of their ranks, and steps that find no worker stay in the queue. Among results without value the earlier objectives go first, so that enough such steps end every pass before it reaches later ones: accepted jobs never run. Evidence: OccurrenceTest::stepsWithoutWorkersDoNotKeepLateWorkFromWorkers fails on (the job is not done after 15 s on idle workers) and passes here. Change: a pass that cannot examine all steps examines 50 further ones, which take turns from pass to pass. The first 200 are as before.

--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -38,7 +38,7 @@
     Duration m_stallTimeout = std::chrono::milliseconds(1600);
     /// A run with less remaining time than this may finish on a draining worker.
     Duration m_drainGracePeriod = std::chrono::milliseconds(1500);
-    /// Maximum number of waiting steps that one placement pass examines.
+    /// Number of first waiting steps that each placement pass examines; see PlacementPass::run.
     std::uint32_t m_maxStepsPerPass = 200;
     /// Factor by which a task takes longer away from its data rack or from the other tasks of its step.
     double m_remoteFactor = 1.0;
@@ -446,6 +446,9 @@
     /// Steps with waiting tasks and no open dependency; those whose tasks were placed meanwhile leave it at the next
     /// pass.
     StepQueue m_waitingSteps;
+    /// Rank at which the next placement pass goes on after the first steps; the default if the last one ended the
+    /// queue.
+    StepRank m_nextTurn;
     std::uint64_t m_lastJobNumber = 0;
     /// Open jobs that have not started, by queue.
     std::unordered_map<std::string, std::uint32_t> m_pending;
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace sapphiredale::jobs {
 
@@ -36,6 +37,10 @@
     /// More slots than this on one worker do not count in favor of naming it.
     constexpr std::uint32_t maxSlotsPerWorker = 8;
 
+    /// A pass that cannot examine all steps examines one further step for this many of the first ones. These take turns
+    /// from pass to pass, so that steps which find no worker do not keep those behind them from one.
+    constexpr std::uint32_t firstStepsPerTurn = 4;
+
     std::int64_t slotsOf(std::int64_t free, std::int64_t need)
     {
         return need <= 0 ? std::numeric_limits<std::int32_t>::max() : std::max<std::int64_t>(0, free) / need;
@@ -65,6 +70,9 @@
     StepQueue& queue = m_scheduler.m_waitingSteps;
     queue.update(m_now);
     endReservations();
+    const std::uint32_t firstSteps = m_scheduler.m_settings.m_maxStepsPerPass;
+    const std::uint32_t allSteps = firstSteps + firstSteps / firstStepsPerTurn;
+    const StepRank turn = std::exchange(m_scheduler.m_nextTurn, {});
     std::uint32_t looked = 0;
     for (auto it = queue.begin(); it != queue.end();) {
         Step& step = *it->second;
@@ -88,8 +96,15 @@
         }
         if (!step.m_spec->m_allowsCopies && m_scheduler.mayRunOnUnreportedWorker(step, m_now))
             continue;
-        if (++looked > m_scheduler.m_settings.m_maxStepsPerPass)
+        if (++looked > allSteps) {
+            m_scheduler.m_nextTurn = step.m_queueRank;
             break;
+        }
+        const bool isBeforeTurn = looked > firstSteps && step.m_queueRank < turn;
+        if (const auto next = isBeforeTurn ? queue.from(turn) : queue.end(); next != queue.end()) {
+            it = next;
+            continue;
+        }
         m_speed = speedPreferenceOf(step);
         updateLocalityWait(step);
         if (isGang)
--- a/src/jobs/StepQueue.h
+++ b/src/jobs/StepQueue.h
@@ -54,6 +54,8 @@
     /// Moves the steps whose lateness has changed.
     void update(TimePoint now);
 
+    /// The first step whose rank is not before the given one.
+    Iterator from(const StepRank& rank) const { return m_entries.lower_bound({ rank, nullptr }); }
     Iterator begin() const { return m_entries.begin(); }
     Iterator end() const { return m_entries.end(); }
     std::size_t size() const { return m_entries.size(); }
--- a/tests/jobs/OccurrenceTest.cpp
+++ b/tests/jobs/OccurrenceTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(OccurrenceTest);
     CPPUNIT_TEST(dueOccurrencesWithoutWorkersTakeLittleMemory);
     CPPUNIT_TEST(wideStepsWithoutWorkersTakeLittleMemory);
+    CPPUNIT_TEST(stepsWithoutWorkersDoNotKeepLateWorkFromWorkers);
     CPPUNIT_TEST(dueOccurrencesRunOnceInTheirOrder);
     CPPUNIT_TEST(finishedOccurrencesAreReleasedAndStoredAsRanges);
     CPPUNIT_TEST(laterStepWithoutWorkersDoesNotHoldUpEarlierSteps);
@@ -126,6 +127,25 @@
         check(cell);
     }
 
+    // Guards against accepted jobs that never run: a placement pass ended with the steps that find no worker.
+    void stepsWithoutWorkersDoNotKeepLateWorkFromWorkers()
+    {
+        SimulatedCell cell(4);
+        begin(cell);
+        for (int i = 0; i < 20; ++i)
+            cell.accept(dueJob("large" + std::to_string(i), { unplaceable(smallStep()) }, 1000));
+        std::vector<StepSpec> steps(100, smallStep());
+        for (std::uint32_t i = 1; i < steps.size(); ++i)
+            steps[i].m_dependsOn = { i - 1 };
+        // Its result has no value long before its last step.
+        JobRecord late = SimulatedCell::job("late", steps);
+        late.m_policy.m_slackFactor = 0.1;
+        cell.accept(late);
+        cell.run(seconds(15));
+        CPPUNIT_ASSERT(cell.state("late") == JobState::Done);
+        check(cell);
+    }
+
     void dueOccurrencesRunOnceInTheirOrder()
     {
         SimulatedCell cell(4);
