Count the waiting tasks of occurrences that are not held

Cause: since the waiting tasks of a team were those of the held occurrences, so that its metric showed at most a few windows of a long backlog. Change: the tasks of due occurrences that are not held are counted from the ranges of finished steps. The fuzz documents have ranges, too.

--- a/fuzz/DocumentsFuzz.cpp
+++ b/fuzz/DocumentsFuzz.cpp
@@ -64,6 +64,7 @@
             progress.m_state = jobs::JobState::Running;
             progress.m_done = { { 0, 0, 0 }, { 0, 0, 1 } };
             progress.m_failedRuns[{ 0, 0, 2 }] = { 1, 9 };
+            progress.m_finished = { { 1, { 0, 1 } } };
             progress.m_places[{ 0, 0 }] = { WorkerId("i-1"), WorkerId("i-2") };
             return jobs::encodeProgress(progress);
         }
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -483,6 +483,8 @@
     std::unordered_map<TeamId, std::uint64_t> waitingTasks;
     for (const auto& [rank, step] : m_waitingSteps)
         waitingTasks[step->m_job->m_record.m_team] += step->m_waitingTasks;
+    for (const Job* job : m_jobsWithOccurrences)
+        waitingTasks[job->m_record.m_team] += job->isOpen() ? waitingTasksNotHeld(*job) : 0;
     for (TeamUse& use : uses) {
         if (const auto found = waitingTasks.find(use.m_team); found != waitingTasks.end())
             use.m_waitingTasks = found->second;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -253,6 +253,8 @@
     void updateHeldOccurrences(Job&, std::int64_t wallNowMs, TimePoint now);
     /// Opens due occurrences in which the step is ready, until `count` were opened.
     void openReadyOccurrences(Job&, std::uint32_t step, std::uint32_t count, TimePoint now);
+    /// Number of tasks that are ready in due occurrences which are not held.
+    static std::uint64_t waitingTasksNotHeld(const Job&);
     /// Drops the steps of the occurrence from memory; nothing may refer to them.
     void releaseOccurrence(Job&, std::uint32_t occurrence, TimePoint now);
     /// Notes the steps that the stored progress shows as finished, and returns the finished tasks of other steps.
--- a/src/jobs/OccurrenceSet.h
+++ b/src/jobs/OccurrenceSet.h
@@ -21,6 +21,10 @@
 public:
     void add(OccurrenceRange range) { m_ranges.add(Ranges::interval_type::closed(range.m_first, range.m_last)); }
     void add(std::uint32_t occurrence) { add({ occurrence, occurrence }); }
+    void remove(std::uint32_t occurrence) { m_ranges.erase(occurrence); }
+    /// Removes the occurrences of the other set, or those that are not in it.
+    void remove(const OccurrenceSet& others) { m_ranges -= others.m_ranges; }
+    void keep(const OccurrenceSet& others) { m_ranges &= others.m_ranges; }
 
     bool contains(std::uint32_t occurrence) const { return boost::icl::contains(m_ranges, occurrence); }
     /// Number of occurrences.
--- a/src/jobs/Occurrences.cpp
+++ b/src/jobs/Occurrences.cpp
@@ -181,6 +181,26 @@
     }
 }
 
+std::uint64_t JobScheduler::waitingTasksNotHeld(const Job& job)
+{
+    if (job.m_dueOccurrences == 0)
+        return 0;
+    OccurrenceSet others;
+    others.add({ 0, job.m_dueOccurrences - 1 });
+    for (const auto& [occurrence, steps] : job.m_occurrences)
+        others.remove(occurrence);
+    std::uint64_t tasks = 0;
+    for (std::uint32_t i = 0; i < job.stepsPerOccurrence(); ++i) {
+        const StepSpec& spec = job.m_record.m_spec.m_steps[i];
+        OccurrenceSet ready = others;
+        for (const std::uint32_t dependency : spec.m_dependsOn)
+            ready.keep(job.m_finishedIn[dependency]);
+        ready.remove(job.m_finishedIn[i]);
+        tasks += std::uint64_t { ready.size() } * spec.m_count;
+    }
+    return tasks;
+}
+
 std::vector<TaskIndex> JobScheduler::restoreFinishedSteps(Job& job, const JobProgress& progress)
 {
     const JobSpec& spec = job.m_record.m_spec;
--- a/tests/jobs/OccurrenceTest.cpp
+++ b/tests/jobs/OccurrenceTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(successorKnowsThatAllIsFinished);
     CPPUNIT_TEST(failedRunsCountInAllTerms);
     CPPUNIT_TEST(invalidProgressIsIgnored);
+    CPPUNIT_TEST(allWaitingTasksAreCounted);
     CPPUNIT_TEST(occurrencesAreHeldAsRanges);
     CPPUNIT_TEST(tasksShareAState);
     CPPUNIT_TEST(rangesAreStored);
@@ -285,6 +286,25 @@
         CPPUNIT_ASSERT((batch.m_records.front().m_progress.m_done == std::vector<TaskIndex> { { 4, 1, 0 } }));
     }
 
+    // Guards against a team whose waiting work cannot be seen, since it is not held.
+    void allWaitingTasksAreCounted()
+    {
+        SimulatedCell cell(4);
+        begin(cell);
+        cell.setTeams({ { TeamId("t"), 1, {} } });
+        std::vector<StepSpec> steps = twoSteps();
+        steps[1] = unplaceable(steps[1]);
+        steps[1].m_count = 3;
+        JobRecord job = dueJob("j", steps, 300);
+        job.m_team = TeamId("t");
+        cell.accept(job);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(300), cell.m_scheduler->teamUses().front().m_waitingTasks);
+        cell.run(seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(900), cell.m_scheduler->teamUses().front().m_waitingTasks);
+        CPPUNIT_ASSERT(heldSteps(cell) < 300);
+        check(cell);
+    }
+
     void occurrencesAreHeldAsRanges()
     {
         OccurrenceSet set;
@@ -306,6 +326,14 @@
         std::vector<OccurrenceRange> ranges;
         set.visitRanges([&ranges](const OccurrenceRange& range) { ranges.push_back(range); });
         CPPUNIT_ASSERT((ranges == std::vector<OccurrenceRange> { { 3, 20 } }));
+        OccurrenceSet others;
+        others.add({ 5, 30 });
+        set.remove(10);
+        set.keep(others);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(15), set.size());
+        others.remove(6);
+        set.remove(others);
+        CPPUNIT_ASSERT(set.size() == 1 && set.contains(6));
     }
 
     void tasksShareAState()
