--- a/src/jobs/OccurrenceSet.h
+++ b/src/jobs/OccurrenceSet.h
@@ -1,7 +1,9 @@
 // A set of occurrences of a job, held as ranges: a job may have a hundred thousand of them, most of which end in order.
 #pragma once
 
+#include <algorithm>
 #include <boost/icl/interval_set.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
--- a/src/jobs/Occurrences.cpp
+++ b/src/jobs/Occurrences.cpp
@@ -4,10 +4,8 @@
 // that is not held, only its finished steps are known, as ranges. An occurrence is held
 //  - while something refers to it: runs, places at which tasks may run, an advice request, reserved workers;
 //  - while a task of an unfinished step has a history: failures, crashes, a checkpoint, the numbers of its runs;
-//  - while its steps are among the first that wait for workers. Each step of a job has a limited number of them, so
-//  that
-//    a step which finds no worker does not keep the steps before it from going on in later occurrences.
-// The occurrences of a step become ready in any order, but start in the order of their numbers.
+//  - while it is among the first in which a step waits for workers. That number is limited for each step of a job by
+//    itself, so that a step which finds no worker does not keep the steps before it from going on in later occurrences.
 
 #include "jobs/JobScheduler.h"
 
--- a/src/jobs/ProgressRecords.h
+++ b/src/jobs/ProgressRecords.h
@@ -3,9 +3,9 @@
 //
 // The progress of a job is one record under its ID as long as it is short. Beyond that the record keeps only the state
 // of the job, and each step has records of its own, so that a change stores only the steps that it concerns, beside
-// records of the ranges of occurrences in which a step is finished. Nothing
-// returns to the first form in a term. A reader takes the union of all records of a job: entries never contradict each
-// other, so that any prefix of the records of a change, and the record of the first form beside them, is valid.
+// records of the ranges of occurrences in which a step is finished. Nothing returns to the first form in a term. A
+// reader takes the union of all records of a job: entries never contradict each other and stay in their record, so that
+// any prefix of the records of a change, and the record of the first form beside them, is valid.
 #pragma once
 
 #include "jobs/JobProgress.h"
