Hold an occurrence while any of its steps needs it

Cause: updateHeldOccurrences released an occurrence as soon as one of its steps was beyond its limit, also if another step that could run was within its own. A short circuit left that other step uncounted, and the release subtracted it all the same, so that its count wrapped around and nothing was opened for it. With the workers taken for a while, no later change of the job corrected this: an accepted job stopped for ever. Change: an occurrence is released only if none of its waiting steps is within its limit, and counted only if it stays. This covers finished occurrences, so that their case of its own is gone.

--- a/src/jobs/Occurrences.cpp
+++ b/src/jobs/Occurrences.cpp
@@ -4,8 +4,8 @@
 // that is not held, only its finished steps are known, as ranges. An occurrence is held
 //  - while something refers to it: runs, places at which tasks may run, an advice request, reserved workers;
 //  - while a task of an unfinished step has a history: failures, crashes, a checkpoint, the numbers of its runs;
-//  - while it is among the first in which a step waits for workers. That number is limited for each step of a job by
-//    itself, so that a step which finds no worker does not keep the steps before it from going on in later occurrences.
+//  - while it is among the first in which one of its steps waits for workers. Each step of a job has a limit of its
+//    own, so that one which finds no worker does not keep others from going on in later occurrences.
 
 #include "jobs/JobScheduler.h"
 
@@ -63,11 +63,6 @@
             [](const Step& step) { return isUnused(step) && (step.isFinished() || !step.m_tasks.anyOf(isTouched)); });
     }
 
-    bool isFinished(const std::vector<Step>& steps)
-    {
-        return std::all_of(steps.begin(), steps.end(), [](const Step& step) { return step.isFinished(); });
-    }
-
     /// Whether the step waits for workers. One that waits for the reports of earlier places says nothing about them.
     bool waitsForWorkers(const Step& step) { return step.m_waitingTasks > 0 && step.m_inheritedPlaces.empty(); }
 
@@ -145,19 +140,16 @@
     std::vector<std::uint32_t> waiting(job.stepsPerOccurrence());
     std::vector<std::uint32_t> released;
     for (const auto& [occurrence, steps] : job.m_occurrences) {
-        if (isFinished(steps) && isReleasable(steps)) {
+        const bool isAmongFirst = std::any_of(steps.begin(), steps.end(), [&](const Step& step) {
+            const std::uint32_t i = step.m_name.m_step;
+            return waitsForWorkers(step) && waiting[i] < heldOccurrences(job, i) * releaseFactor;
+        });
+        if (!isAmongFirst && isReleasable(steps)) {
             released.push_back(occurrence);
             continue;
         }
-        bool isExcess = false;
-        for (std::uint32_t i = 0; i < steps.size(); ++i)
-            isExcess
-                = isExcess || (waitsForWorkers(steps[i]) && ++waiting[i] > heldOccurrences(job, i) * releaseFactor);
-        if (!isExcess || !isReleasable(steps))
-            continue;
-        released.push_back(occurrence);
-        for (std::uint32_t i = 0; i < steps.size(); ++i)
-            waiting[i] -= waitsForWorkers(steps[i]) ? 1 : 0;
+        for (const Step& step : steps)
+            waiting[step.m_name.m_step] += waitsForWorkers(step) ? 1 : 0;
     }
     for (const std::uint32_t occurrence : released)
         releaseOccurrence(job, occurrence, now);
--- a/tests/jobs/OccurrenceTest.cpp
+++ b/tests/jobs/OccurrenceTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(stepsWithoutWorkersDoNotKeepLateWorkFromWorkers);
     CPPUNIT_TEST(dueOccurrencesRunOnceInTheirOrder);
     CPPUNIT_TEST(finishedOccurrencesAreReleasedAndStoredAsRanges);
+    CPPUNIT_TEST(stepWithoutWorkersDoesNotHoldUpIndependentSteps);
     CPPUNIT_TEST(laterStepWithoutWorkersDoesNotHoldUpEarlierSteps);
     CPPUNIT_TEST(successorsRunWhatIsNotFinished);
     CPPUNIT_TEST(successorsReadTheEarlierFormat);
@@ -183,6 +184,22 @@
         check(cell);
     }
 
+    // Guards against steps that never run, since their occurrences were released for the sake of a step before them.
+    void stepWithoutWorkersDoesNotHoldUpIndependentSteps()
+    {
+        SimulatedCell cell(1);
+        begin(cell);
+        cell.accept(dueJob("j", { unplaceable(smallStep()), smallStep() }, 2000));
+        cell.run(seconds(1));
+        // Takes the worker from the job for a while.
+        cell.accept(SimulatedCell::job("other", { SimulatedCell::step(32, 1000, seconds(2)) }));
+        cell.run(seconds(30));
+        CPPUNIT_ASSERT(cell.state("other") == JobState::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2000), finishedIn(cell, "j", 1));
+        CPPUNIT_ASSERT(heldSteps(cell) < maxSteps);
+        check(cell);
+    }
+
     void laterStepWithoutWorkersDoesNotHoldUpEarlierSteps()
     {
         SimulatedCell cell(4);
