Use one way to the steps of a job, and one to a step by its name

Change: Job::steps() and JobScheduler::openStep serve them; the second no longer gives a block of tasks its own state to find the places of a step. The key of a record of divided progress is made in one place. Behaviour stays as it is.

--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -141,11 +141,8 @@
         markChanged(job);
     const std::vector<TaskIndex> unfinished = restoreFinishedSteps(job, progress);
     const auto find = [&](const TaskIndex& index) -> std::pair<Step*, Task*> {
-        Step* step
-            = openOccurrence(job, index.m_occurrence, now) ? job.step(index.m_occurrence, index.m_step) : nullptr;
-        if (step == nullptr || index.m_task >= step->m_tasks.size())
-            return { nullptr, nullptr };
-        return { step, &step->m_tasks.own(index.m_task) };
+        Step* step = openStep(job, index, now);
+        return { step, step == nullptr ? nullptr : &step->m_tasks.own(index.m_task) };
     };
     for (const auto& [index, runs] : progress.m_failedRuns) {
         if (const auto [step, task] = find(index); task != nullptr) {
@@ -158,7 +155,7 @@
             task->m_crashes = crashes;
     }
     for (const auto& [index, workers] : progress.m_places) {
-        if (const auto [step, task] = find({ index.m_occurrence, index.m_step, 0 }); step != nullptr)
+        if (Step* step = openStep(job, { index.m_occurrence, index.m_step, 0 }, now); step != nullptr)
             step->m_inheritedPlaces = workers;
     }
     m_areInheritedPlacesChanged = m_areInheritedPlacesChanged || !progress.m_places.empty();
@@ -167,7 +164,7 @@
             finishTask(*step, *task, now);
     }
     for (const auto& [index, workers] : progress.m_places) {
-        if (const auto [step, task] = find({ index.m_occurrence, index.m_step, 0 }); step != nullptr)
+        if (Step* step = openStep(job, { index.m_occurrence, index.m_step, 0 }, now); step != nullptr)
             updateInheritedCharge(*step);
     }
     closeIfFinished(job, now);
@@ -226,10 +223,8 @@
     job.m_closedAt = now;
     updatePending(job);
     markChanged(job);
-    for (auto& [occurrence, steps] : job.m_occurrences) {
-        for (Step& step : steps)
-            refreshAllWaiting(step, now);
-    }
+    for (Step& step : job.steps())
+        refreshAllWaiting(step, now);
     if (state != JobState::Done)
         stopAllRuns(job, now);
 }
@@ -249,10 +244,7 @@
     const TaskIndex& index = name.m_index;
     // The occurrences of a job that has ended are needed only for runs that still exist.
     const bool isDue = index.m_occurrence < job.m_dueOccurrences || !job.isOpen();
-    if (!isDue || !openOccurrence(job, index.m_occurrence, now))
-        return nullptr;
-    Step* step = job.step(index.m_occurrence, index.m_step);
-    return step != nullptr && index.m_task < step->m_tasks.size() ? step : nullptr;
+    return isDue ? openStep(job, index, now) : nullptr;
 }
 
 void JobScheduler::refreshWaiting(Step& step, Task& task, TimePoint now, std::size_t tasks)
@@ -364,10 +356,8 @@
         if (found == m_jobs.end())
             continue;
         found->second->m_share = mark;
-        for (auto& [occurrence, steps] : found->second->m_occurrences) {
-            for (Step& step : steps)
-                m_waitingSteps.refresh(step, now);
-        }
+        for (Step& step : found->second->steps())
+            m_waitingSteps.refresh(step, now);
     }
 }
 
@@ -451,10 +441,9 @@
 {
     HeldWork held;
     for (const auto& [id, job] : m_jobs) {
-        for (const auto& [occurrence, steps] : job->m_occurrences) {
-            held.m_steps += steps.size();
-            for (const Step& step : steps)
-                held.m_tasks += step.m_tasks.stateCount();
+        for (const Step& step : job->steps()) {
+            ++held.m_steps;
+            held.m_tasks += step.m_tasks.stateCount();
         }
     }
     return held;
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -249,6 +249,8 @@
     /// @{
     /// Holds the occurrence in memory; returns whether the job has it.
     bool openOccurrence(Job&, std::uint32_t occurrence, TimePoint now);
+    /// Holds the occurrence of the task and returns the step; null if the job has no such task.
+    Step* openStep(Job&, const TaskIndex&, TimePoint now);
     /// Notes the occurrences that are due, and decides which ones are held.
     void updateHeldOccurrences(Job&, std::int64_t wallNowMs, TimePoint now);
     /// Opens due occurrences in which the step is ready, until `count` were opened.
--- a/src/jobs/Occurrences.cpp
+++ b/src/jobs/Occurrences.cpp
@@ -116,6 +116,12 @@
     return true;
 }
 
+Step* JobScheduler::openStep(Job& job, const TaskIndex& index, TimePoint now)
+{
+    Step* step = openOccurrence(job, index.m_occurrence, now) ? job.step(index.m_occurrence, index.m_step) : nullptr;
+    return step != nullptr && index.m_task < step->m_tasks.size() ? step : nullptr;
+}
+
 void JobScheduler::releaseOccurrence(Job& job, std::uint32_t occurrence, TimePoint now)
 {
     for (Step& step : job.m_occurrences.at(occurrence)) {
--- a/src/jobs/ProgressRecords.cpp
+++ b/src/jobs/ProgressRecords.cpp
@@ -66,14 +66,10 @@
                 { range.m_step, part });
         }
     }
-    const auto partOfStep = [&](std::uint32_t occurrence, std::uint32_t step) -> JobProgress& {
-        return parts[std::to_string(occurrence) + '.' + std::to_string(step)];
-    };
     const auto partOf = [&](const TaskIndex& task) -> JobProgress& {
         const std::uint32_t block = task.m_task / tasksPerPart;
-        return block == 0 ? partOfStep(task.m_occurrence, task.m_step)
-                          : parts[std::to_string(task.m_occurrence) + '.' + std::to_string(task.m_step) + '.'
-                              + std::to_string(block)];
+        return parts[std::to_string(task.m_occurrence) + '.' + std::to_string(task.m_step)
+            + (block == 0 ? "" : '.' + std::to_string(block))];
     };
     for (const TaskIndex& task : progress.m_done)
         partOf(task).m_done.push_back(task);
@@ -82,7 +78,7 @@
     for (const auto& [task, crashes] : progress.m_crashes)
         partOf(task).m_crashes[task] = crashes;
     for (const auto& [step, workers] : progress.m_places)
-        partOfStep(step.m_occurrence, step.m_step).m_places[step] = workers;
+        partOf({ step.m_occurrence, step.m_step, 0 }).m_places[step] = workers;
     Texts texts;
     const auto append = [&](const std::map<std::string, JobProgress>& all) {
         for (const auto& [name, part] : all) {
--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -195,11 +195,9 @@
 
 void JobScheduler::stopAllRuns(const Job& job, TimePoint now)
 {
-    for (const auto& [occurrence, steps] : job.m_occurrences) {
-        for (const Step& step : steps)
-            stopRuns(
-                step, [](const Run&) { return true; }, now);
-    }
+    for (const Step& step : job.steps())
+        stopRuns(
+            step, [](const Run&) { return true; }, now);
 }
 
 void JobScheduler::stopGang(const Step& step, std::uint32_t number, TimePoint now)
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ranges>
 #include <set>
 #include <unordered_map>
 
@@ -182,6 +183,7 @@
     {
         return m_storedPlaces.contains(worker) && m_sentPlaces.contains(worker);
     }
+    StepIndex index() const { return { m_name.m_occurrence, m_name.m_step }; }
     bool isFinished() const { return m_doneTasks == m_tasks.size(); }
     /// What starts at once: a task, or all tasks of a gang.
     Resources neededAtOnce() const
@@ -242,6 +244,9 @@
     /// the limit of a team.
     bool needsPlaces() const { return isOpen() || m_team != noTeam; }
     std::uint32_t stepsPerOccurrence() const { return static_cast<std::uint32_t>(m_record.m_spec.m_steps.size()); }
+    /// The steps that are held, in the order of their occurrences.
+    auto steps() { return m_occurrences | std::views::values | std::views::join; }
+    auto steps() const { return m_occurrences | std::views::values | std::views::join; }
     /// Null for a step that is not held.
     Step* step(std::uint32_t occurrence, std::uint32_t step)
     {
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -24,11 +24,8 @@
         return record;
     if (job.isOpen())
         addFinishedSteps(job, record.m_progress);
-    for (const auto& [occurrence, steps] : job.m_occurrences) {
-        for (const Step& step : steps)
-            addProgressOf(step, record.m_progress);
-    }
-    std::sort(record.m_progress.m_done.begin(), record.m_progress.m_done.end());
+    for (const Step& step : job.steps())
+        addProgressOf(step, record.m_progress);
     return record;
 }
 
@@ -52,7 +49,7 @@
 void JobScheduler::addProgressOf(const Step& step, JobProgress& progress) const
 {
     const Job& job = *step.m_job;
-    const StepIndex place { step.m_name.m_occurrence, step.m_name.m_step };
+    const StepIndex place = step.index();
     const bool isOver = step.isFinished() || !job.isOpen();
     for (std::uint32_t i = 0; !isOver && i < step.m_tasks.size(); ++i) {
         const TaskIndex index { place.m_occurrence, place.m_step, i };
@@ -106,12 +103,10 @@
             batch.m_records.back().m_removesRecord = std::exchange(job->m_isRecordKept, false);
         }
         SentProgress& sent = sentProgress.emplace_back(SentProgress { job->m_record.m_job, job->m_state, {} });
-        for (auto& [occurrence, steps] : job->m_occurrences) {
-            for (Step& step : steps) {
-                step.m_sentPlaces = job->isOpen() && !step.isFinished() ? placesOf(step) : PlaceSet();
-                if (!step.m_sentPlaces.empty())
-                    sent.m_places[{ occurrence, step.m_name.m_step }] = step.m_sentPlaces;
-            }
+        for (Step& step : job->steps()) {
+            step.m_sentPlaces = job->isOpen() && !step.isFinished() ? placesOf(step) : PlaceSet();
+            if (!step.m_sentPlaces.empty())
+                sent.m_places[step.index()] = step.m_sentPlaces;
         }
     }
     m_dirty.clear();
@@ -150,11 +145,9 @@
             m_ended.push_back(
                 { sent.m_job, sent.m_state, job.m_acceptedAt, job.m_objective, job.m_closedAt, job.m_history });
         job.m_storedState = sent.m_state;
-        for (auto& [occurrence, steps] : job.m_occurrences) {
-            for (Step& step : steps) {
-                const auto places = sent.m_places.find({ occurrence, step.m_name.m_step });
-                step.m_storedPlaces = places == sent.m_places.end() ? PlaceSet() : std::move(places->second);
-            }
+        for (Step& step : job.steps()) {
+            const auto places = sent.m_places.find(step.index());
+            step.m_storedPlaces = places == sent.m_places.end() ? PlaceSet() : std::move(places->second);
         }
     }
     for (const SeenEnd& seen : m_batchEnds[batch]) {
@@ -186,11 +179,8 @@
             expired.push_back({ id, job->m_storedState });
     }
     const auto hasRuns = [this](const ExpiredJob& job) {
-        const auto& occurrences = m_jobs.at(job.m_job)->m_occurrences;
-        return std::any_of(occurrences.begin(), occurrences.end(), [](const auto& occurrence) {
-            return std::any_of(occurrence.second.begin(), occurrence.second.end(),
-                [](const Step& step) { return !step.m_places.empty() || !step.m_inheritedCharge.isZero(); });
-        });
+        return std::ranges::any_of(m_jobs.at(job.m_job)->steps(),
+            [](const Step& step) { return !step.m_places.empty() || !step.m_inheritedCharge.isZero(); });
     };
     std::erase_if(expired, hasRuns);
     for (const auto& [id, state] : expired) {
--- a/src/jobs/SchedulerWorkers.cpp
+++ b/src/jobs/SchedulerWorkers.cpp
@@ -280,10 +280,8 @@
             m_newExpiredPlaces.push_back({ place, now, unreportedLeaseEnd(place) });
     }
     for (const auto& [id, job] : m_jobs) {
-        for (auto& [occurrence, steps] : job->m_occurrences) {
-            for (Step& step : steps)
-                forgetInheritedPlaces(step, now);
-        }
+        for (Step& step : job->steps())
+            forgetInheritedPlaces(step, now);
     }
     std::erase_if(m_inheritedLateLeases, [now](const auto& late) { return late.second < now; });
     m_nextInheritedEnd = TimePoint::max();
@@ -342,11 +340,9 @@
     for (const auto& [name, job] : m_jobs) {
         if (!job->isOpen())
             continue;
-        for (auto& [occurrence, steps] : job->m_occurrences) {
-            for (Step& step : steps) {
-                if (step.m_plannedPlaces.erase(worker) > 0)
-                    markChanged(*job);
-            }
+        for (Step& step : job->steps()) {
+            if (step.m_plannedPlaces.erase(worker) > 0)
+                markChanged(*job);
         }
     }
 }
--- a/tests/jobs/OccurrenceTest.cpp
+++ b/tests/jobs/OccurrenceTest.cpp
@@ -3,9 +3,7 @@
 #include "jobs/OccurrenceSet.h"
 #include "jobs/ProgressRecords.h"
 #include "jobs/TaskList.h"
-#include "tests/jobs/SimulatedCell.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "tests/jobs/CellTesting.h"
 
 namespace sapphiredale::jobs {
 
@@ -57,18 +55,6 @@
         return steps;
     }
 
-    static void begin(SimulatedCell& cell)
-    {
-        cell.takeOver();
-        cell.listAll();
-        cell.run(seconds(1));
-    }
-
-    static void check(const SimulatedCell& cell)
-    {
-        CPPUNIT_ASSERT_MESSAGE(cell.m_violations.empty() ? "" : *cell.m_violations.begin(), cell.m_violations.empty());
-    }
-
     static std::uint64_t heldSteps(const SimulatedCell& cell) { return cell.m_scheduler->heldWork().m_steps; }
 
     /// Number of tasks of the step that the stored progress shows as finished.
@@ -91,8 +77,7 @@
     // The load of the incident: the steps of all due occurrences were held, at a kilobyte each, in each term.
     void dueOccurrencesWithoutWorkersTakeLittleMemory()
     {
-        SimulatedCell cell(4);
-        begin(cell);
+        SimulatedCell cell = startedCell(4);
         for (int i = 0; i < 4; ++i)
             cell.accept(dueJob("large" + std::to_string(i), { unplaceable(smallStep()) }, 100000));
         for (int i = 0; i < 100; ++i)
@@ -108,14 +93,13 @@
         cell.cancel(JobId("large0"));
         cell.run(seconds(1));
         CPPUNIT_ASSERT(cell.state("large0") == JobState::Cancelled);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     // Guards against the same by the tasks of single occurrences, which take some 180 bytes each.
     void wideStepsWithoutWorkersTakeLittleMemory()
     {
-        SimulatedCell cell(4);
-        begin(cell);
+        SimulatedCell cell = startedCell(4);
         const std::vector<StepSpec> steps(10, unplaceable(SimulatedCell::step(maxTasksPerStep, 10, milliseconds(50))));
         for (int i = 0; i < 15; ++i)
             cell.accept(SimulatedCell::job("wide" + std::to_string(i), steps));
@@ -126,14 +110,13 @@
         cell.takeOver();
         cell.run(seconds(2));
         CPPUNIT_ASSERT(cell.m_scheduler->heldWork().m_tasks < maxSteps);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     // Guards against accepted jobs that never run: a placement pass ended with the steps that find no worker.
     void stepsWithoutWorkersDoNotKeepLateWorkFromWorkers()
     {
-        SimulatedCell cell(4);
-        begin(cell);
+        SimulatedCell cell = startedCell(4);
         for (int i = 0; i < 20; ++i)
             cell.accept(dueJob("large" + std::to_string(i), { unplaceable(smallStep()) }, 1000));
         std::vector<StepSpec> steps(100, smallStep());
@@ -145,13 +128,12 @@
         cell.accept(late);
         cell.run(seconds(15));
         CPPUNIT_ASSERT(cell.state("late") == JobState::Done);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     void dueOccurrencesRunOnceInTheirOrder()
     {
-        SimulatedCell cell(4);
-        begin(cell);
+        SimulatedCell cell = startedCell(4);
         cell.accept(dueJob("j", twoSteps(), 500));
         for (int i = 0; i < 300 && cell.state("j") != JobState::Done; ++i) {
             cell.run(milliseconds(100));
@@ -168,27 +150,25 @@
         }
         CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), cell.m_starts);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     // Guards against a job that takes more memory, and longer records, with each occurrence that has ended.
     void finishedOccurrencesAreReleasedAndStoredAsRanges()
     {
-        SimulatedCell cell(8);
-        begin(cell);
+        SimulatedCell cell = startedCell(8);
         cell.accept(dueJob("j", { smallStep(), unplaceable(smallStep()) }, 3000));
         cell.run(seconds(30));
         CPPUNIT_ASSERT_EQUAL(std::size_t(3000), finishedIn(cell, "j", 0));
         CPPUNIT_ASSERT(heldSteps(cell) < maxSteps);
         CPPUNIT_ASSERT(encodeProgress(cell.m_store.at(JobId("j"))).size() < 1000);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     // Guards against steps that never run, since their occurrences were released for the sake of a step before them.
     void stepWithoutWorkersDoesNotHoldUpIndependentSteps()
     {
-        SimulatedCell cell(1);
-        begin(cell);
+        SimulatedCell cell = startedCell(1);
         cell.accept(dueJob("j", { unplaceable(smallStep()), smallStep() }, 2000));
         cell.run(seconds(1));
         // Takes the worker from the job for a while.
@@ -197,13 +177,12 @@
         CPPUNIT_ASSERT(cell.state("other") == JobState::Done);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2000), finishedIn(cell, "j", 1));
         CPPUNIT_ASSERT(heldSteps(cell) < maxSteps);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     void laterStepWithoutWorkersDoesNotHoldUpEarlierSteps()
     {
-        SimulatedCell cell(4);
-        begin(cell);
+        SimulatedCell cell = startedCell(4);
         std::vector<StepSpec> steps = twoSteps();
         steps[1].m_requiredLabel = "late";
         cell.accept(dueJob("j", steps, 400));
@@ -216,14 +195,13 @@
         cell.run(seconds(10));
         CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(800), cell.m_starts);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     // Guards against occurrences that run again, or never, after a takeover.
     void successorsRunWhatIsNotFinished()
     {
-        SimulatedCell cell(1);
-        begin(cell);
+        SimulatedCell cell = startedCell(1);
         cell.accept(dueJob("j", twoSteps(), 2000));
         for (int term = 0; term < 3; ++term) {
             cell.run(seconds(1));
@@ -233,13 +211,12 @@
         }
         cell.run(seconds(60));
         CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     void successorsReadTheEarlierFormat()
     {
-        SimulatedCell cell(1);
-        begin(cell);
+        SimulatedCell cell = startedCell(1);
         cell.accept(dueJob("j", twoSteps(), 2000));
         cell.run(seconds(5));
         JobProgress& stored = cell.m_store.at(JobId("j"));
@@ -253,7 +230,7 @@
         CPPUNIT_ASSERT(heldSteps(cell) < maxSteps);
         cell.run(seconds(20));
         CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     // Guards against a job that stays open, since its end was not stored with its last steps.
@@ -271,8 +248,7 @@
     // Guards against attempts that are forgotten with their occurrence.
     void failedRunsCountInAllTerms()
     {
-        SimulatedCell cell(4);
-        begin(cell);
+        SimulatedCell cell = startedCell(4);
         cell.m_failingJobs.insert(JobId("j"));
         JobRecord job = dueJob("j", { SimulatedCell::step(1, 1000, seconds(1)) }, 2000);
         job.m_policy.m_maxAttempts = 1000;
@@ -288,7 +264,7 @@
             cell.takeOver();
         }
         CPPUNIT_ASSERT(heldSteps(cell) < maxSteps);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     void invalidProgressIsIgnored()
@@ -306,8 +282,7 @@
     // Guards against a team whose waiting work cannot be seen, since it is not held.
     void allWaitingTasksAreCounted()
     {
-        SimulatedCell cell(4);
-        begin(cell);
+        SimulatedCell cell = startedCell(4);
         cell.setTeams({ { TeamId("t"), 1, {} } });
         std::vector<StepSpec> steps = twoSteps();
         steps[1] = unplaceable(steps[1]);
@@ -319,7 +294,7 @@
         cell.run(seconds(10));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(900), cell.m_scheduler->teamUses().front().m_waitingTasks);
         CPPUNIT_ASSERT(heldSteps(cell) < 300);
-        check(cell);
+        assertNoViolation(cell);
     }
 
     void occurrencesAreHeldAsRanges()
