--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(runsOfEndedJobsKeepTheirRoomOverATakeover);
     CPPUNIT_TEST(promisesHoldUnderRandomFaults);
     CPPUNIT_TEST(promisesHoldWhenLaterProcessesObeyLateStarts);
+    CPPUNIT_TEST(promisesHoldForDueOccurrencesUnderRandomFaults);
     CPPUNIT_TEST(promisesHoldWhenLateStartsArriveBeforeAnyCall);
     CPPUNIT_TEST_SUITE_END();
 
@@ -299,6 +300,15 @@
         }
     }
 
+    // Guards against occurrences that run twice, or never, since they are not all held in memory.
+    void promisesHoldForDueOccurrencesUnderRandomFaults()
+    {
+        for (const bool hasTeams : { false, true }) {
+            for (std::uint64_t seed = 1; seed <= 10; ++seed)
+                CPPUNIT_ASSERT(verifyRandomFaults(seed, false, hasTeams, true).empty());
+        }
+    }
+
     // Starts that arrive at a later process before any call of the scheduler has reached it.
     void promisesHoldWhenLateStartsArriveBeforeAnyCall()
     {
@@ -326,8 +336,24 @@
             { TeamId("unlimited"), 1, {} } };
     }
 
+    /// Due occurrences of two short steps, more than are held at once. The steps depend on each other in half of the
+    /// jobs.
+    static void giveOccurrences(JobRecord& job)
+    {
+        std::vector<StepSpec>& steps = job.m_spec.m_steps;
+        job.m_spec.m_occurrences = 80;
+        job.m_spec.m_intervalMs = 1;
+        steps[0].m_count = 1;
+        steps[1].m_count = 1;
+        if (steps[0].m_estimate < milliseconds(1700))
+            steps[1].m_dependsOn.clear();
+        steps[0].m_estimate = milliseconds(100);
+        steps[1].m_estimate = milliseconds(50);
+    }
+
     /// Returns the violations that starts which cannot be barred explain; fails on any other one.
-    static std::set<std::string> verifyRandomFaults(std::uint64_t seed, bool laterProcessesObey, bool hasTeams)
+    static std::set<std::string> verifyRandomFaults(
+        std::uint64_t seed, bool laterProcessesObey, bool hasTeams, bool hasOccurrences = false)
     {
         std::mt19937_64 random(seed);
         SimulatedCell cell = startedCell(6, seed);
@@ -343,6 +369,8 @@
                 { SimulatedCell::step(firstCount, cpuMillis, estimate),
                     SimulatedCell::step(secondCount, 4000, milliseconds(500)) });
             job.m_spec.m_steps[1].m_dependsOn = { 0 };
+            if (hasOccurrences && round % 3 == 0)
+                giveOccurrences(job);
             if (hasTeams) {
                 giveTeam(job, round);
                 if (round % 10 == 0)
