--- /dev/null
+++ b/review/stand-in-3/Cases.cpp
@@ -0,0 +1,237 @@
+// Cases that need the simulated cell only.
+
+#include "Cases.h"
+
+#include "Cell.h"
+
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+
+namespace review {
+
+namespace {
+
+    constexpr int held = 0;
+    constexpr int broken = 1;
+    constexpr int couldNotRun = 2;
+
+    /// Waits until the job is shown as done; returns the last state that was shown.
+    std::string awaitDone(Cell& cell, const std::string& job, const std::string& queue, std::int64_t limitMs)
+    {
+        constexpr std::int64_t askedEveryMs = 500;
+        const std::int64_t end = nowMs() + limitMs;
+        std::string state = cell.state(job, queue);
+        while (state != "done" && nowMs() < end) {
+            sleepMs(askedEveryMs);
+            state = cell.state(job, queue);
+        }
+        return state;
+    }
+
+    /// Minions as on the site, and so many that one of them is less than the share that `srv_crash` takes there.
+    CellSettings cellOfSite()
+    {
+        CellSettings settings;
+        settings.m_minions = 8;
+        settings.m_cpu = 32000;
+        return settings;
+    }
+
+    int verdict(Cell& cell, bool isBroken, const std::string& text)
+    {
+        const std::string line = std::string(isBroken ? "BROKEN: " : "held: ") + text;
+        cell.record().write(line);
+        std::cout << line << '\n';
+        return isBroken ? broken : held;
+    }
+
+} // namespace
+
+int playOneOccurrence(const CaseInput& input)
+{
+    Cell cell({}, input.m_folder, input.m_record);
+    if (!cell.start())
+        return couldNotRun;
+    constexpr std::int64_t delayMs = 4000;
+    // Without the trouble the same job has its only time when it is handed in.
+    const std::int64_t dueMs = wallMs() + (input.m_hasTrouble ? delayMs : 0);
+    const std::string job = jobId(0x58a001);
+    const std::string body = R"({"spec":"ms=300","steps":[{"count":2,"cpu":500,"mem_mb":64,"estimate_ms":300}],)"
+                             R"("repeat_count":1,"interval_ms":1000,"first_ms":)"
+        + std::to_string(dueMs) + "}";
+    if (!cell.submit(job, body))
+        return couldNotRun;
+    // The rule allows 3 s without a run from the due time; the minions are idle all the while.
+    constexpr std::int64_t watchedMs = 20000;
+    std::string state;
+    while (wallMs() < dueMs + watchedMs && state != "done") {
+        sleepMs(1000);
+        state = cell.state(job);
+    }
+    const std::size_t starts = cell.runs().ofJob(job).size();
+    return verdict(cell, starts == 0,
+        std::to_string(starts) + " starts until " + std::to_string(wallMs() - dueMs) + " ms after the due time, state "
+            + state);
+}
+
+int playTwoCrashes(const CaseInput& input)
+{
+    Cell cell(cellOfSite(), input.m_folder, input.m_record);
+    if (!cell.start())
+        return couldNotRun;
+    const std::string job = jobId(0x58a002);
+    const auto runs = [&] { return cell.runs().ofJob(job); };
+    if (!cell.submit(job,
+            R"({"spec":"lasts","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":400,"long_running":true}]})"))
+        return couldNotRun;
+    // The minion on which the task has just started crashes and is back after a second, under its id.
+    constexpr std::size_t crashes = 2;
+    constexpr std::int64_t startLimitMs = 20000;
+    constexpr std::int64_t afterStartMs = 200;
+    constexpr std::int64_t downMs = 1000;
+    for (std::size_t i = 0; i < crashes && input.m_hasTrouble; ++i) {
+        for (const std::int64_t end = nowMs() + startLimitMs; runs().size() <= i && nowMs() < end;)
+            sleepMs(10);
+        if (runs().size() <= i)
+            return couldNotRun;
+        sleepMs(afterStartMs);
+        Minion* minion = cell.minionOf(runs().back().m_minion);
+        minion->crash();
+        sleepMs(downMs);
+        minion->restart();
+    }
+    // Nobody has cancelled the job, so that its task has to run now and in 20 s.
+    constexpr std::int64_t watchedMs = 20000;
+    constexpr std::int64_t askedEveryMs = 1000;
+    std::string state;
+    for (const std::int64_t end = nowMs() + watchedMs; nowMs() < end && state != "failed";) {
+        sleepMs(askedEveryMs);
+        state = cell.state(job);
+    }
+    const std::vector<RunEvent> all = runs();
+    const auto failedEnds
+        = std::count_if(all.begin(), all.end(), [](const RunEvent& run) { return run.m_how == "failed"; });
+    const auto working = std::count_if(all.begin(), all.end(), [](const RunEvent& run) { return run.m_endedAt < 0; });
+    return verdict(cell, state == "failed" && failedEnds == 0,
+        "the job is shown as " + state + ", " + std::to_string(failedEnds) + " of " + std::to_string(all.size())
+            + " runs ended failed, " + std::to_string(working) + " at work");
+}
+
+int playWaitAfterCrash(const CaseInput& input)
+{
+    Cell cell(cellOfSite(), input.m_folder, input.m_record);
+    if (!cell.start())
+        return couldNotRun;
+    // The usual traffic: 2.5 tasks of 1 s on each minion a second. They use less than a tenth of the capacity.
+    constexpr std::int64_t trafficIntervalMs = 400;
+    std::atomic<bool> isOver { false };
+    std::thread traffic([&] {
+        for (unsigned i = 0; !isOver; ++i) {
+            const std::int64_t next = nowMs() + trafficIntervalMs;
+            cell.request(i % cell.daemons(), "POST", "/quick/" + jobId(0x58b000 + i),
+                R"({"spec":"ms=1000","steps":[{"count":8,"cpu":500,"mem_mb":64,"estimate_ms":1000,"anti_affinity":1}]})");
+            sleepMs(next - nowMs());
+        }
+    });
+    constexpr std::int64_t settleMs = 3000;
+    sleepMs(settleMs);
+    const std::string job = jobId(0x58a003);
+    const auto runs = [&] { return cell.runs().ofJob(job); };
+    bool couldRun
+        = cell.submit(job, R"({"spec":"ms=3000","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":3000}]})");
+    constexpr std::int64_t startLimitMs = 10000;
+    for (const std::int64_t end = nowMs() + startLimitMs; couldRun && runs().empty() && nowMs() < end;)
+        sleepMs(10);
+    couldRun = couldRun && !runs().empty();
+    std::int64_t calmSince = nowMs();
+    if (couldRun && input.m_hasTrouble) {
+        constexpr std::int64_t afterStartMs = 200;
+        constexpr std::int64_t downMs = 1000;
+        sleepMs(afterStartMs);
+        Minion* minion = cell.minionOf(runs().back().m_minion);
+        minion->crash();
+        sleepMs(downMs);
+        minion->restart();
+        calmSince = nowMs();
+    }
+    // The rule: 3 s without a run, after 4 s without a disruption.
+    constexpr std::int64_t calmMs = 4000;
+    constexpr std::int64_t allowedMs = 3000;
+    constexpr std::int64_t watchedMs = 30000;
+    const auto isAtWorkOrDone = [&] {
+        const std::vector<RunEvent> all = runs();
+        return std::any_of(
+            all.begin(), all.end(), [](const RunEvent& run) { return run.m_endedAt < 0 || run.m_how == "done"; });
+    };
+    while (couldRun && !isAtWorkOrDone() && nowMs() < calmSince + watchedMs)
+        sleepMs(20);
+    const std::int64_t waitedMs = nowMs() - calmSince;
+    // A job that has begun again, or was never disturbed, has to end.
+    constexpr std::int64_t endLimitMs = 10000;
+    const std::string state = awaitDone(cell, job, "quick", isAtWorkOrDone() ? endLimitMs : 0);
+    isOver = true;
+    traffic.join();
+    if (!couldRun)
+        return couldNotRun;
+    const std::vector<RunEvent> all = cell.runs().all();
+    const auto starts = std::count_if(all.begin(), all.end(),
+        [&](const RunEvent& run) { return run.m_startedAt >= calmSince && !run.m_task.starts_with(job); });
+    return verdict(cell, waitedMs > calmMs + allowedMs || state != "done",
+        "the job, shown as " + state + ", had nothing running for " + std::to_string(waitedMs)
+            + " ms since the last disruption; " + std::to_string(starts) + " tasks of other jobs began meanwhile");
+}
+
+int playGangAfterRestart(const CaseInput& input)
+{
+    // The policy of the queue allows one minion, which has room for the gang twice.
+    CellSettings settings = cellOfSite();
+    settings.m_allowed = { "i-103" };
+    Cell cell(settings, input.m_folder, input.m_record);
+    if (!cell.start())
+        return couldNotRun;
+    const std::string job = jobId(0x58a004);
+    const auto runs = [&] { return cell.runs().ofJob(job); };
+    if (!cell.submit(job,
+            R"({"spec":"advised gang=2 ms=4000","steps":[)"
+            R"({"count":2,"cpu":7000,"mem_mb":1024,"estimate_ms":4000,"gang":true}]})",
+            "advised"))
+        return couldNotRun;
+    constexpr std::size_t members = 2;
+    constexpr std::int64_t startLimitMs = 20000;
+    for (const std::int64_t end = nowMs() + startLimitMs; runs().size() < members && nowMs() < end;)
+        sleepMs(10);
+    if (runs().size() < members)
+        return couldNotRun;
+    std::int64_t calmSince = nowMs();
+    if (input.m_hasTrouble) {
+        // Late enough after the start not to be taken for its cause.
+        constexpr std::int64_t afterStartMs = 2500;
+        constexpr std::int64_t downMs = 1000;
+        sleepMs(afterStartMs);
+        Minion* minion = cell.minionOf(runs().back().m_minion);
+        minion->crash();
+        sleepMs(downMs);
+        minion->restart();
+        calmSince = nowMs();
+    }
+    constexpr std::int64_t calmMs = 4000;
+    constexpr std::int64_t allowedMs = 3000;
+    constexpr std::int64_t watchedMs = 40000;
+    const auto isAtWorkOrDone = [&] {
+        const std::vector<RunEvent> all = runs();
+        return std::any_of(
+            all.begin(), all.end(), [](const RunEvent& run) { return run.m_endedAt < 0 || run.m_how == "done"; });
+    };
+    sleepMs(input.m_hasTrouble ? allowedMs : 0);
+    while (!isAtWorkOrDone() && nowMs() < calmSince + watchedMs)
+        sleepMs(20);
+    const std::int64_t waitedMs = nowMs() - calmSince;
+    constexpr std::int64_t endLimitMs = 15000;
+    const std::string state = awaitDone(cell, job, "advised", isAtWorkOrDone() ? endLimitMs : 0);
+    return verdict(cell, waitedMs > calmMs + allowedMs || state != "done",
+        "the gang, shown as " + state + ", had nothing running until " + std::to_string(waitedMs)
+            + " ms after the last disruption, " + std::to_string(runs().size()) + " starts in all");
+}
+
+} // namespace review
