--- a/review/stand-in-3/Cases.cpp
+++ b/review/stand-in-3/Cases.cpp
@@ -75,49 +75,6 @@
             + state);
 }
 
-int playTwoCrashes(const CaseInput& input)
-{
-    Cell cell(cellOfSite(), input.m_folder, input.m_record);
-    if (!cell.start())
-        return couldNotRun;
-    const std::string job = jobId(0x58a002);
-    const auto runs = [&] { return cell.runs().ofJob(job); };
-    if (!cell.submit(job,
-            R"({"spec":"lasts","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":400,"long_running":true}]})"))
-        return couldNotRun;
-    // The minion on which the task has just started crashes and is back after a second, under its id.
-    constexpr std::size_t crashes = 2;
-    constexpr std::int64_t startLimitMs = 20000;
-    constexpr std::int64_t afterStartMs = 200;
-    constexpr std::int64_t downMs = 1000;
-    for (std::size_t i = 0; i < crashes && input.m_hasTrouble; ++i) {
-        for (const std::int64_t end = nowMs() + startLimitMs; runs().size() <= i && nowMs() < end;)
-            sleepMs(10);
-        if (runs().size() <= i)
-            return couldNotRun;
-        sleepMs(afterStartMs);
-        Minion* minion = cell.minionOf(runs().back().m_minion);
-        minion->crash();
-        sleepMs(downMs);
-        minion->restart();
-    }
-    // Nobody has cancelled the job, so that its task has to run now and in 20 s.
-    constexpr std::int64_t watchedMs = 20000;
-    constexpr std::int64_t askedEveryMs = 1000;
-    std::string state;
-    for (const std::int64_t end = nowMs() + watchedMs; nowMs() < end && state != "failed";) {
-        sleepMs(askedEveryMs);
-        state = cell.state(job);
-    }
-    const std::vector<RunEvent> all = runs();
-    const auto failedEnds
-        = std::count_if(all.begin(), all.end(), [](const RunEvent& run) { return run.m_how == "failed"; });
-    const auto working = std::count_if(all.begin(), all.end(), [](const RunEvent& run) { return run.m_endedAt < 0; });
-    return verdict(cell, state == "failed" && failedEnds == 0,
-        "the job is shown as " + state + ", " + std::to_string(failedEnds) + " of " + std::to_string(all.size())
-            + " runs ended failed, " + std::to_string(working) + " at work");
-}
-
 int playWaitAfterCrash(const CaseInput& input)
 {
     Cell cell(cellOfSite(), input.m_folder, input.m_record);
