Report work that could run and is not started in the simulated cell

No test of ours could see that: the simulated cell verified what is started, and only some tests that a job ends.

Change: in a cell without faults, a task that is due, whose earlier steps are done and for which its workers have room twice over has to start within 26 s, when the longest of the limits on leases from late calls has ended. It is checked in every test that uses the simulated cell. Gangs are modelled as PROTOCOL.md says: they work once all members are present, end together, and end alone after gang_ms. A test can say which workers the adviser allows for a job.

--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -86,10 +86,16 @@
     static constexpr Duration stopTime = milliseconds(300);
     /// Time from the crash of a worker to its next process.
     static constexpr Duration crashTime = milliseconds(3300);
+    /// Time for which a member of a gang waits for the others.
+    static constexpr Duration gangTimeout = seconds(3);
     /// Time after which a request for a report counts as unanswered: its wait, and the timeout of a call.
     static constexpr Duration requestTimeout = milliseconds(1200);
     static constexpr Duration renewalInterval = milliseconds(300);
     static constexpr std::size_t maxAnnouncedLeases = 64;
+    /// Interval of the check for work that could run, and the time after which it counts as forgotten: leases from
+    /// late calls, the longest of the limits that docs/platform.md lists, have ended by then.
+    static constexpr Duration workCheckInterval = milliseconds(500);
+    static constexpr Duration maxIdleWait = maxOrderDelay + seconds(13);
 
     explicit SimulatedCell(std::uint32_t workers, std::uint64_t seed = 1)
         : m_random(seed)
@@ -135,6 +141,7 @@
         ++m_term;
         ++m_newestNumber;
         m_links.clear();
+        m_couldRunSince.clear();
         SchedulerSettings settings;
         // The number of a term is that of its claim, so that renewals leave numbers for the runs of the earlier term.
         settings.m_term = m_newestNumber;
@@ -254,11 +261,7 @@
     void crashWorker(const WorkerId& id)
     {
         SimulatedWorker& worker = m_workers.at(id);
-        const auto lost = std::exchange(worker.m_running, {});
-        for (const auto& [name, run] : lost) {
-            if (specOf(name).m_isGang)
-                breakGang(name);
-        }
+        loseRuns(worker);
         worker.m_isUp = false;
         worker.m_crashesAt = TimePoint::max();
         worker.m_returnsAt = m_now + crashTime;
@@ -302,6 +305,16 @@
     JobState state(const std::string& id) const { return m_scheduler->state(JobId(id)); }
     std::int64_t wallMs() const { return std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count(); }
 
+    /// Whether the adviser lets the worker run the step; never changes.
+    bool isAllowed(const StepName& step, const WorkerId& worker) const
+    {
+        if (const auto only = m_onlyAllowed.find(step.m_job); only != m_onlyAllowed.end())
+            return only->second.contains(worker);
+        const std::size_t hash
+            = std::hash<std::string> {}(step.m_job.value() + std::to_string(step.m_step) + worker.value());
+        return static_cast<double>(hash % 1000) < m_allowedShare * 1000;
+    }
+
     std::uint32_t running(const std::string& job) const
     {
         std::uint32_t count = 0;
@@ -338,7 +351,9 @@
     /// directions.
     std::map<JobId, double> m_jobTimeFactors;
     double m_taskSpread = 0;
+    /// Share of the workers that the adviser allows for a step, and the workers of jobs for which it allows only these.
     double m_allowedShare = 0.6;
+    std::map<JobId, std::set<WorkerId>> m_onlyAllowed;
     std::uint32_t m_adviceDaemons = 8;
     std::uint64_t m_term = 0;
     /// Position after the newest record of the term.
@@ -435,7 +450,8 @@
     /// Begins the next process of a worker, which knows nothing of the earlier one.
     void beginProcess(SimulatedWorker& worker)
     {
-        worker.m_running.clear();
+        m_couldRunSince.clear();
+        loseRuns(worker);
         worker.m_ended.clear();
         worker.m_barred.clear();
         worker.m_lastEnd = 0;
@@ -472,19 +488,44 @@
         verify();
     }
 
+    static bool isSameGang(const RunName& a, const RunName& b)
+    {
+        const TaskIndex& first = a.m_task.m_index;
+        const TaskIndex& second = b.m_task.m_index;
+        return a.m_task.m_job == b.m_task.m_job && first.m_occurrence == second.m_occurrence
+            && first.m_step == second.m_step && a.m_run == b.m_run;
+    }
+
     /// Ends the other members of a run of a gang.
-    void breakGang(const RunName& lost)
+    void endOtherMembers(const RunName& ended, RunEnd how)
     {
         for (auto& [id, worker] : m_workers) {
             std::vector<RunName> members;
             for (const auto& [name, run] : worker.m_running) {
-                const bool isSameStep = name.m_task.m_job == lost.m_task.m_job
-                    && name.m_task.m_index.m_step == lost.m_task.m_index.m_step;
-                if (isSameStep && name.m_run == lost.m_run)
+                if (name != ended && isSameGang(name, ended))
                     members.push_back(name);
             }
             for (const RunName& name : members)
-                end(worker, name, RunEnd::Broken);
+                end(worker, name, how);
+        }
+    }
+
+    bool areAllMembersPresent(const RunName& run) const
+    {
+        std::uint32_t count = 0;
+        for (const auto& [id, worker] : m_workers) {
+            for (const auto& [name, state] : worker.m_running)
+                count += isSameGang(name, run) ? 1 : 0;
+        }
+        return count == specOf(run).m_count;
+    }
+
+    /// The runs of the worker end with its process.
+    void loseRuns(SimulatedWorker& worker)
+    {
+        for (const auto& [name, run] : std::exchange(worker.m_running, {})) {
+            if (specOf(name).m_isGang)
+                endOtherMembers(name, RunEnd::Broken);
         }
     }
 
@@ -519,19 +560,29 @@
         if (worker.m_leaseEnd <= m_now)
             worker.m_lapsedEnd = worker.m_lastEnd;
         std::vector<std::pair<RunName, RunEnd>> ends;
-        for (const auto& [name, run] : worker.m_running) {
+        for (auto& [name, run] : worker.m_running) {
+            const bool isWaiting = specOf(name).m_isGang && !areAllMembersPresent(name);
+            if (isWaiting)
+                run.m_endsAt += tick;
             if (worker.m_leaseEnd <= m_now)
                 ends.emplace_back(name, RunEnd::Lapsed);
             else if (run.m_stopsAt <= m_now)
                 ends.emplace_back(name, RunEnd::Stopped);
+            else if (isWaiting && m_now - run.m_startedAt > gangTimeout)
+                ends.emplace_back(name, RunEnd::Alone);
             else if ((worker.m_failsTasks || m_failingJobs.contains(name.m_task.m_job))
                 && m_now - run.m_startedAt > milliseconds(100))
                 ends.emplace_back(name, RunEnd::Failed);
             else if (run.m_endsAt <= m_now && !worker.m_isStuck)
                 ends.emplace_back(name, RunEnd::Done);
         }
-        for (const auto& [name, how] : ends)
+        for (const auto& [name, how] : ends) {
+            if (!worker.m_running.contains(name))
+                continue;
             end(worker, name, how);
+            if (specOf(name).m_isGang)
+                endOtherMembers(name, how == RunEnd::Done ? RunEnd::Done : RunEnd::Broken);
+        }
     }
 
     double percentOf(const SimulatedWorker& worker, const SimulatedWorker::RunState& run) const
@@ -632,6 +683,8 @@
         const Duration work(static_cast<Duration::rep>(static_cast<double>(spec.m_estimate.count()) * m_runTimeFactor
             * timeFactorOf(order.m_run.m_task) * worker.m_speedFactor));
         verifyStart(order.m_run);
+        const TaskIndex& index = order.m_run.m_task.m_index;
+        m_couldRunSince.erase({ order.m_run.m_task.m_job, index.m_occurrence, index.m_step });
         worker.m_leaseEnd = std::max(worker.m_leaseEnd, leaseEnd);
         worker.m_running[order.m_run]
             = { ++m_starts, spec.m_isLongRunning ? TimePoint::max() : m_now + work, m_now, spec.reserved() };
@@ -745,14 +798,6 @@
         m_questions.push_back({ m_now + std::max<Duration>(question.m_expected, tick), question });
     }
 
-    /// Whether the adviser lets the worker run the step; never changes.
-    bool isAllowed(const StepName& step, const WorkerId& worker) const
-    {
-        const std::size_t hash
-            = std::hash<std::string> {}(step.m_job.value() + std::to_string(step.m_step) + worker.value());
-        return static_cast<double>(hash % 1000) < m_allowedShare * 1000;
-    }
-
     void answerAdviceRequests()
     {
         std::vector<OpenAdviceRequest> open;
@@ -880,8 +925,112 @@
         begin(start.m_worker, start.m_number, start.m_order, leaseEndOf(start));
     }
 
+    /// Whether nothing keeps the scheduler from its workers or the store.
+    bool isCalm() const
+    {
+        const auto isSound = [this](const auto& entry) {
+            const auto& [id, worker] = entry;
+            const auto listed = m_registry.find(id);
+            return worker.m_isUp && worker.m_isReachable && !worker.m_delaysStarts && !worker.m_losesAnswers
+                && !worker.m_losesStops && !worker.m_failsTasks && !worker.m_isStuck && listed != m_registry.end()
+                && listed->second == worker.m_description;
+        };
+        return m_isStoreUp && !m_isAcceptedTopicUnavailable && std::all_of(m_workers.begin(), m_workers.end(), isSound);
+    }
+
+    /// The steps of the job whose turn has come and of which a task is neither done nor running.
+    std::vector<StepName> idleSteps(const JobRecord& record) const
+    {
+        constexpr std::uint32_t maxOccurrences = 20;
+        const JobSpec& spec = record.m_spec;
+        const auto found = m_doneTasks.find(record.m_job);
+        const auto doneIn = [&](std::uint32_t occurrence, std::uint32_t step) {
+            std::uint32_t count = 0;
+            for (std::uint32_t i = 0; found != m_doneTasks.end() && i < spec.m_steps[step].m_count; ++i)
+                count += found->second.contains({ record.m_job, { occurrence, step, i } }) ? 1 : 0;
+            // The end of one member of a gang stands for all.
+            return spec.m_steps[step].m_isGang && count > 0 ? spec.m_steps[step].m_count : count;
+        };
+        std::vector<StepName> idle;
+        for (std::uint32_t k = 0; k < std::min(spec.occurrenceCount(), maxOccurrences); ++k) {
+            if (spec.m_occurrences > 0 && wallMs() < spec.m_firstDueMs + k * spec.m_intervalMs)
+                break;
+            for (std::uint32_t i = 0; i < spec.m_steps.size(); ++i) {
+                const std::vector<std::uint32_t>& dependencies = spec.m_steps[i].m_dependsOn;
+                const bool isReady = std::all_of(dependencies.begin(), dependencies.end(),
+                    [&](std::uint32_t earlier) { return doneIn(k, earlier) == spec.m_steps[earlier].m_count; });
+                if (isReady && doneIn(k, i) + runningTasks(record.m_job, k, i) < spec.m_steps[i].m_count)
+                    idle.push_back({ record.m_job, k, i });
+            }
+        }
+        return idle;
+    }
+
+    std::uint32_t runningTasks(const JobId& job, std::uint32_t occurrence, std::uint32_t step) const
+    {
+        std::uint32_t count = 0;
+        for (const auto& [id, worker] : m_workers) {
+            for (const auto& [name, run] : worker.m_running) {
+                const TaskIndex& index = name.m_task.m_index;
+                count += name.m_task.m_job == job && index.m_occurrence == occurrence && index.m_step == step ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    /// Whether the workers that may run the step have room for it twice over: for a task, or for all of a gang.
+    bool hasRoomTwice(const JobRecord& record, const StepName& name) const
+    {
+        const StepSpec& step = record.m_spec.m_steps[name.m_step];
+        std::int64_t slots = 0;
+        for (const auto& [id, worker] : m_workers) {
+            const WorkerDescription& description = worker.m_description;
+            const bool hasLabel = step.m_requiredLabel.empty()
+                || std::count(description.m_labels.begin(), description.m_labels.end(), step.m_requiredLabel) > 0;
+            if (description.m_isDraining || description.m_service != record.m_policy.m_service || !hasLabel
+                || (record.m_policy.m_advice && !isAllowed(name, id)))
+                continue;
+            const Resources used = worker.used();
+            std::int64_t here = 0;
+            while (here < 2 * step.m_count && (used + step.reserved() * (here + 1)).fitsIn(description.m_capacity))
+                ++here;
+            slots += here;
+        }
+        return slots >= 2 * (step.m_isGang ? std::int64_t { step.m_count } : 1);
+    }
+
+    /// Verifies that work which could run, in a cell without faults, does not wait for longer than any limit.
+    void verifyWaits()
+    {
+        if (m_now < m_nextWorkCheckAt)
+            return;
+        m_nextWorkCheckAt = m_now + workCheckInterval;
+        if (!isCalm())
+            return m_couldRunSince.clear();
+        std::map<StepName, TimePoint> couldRunSince;
+        for (const auto& [id, record] : m_accepted) {
+            // A team may have used its limit, and steps with a limit for each worker or a wait for a rack need others.
+            const bool isOpen = m_scheduler->knows(id) && !isFinal(m_scheduler->state(id)) && !m_cancelled.contains(id);
+            if (!isOpen || !record.m_team.empty())
+                continue;
+            for (const StepName& step : idleSteps(record)) {
+                const StepSpec& spec = record.m_spec.m_steps[step.m_step];
+                if (spec.m_maxPerWorker > 0 || spec.m_isFilling || !hasRoomTwice(record, step))
+                    continue;
+                const auto known = m_couldRunSince.find(step);
+                const TimePoint since = known == m_couldRunSince.end() ? m_now : known->second;
+                couldRunSince.emplace(step, since);
+                if (m_now - since > maxIdleWait)
+                    m_violations.insert("could run and is not started: " + id.value() + ", step "
+                        + std::to_string(step.m_occurrence) + "." + std::to_string(step.m_step));
+            }
+        }
+        m_couldRunSince = std::move(couldRunSince);
+    }
+
     void verify()
     {
+        verifyWaits();
         for (const auto& [id, record] : m_accepted) {
             if (!m_scheduler->knows(id))
                 continue;
@@ -914,6 +1063,9 @@
     std::map<WorkerId, TimePoint> m_storedLeaseEnds;
     TimePoint m_storedLateEnd {};
     TimePoint m_nextRenewalAt {};
+    TimePoint m_nextWorkCheckAt {};
+    /// Steps that could run without interruption, and since when; see verifyWaits().
+    std::map<StepName, TimePoint> m_couldRunSince;
     std::map<JobId, std::set<TaskName>> m_doneTasks;
     /// Runs that succeeded, and those of them after which their task was started again. The latter must not be
     /// acknowledged, unless the lease of their worker has lapsed.
