Request tickets for a gang again after its worker has restarted

Cause: the adviser's answer says whether a worker may run a step, for good, and gives a ticket, for one process of the worker. Each reader had a test of its own for both. requestGangAdvice() left out every worker with an answer and counted it as allowed; it leaves void tickets to reserveWorkers(), whose reserved workers are asked about again, and that left out workers whose ticket was for another process. Nothing asked for a ticket of the new process, in this term.

Ruled out: a worker that is not used (lateLease, notDescribed), want of room (noRoom, reserved).

Change: PlacementPass::adviceState() alone says what the answers mean: not asked, refused, ticket of another process, expired or valid. All readers use it. A gang reserves any worker that the adviser allows. step-waits names the state of the ticket in place of noTicket.

--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -117,11 +117,7 @@
         return true;
     };
     if (step.m_job->m_record.m_policy.m_advice) {
-        for (const auto& [number, permission] : step.m_permissions) {
-            Worker* worker = permission.m_isAllowed ? m_scheduler.findWorker(number) : nullptr;
-            if (worker != nullptr && permission.m_bornMs == worker->m_description.m_bornMs)
-                consider(*worker);
-        }
+        visitAllowedWorkers(step, consider);
     } else {
         for (const DomainNumber domain : domainsByRoom(step))
             m_scheduler.m_freeRoom.visitFreest(pool, domain, 0, consider);
@@ -171,20 +167,21 @@
             = m_scheduler.m_allowedShare.try_emplace(step.m_job->m_record.m_policy.m_queue, 0.5).first->second;
         double ready = 0;
         double permitted = 0;
-        for (const auto& [number, permission] : step.m_permissions) {
-            const Worker* worker = permission.m_isAllowed ? m_scheduler.findWorker(number) : nullptr;
-            if (worker == nullptr || !isEligible(*worker, step))
-                continue;
-            const std::uint32_t slots = slotsFor(*worker, step, worker->free());
-            permitted += std::max(1U, slots);
-            ready += fits(*worker, step, worker->free()) ? slots : 0;
-        }
+        // Tickets that are no longer valid are requested again for reserved workers.
+        visitAllowedWorkers(step, [&](const Worker& worker) {
+            if (isEligible(worker, step)) {
+                const std::uint32_t slots = slotsFor(worker, step, worker.free());
+                permitted += std::max(1U, slots);
+                ready += fits(worker, step, worker.free()) ? slots : 0;
+            }
+            return true;
+        });
         const auto tasks = static_cast<double>(step.m_tasks.size());
         bool isOnlyPreferred = m_speed.m_matters;
         const auto consider = [&](Worker& worker) {
             // In the second round the preferred workers have been considered.
             const bool isOfOtherRound = m_speed.m_matters && isPreferred(worker) != isOnlyPreferred;
-            if (isOfOtherRound || step.m_permissions.contains(worker.m_number) || !isEligible(worker, step)
+            if (isOfOtherRound || adviceState(worker, step) != AdviceState::NotAsked || !isEligible(worker, step)
                 || !step.m_spec->reserved().fitsIn(worker.m_description.m_capacity))
                 return true;
             const std::uint32_t slots = fits(worker, step, worker.free()) ? slotsFor(worker, step, worker.free()) : 0;
--- a/src/jobs/LateRuns.cpp
+++ b/src/jobs/LateRuns.cpp
@@ -35,10 +35,8 @@
     const RoomIndex& room = m_scheduler.m_unreservedRoom;
     const std::int64_t need = step.m_spec->reserved().m_cpuMillis;
     const auto isUseless = [&](const Worker& worker) {
-        const auto known = step.m_permissions.find(worker.m_number);
-        const bool isRefused = known != step.m_permissions.end() && !known->second.m_isAllowed;
         const bool isFast = m_scheduler.m_speeds.factor(worker.m_number) <= limit;
-        return isRefused || !isFast || !isEligible(worker, step) || !fits(worker, step, worker.free());
+        return isRefused(worker, step) || !isFast || !isEligible(worker, step) || !fits(worker, step, worker.free());
     };
     const std::vector<DomainNumber> domains = domainsByRoom(step);
     return !std::all_of(domains.begin(), domains.end(),
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -41,6 +41,14 @@
     /// from pass to pass, so that steps which find no worker do not keep those behind them from one.
     constexpr std::uint32_t firstStepsPerTurn = 4;
 
+    /// Name for the log of what keeps a worker with room from getting tasks.
+    const char* nameOf(AdviceState state)
+    {
+        static constexpr const char* names[]
+            = { "free", "notAsked", "notAllowed", "ticketOfOtherProcess", "ticketExpired", "free" };
+        return names[static_cast<std::size_t>(state)];
+    }
+
     std::int64_t slotsOf(std::int64_t free, std::int64_t need)
     {
         return need <= 0 ? std::numeric_limits<std::int32_t>::max() : std::max<std::int64_t>(0, free) / need;
@@ -215,16 +223,20 @@
     return hasLabel && worker.m_pool == step.m_job->m_pool ? nullptr : "otherPoolOrLabel";
 }
 
-bool PlacementPass::isValid(const Permission& permission, const Worker& worker) const
-{
-    return permission.m_isAllowed && permission.m_bornMs == worker.m_description.m_bornMs
-        && m_now + m_scheduler.m_settings.m_ticketMargin < permission.m_expiresAt;
-}
-
-bool PlacementPass::hasTicket(const Worker& worker, const Step& step) const
+AdviceState PlacementPass::adviceState(const Worker& worker, const Step& step) const
 {
+    if (!step.m_job->m_record.m_policy.m_advice)
+        return AdviceState::NotNeeded;
     const auto found = step.m_permissions.find(worker.m_number);
-    return found != step.m_permissions.end() && isValid(found->second, worker);
+    if (found == step.m_permissions.end())
+        return AdviceState::NotAsked;
+    const Permission& permission = found->second;
+    if (!permission.m_isAllowed)
+        return AdviceState::Refused;
+    if (permission.m_bornMs != worker.m_description.m_bornMs)
+        return AdviceState::TicketOfOtherProcess;
+    const bool isExpired = permission.m_expiresAt <= m_now + m_scheduler.m_settings.m_ticketMargin;
+    return isExpired ? AdviceState::TicketExpired : AdviceState::TicketValid;
 }
 
 std::uint32_t PlacementPass::runsOn(const Worker& worker, const Step& step) const
@@ -348,12 +360,8 @@
 template <typename Visitor> void PlacementPass::visitUsableWorkers(const Step& step, Visitor visitor) const
 {
     if (step.m_job->m_record.m_policy.m_advice) {
-        for (const auto& [number, permission] : step.m_permissions) {
-            Worker* worker = permission.m_isAllowed ? m_scheduler.findWorker(number) : nullptr;
-            const bool isUsable = worker != nullptr && isValid(permission, *worker) && isEligible(*worker, step);
-            if (isUsable && !visitor(*worker))
-                return;
-        }
+        visitAllowedWorkers(step,
+            [&](Worker& worker) { return !hasTicket(worker, step) || !isEligible(worker, step) || visitor(worker); });
         return;
     }
     const RoomIndex& room = m_scheduler.m_freeRoom;
@@ -598,19 +606,15 @@
     std::set<WorkerNumber> named;
     /// Names the worker if it is a candidate; returns whether more are needed.
     const auto consider = [&](Worker& worker, bool isNear, bool isOnlyPreferred) {
-        const auto known = step.m_permissions.find(worker.m_number);
-        const bool isRefused = known != step.m_permissions.end() && !known->second.m_isAllowed;
         const bool isOtherRack = isNear && worker.m_description.m_rack != near;
-        if (isRefused || isOtherRack || !isEligible(worker, step) || hasTicket(worker, step)
+        if (isRefused(worker, step) || isOtherRack || !isEligible(worker, step) || hasTicket(worker, step)
             || isReservedForOther(worker, step) || (isOnlyPreferred && !isPreferred(worker)))
             return true;
         const std::uint32_t room
             = std::min(maxSlotsPerWorker, slotsFor(worker, step, worker.free() - worker.m_tentativelyReserved));
         if (room == 0 || !named.insert(worker.m_number).second)
             return true;
-        const bool isKnown
-            = known != step.m_permissions.end() && known->second.m_bornMs == worker.m_description.m_bornMs;
-        expected += (isKnown ? 1.0 : share) * room;
+        expected += (isAllowed(worker, step) ? 1.0 : share) * room;
         question.m_workers.push_back(worker.m_description.m_worker);
         if (share >= tentativeReservationShare)
             step.m_tentativeReservations.emplace_back(worker.m_number, step.m_spec->reserved());
@@ -644,10 +648,8 @@
     };
     bool needsMore = near.empty() || visitDomains(true);
     // Workers that were allowed before are allowed again.
-    for (auto it = step.m_permissions.begin(); needsMore && it != step.m_permissions.end(); ++it) {
-        if (Worker* worker = it->second.m_isAllowed ? m_scheduler.findWorker(it->first) : nullptr)
-            needsMore = consider(*worker, false, true);
-    }
+    if (needsMore)
+        visitAllowedWorkers(step, [&](Worker& worker) { return needsMore = consider(worker, false, true); });
     const bool isNearOnly = step.m_waitingTasks <= step.m_locality.m_held;
     if (needsMore && !isNearOnly)
         visitDomains(false);
@@ -667,6 +669,7 @@
     }
     question.m_expected = advice.m_base + advice.m_perWorker * static_cast<std::int64_t>(question.m_workers.size());
     step.m_isAdvicePending = true;
+    step.m_adviceSentAt = m_now;
     m_scheduler.claimTeamRoom(step);
     ++m_scheduler.m_counters.m_questions;
     ++step.m_job->m_history.m_questions;
@@ -677,16 +680,13 @@
 {
     std::map<std::string, std::uint32_t> reasons;
     for (const auto& [id, worker] : m_scheduler.m_workers) {
-        const auto known = step.m_permissions.find(worker.m_number);
-        const bool needsTicket = step.m_job->m_record.m_policy.m_advice.has_value();
         const char* reason = ineligibilityReason(worker, step);
         if (reason == nullptr)
-            reason = needsTicket && known != step.m_permissions.end() && !known->second.m_isAllowed ? "notAllowed"
-                : isReservedForOther(worker, step)                                                  ? "reserved"
-                : worker.m_trials > 0                                                               ? "trial"
-                : !fits(worker, step, worker.free())                                                ? "noRoom"
-                : needsTicket && !hasTicket(worker, step)                                           ? "noTicket"
-                                                                                                    : "free";
+            reason = isRefused(worker, step)         ? "notAllowed"
+                : isReservedForOther(worker, step)   ? "reserved"
+                : worker.m_trials > 0                ? "trial"
+                : !fits(worker, step, worker.free()) ? "noRoom"
+                                                     : nameOf(adviceState(worker, step));
         ++reasons[reason];
     }
     std::string text = "waiting " + std::to_string(step.m_waitingTasks) + " of " + std::to_string(step.m_tasks.size());
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -86,8 +86,32 @@
     {
         return ineligibilityReason(worker, step) == nullptr;
     }
-    bool isValid(const Permission&, const Worker&) const;
-    bool hasTicket(const Worker&, const Step&) const;
+    AdviceState adviceState(const Worker&, const Step&) const;
+    /// Whether the adviser has refused the worker, which no later answer changes.
+    bool isRefused(const Worker& worker, const Step& step) const
+    {
+        return adviceState(worker, step) == AdviceState::Refused;
+    }
+    /// Whether the adviser lets the worker run the step, with a valid ticket or another one that has to be requested.
+    bool isAllowed(const Worker& worker, const Step& step) const
+    {
+        return adviceState(worker, step) >= AdviceState::TicketOfOtherProcess;
+    }
+    /// Whether the step may start on the worker with the ticket that is known.
+    bool hasTicket(const Worker& worker, const Step& step) const
+    {
+        return adviceState(worker, step) == AdviceState::TicketValid;
+    }
+    /// Calls the visitor for the workers that the adviser lets run the step, whatever their tickets. The visitor
+    /// returns whether to go on.
+    template <typename Visitor> void visitAllowedWorkers(const Step& step, Visitor visitor) const
+    {
+        for (const auto& [number, permission] : step.m_permissions) {
+            Worker* worker = permission.m_isAllowed ? m_scheduler.findWorker(number) : nullptr;
+            if (worker != nullptr && !visitor(*worker))
+                return;
+        }
+    }
     bool fits(const Worker&, const Step&, const Resources& free) const;
     /// Removes and returns the candidate with the least work that has started nothing lately, for a task under which a
     /// worker has crashed; null if there is none.
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -113,13 +113,29 @@
 
 /// The adviser's decision about a worker for a step.
 struct Permission {
+    /// Whether the worker may run the step. Holds for all processes of the worker and does not expire.
     bool m_isAllowed = false;
+    /// The newest ticket, and when it expires.
     std::string m_ticket;
     TimePoint m_expiresAt {};
-    /// Start time of the worker process for which the ticket was issued.
+    /// Start time of the worker process for which the ticket was issued; 0 if that is not known.
     std::int64_t m_bornMs = 0;
 };
 
+/// What the adviser's answers mean for starting a step on a worker.
+enum class AdviceState : std::uint8_t {
+    /// The step needs no advice.
+    NotNeeded,
+    /// The adviser has not answered about the worker.
+    NotAsked,
+    /// The worker may not run the step.
+    Refused,
+    /// The worker may run the step, but its ticket was issued for an earlier process, or has expired.
+    TicketOfOtherProcess,
+    TicketExpired,
+    TicketValid,
+};
+
 /// Wait of a step for near places; see LocalityWait.h.
 struct LocalityState {
     /// Rack that was near at the last decision.
@@ -167,6 +183,8 @@
     TimePoint m_reservationEnd {};
     TimePoint m_nextReservationAt {};
     bool m_isAdvicePending = false;
+    /// When the newest advice request was sent.
+    TimePoint m_adviceSentAt {};
     /// What the open advice request claims of the limit of the team.
     Resources m_teamClaim;
     /// Capacity that the open advice request has tentatively reserved.
--- a/tests/jobs/GangReservationTest.cpp
+++ b/tests/jobs/GangReservationTest.cpp
@@ -11,6 +11,9 @@
     CPPUNIT_TEST(gangWithAdviceStartsInAPoolThatSmallTasksKeepFull);
     CPPUNIT_TEST(largeGangReservesBesideASmallOne);
     CPPUNIT_TEST(reservationEndsWithItsJob);
+    CPPUNIT_TEST(gangStartsAgainOnTheNextProcessOfItsWorker);
+    CPPUNIT_TEST(gangStartsAfterItsWorkersRestartOneByOne);
+    CPPUNIT_TEST(waitingGangStartsOnTheNextProcessOfItsWorker);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint32_t workers = 8;
@@ -65,6 +68,18 @@
         return false;
     }
 
+    /// A gang of tasks of 7 cores that the adviser allows on these workers only.
+    static void acceptAdvisedGang(
+        SimulatedCell& cell, std::uint32_t count, Duration estimate, const std::set<WorkerId>& allowed)
+    {
+        StepSpec step = SimulatedCell::step(count, 7000, estimate);
+        step.m_isGang = true;
+        JobRecord record = SimulatedCell::job("gang", { step });
+        record.m_policy.m_advice = AdvicePolicy { milliseconds(420), milliseconds(6), seconds(2) };
+        cell.m_onlyAllowed[record.m_job] = allowed;
+        cell.accept(record);
+    }
+
 public:
     // The adviser used to be asked about the workers with the most room, so that tasks with one accelerator broke up
     // one whole worker after the other.
@@ -135,6 +150,54 @@
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), reserved());
         assertNoViolation(cell);
     }
+
+    // Guards against a gang that never starts again since its ticket is for an earlier process of the worker, and no
+    // other one is requested.
+    void gangStartsAgainOnTheNextProcessOfItsWorker()
+    {
+        SimulatedCell cell = startedCell(workers);
+        const std::set<WorkerId> allowed { WorkerId("w103") };
+        acceptAdvisedGang(cell, 2, seconds(4), allowed);
+        cell.run(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(2U, cell.running("gang"));
+        cell.crashWorker(*allowed.begin());
+        cell.run(seconds(15));
+        CPPUNIT_ASSERT(cell.state("gang") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
+    // Guards against the same when the gang needs several workers that restart one after the other.
+    void gangStartsAfterItsWorkersRestartOneByOne()
+    {
+        SimulatedCell cell = startedCell(workers);
+        const std::set<WorkerId> allowed { WorkerId("w102"), WorkerId("w103") };
+        acceptAdvisedGang(cell, 6, seconds(4), allowed);
+        cell.run(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(6U, cell.running("gang"));
+        for (const WorkerId& id : allowed) {
+            cell.crashWorker(id);
+            cell.run(seconds(6));
+        }
+        cell.run(seconds(20));
+        CPPUNIT_ASSERT(cell.state("gang") == JobState::Done);
+        assertNoViolation(cell);
+    }
+
+    // Guards against a gang that has waited for room, with a ticket, while its worker restarted.
+    void waitingGangStartsOnTheNextProcessOfItsWorker()
+    {
+        SimulatedCell cell = startedCell(workers);
+        cell.accept(SimulatedCell::job("filler", { SimulatedCell::step(workers, 30000, seconds(8)) }));
+        cell.run(seconds(1));
+        const std::set<WorkerId> allowed { WorkerId("w105") };
+        acceptAdvisedGang(cell, 2, seconds(1), allowed);
+        cell.run(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(0U, cell.running("gang"));
+        cell.crashWorker(*allowed.begin());
+        cell.run(seconds(20));
+        CPPUNIT_ASSERT(cell.state("gang") == JobState::Done);
+        assertNoViolation(cell);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GangReservationTest);
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(promisesHoldUnderRandomFaults);
     CPPUNIT_TEST(promisesHoldWhenLaterProcessesObeyLateStarts);
     CPPUNIT_TEST(promisesHoldForDueOccurrencesUnderRandomFaults);
+    CPPUNIT_TEST(gangsRunOnceWorkersHaveRestarted);
     CPPUNIT_TEST(promisesHoldWhenLateStartsArriveBeforeAnyCall);
     CPPUNIT_TEST_SUITE_END();
 
@@ -286,7 +287,7 @@
     {
         for (const bool hasTeams : { false, true }) {
             for (std::uint64_t seed = 1; seed <= 40; ++seed)
-                CPPUNIT_ASSERT(verifyRandomFaults(seed, false, hasTeams).empty());
+                CPPUNIT_ASSERT(verifyRandomFaults(seed, { .m_hasTeams = hasTeams }).empty());
         }
     }
 
@@ -296,7 +297,7 @@
     {
         for (const bool hasTeams : { false, true }) {
             for (std::uint64_t seed = 1; seed <= 40; ++seed)
-                verifyRandomFaults(seed, true, hasTeams);
+                verifyRandomFaults(seed, { .m_laterProcessesObey = true, .m_hasTeams = hasTeams });
         }
     }
 
@@ -305,21 +306,39 @@
     {
         for (const bool hasTeams : { false, true }) {
             for (std::uint64_t seed = 1; seed <= 10; ++seed)
-                CPPUNIT_ASSERT(verifyRandomFaults(seed, false, hasTeams, true).empty());
+                CPPUNIT_ASSERT(verifyRandomFaults(seed, { .m_hasTeams = hasTeams, .m_hasOccurrences = true }).empty());
         }
     }
 
+    // Guards against gangs that wait for ever since nothing looks for workers again that have restarted under their
+    // names.
+    void gangsRunOnceWorkersHaveRestarted()
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed)
+            verifyRandomFaults(seed, { .m_hasGangs = true });
+    }
+
     // Starts that arrive at a later process before any call of the scheduler has reached it.
     void promisesHoldWhenLateStartsArriveBeforeAnyCall()
     {
         for (std::uint64_t seed = 1; seed <= 40; ++seed) {
-            const std::set<std::string> unbarred = verifyRandomFaults(seed, true, false);
+            const std::set<std::string> unbarred = verifyRandomFaults(seed, { .m_laterProcessesObey = true });
             CPPUNIT_ASSERT_MESSAGE(
                 "seed " + std::to_string(seed) + ": " + (unbarred.empty() ? "" : *unbarred.begin()), unbarred.empty());
         }
     }
 
 private:
+    /// What a history of random faults has beside ordinary jobs.
+    struct Workload {
+        bool m_laterProcessesObey = false;
+        bool m_hasTeams = false;
+        /// Jobs with many due occurrences.
+        bool m_hasOccurrences = false;
+        /// Gangs that the adviser allows on one or two workers.
+        bool m_hasGangs = false;
+    };
+
     /// Teams with a tight limit of processor time, with one of memory that changes, without a limit, and one that the
     /// configuration does not name; and none.
     static void giveTeam(JobRecord& job, int round)
@@ -351,13 +370,25 @@
         steps[1].m_estimate = milliseconds(50);
     }
 
+    /// Makes the job a gang that fits on one worker, which needs tickets of the adviser.
+    static void makeGang(SimulatedCell& cell, JobRecord& job, int round)
+    {
+        StepSpec step = job.m_spec.m_steps.front();
+        step.m_count = 2 + round % 3;
+        step.m_isGang = true;
+        job.m_spec.m_steps = { step };
+        job.m_policy.m_advice = AdvicePolicy { milliseconds(200), milliseconds(6), seconds(2) };
+        std::set<WorkerId>& allowed = cell.m_onlyAllowed[job.m_job];
+        for (int i = 0; i <= round % 2; ++i)
+            allowed.insert(WorkerId("w" + std::to_string(100 + (round / 2 + 3 * i) % 6)));
+    }
+
     /// Returns the violations that starts which cannot be barred explain; fails on any other one.
-    static std::set<std::string> verifyRandomFaults(
-        std::uint64_t seed, bool laterProcessesObey, bool hasTeams, bool hasOccurrences = false)
+    static std::set<std::string> verifyRandomFaults(std::uint64_t seed, const Workload& workload)
     {
         std::mt19937_64 random(seed);
         SimulatedCell cell = startedCell(6, seed);
-        cell.m_laterProcessesObey = laterProcessesObey;
+        cell.m_laterProcessesObey = workload.m_laterProcessesObey;
         cell.m_allowedShare = 0.7;
         for (int round = 0; round < 60; ++round) {
             // The order in which arguments are evaluated differs between platforms, so each draw is a statement.
@@ -369,9 +400,9 @@
                 { SimulatedCell::step(firstCount, cpuMillis, estimate),
                     SimulatedCell::step(secondCount, 4000, milliseconds(500)) });
             job.m_spec.m_steps[1].m_dependsOn = { 0 };
-            if (hasOccurrences && round % 3 == 0)
+            if (workload.m_hasOccurrences && round % 3 == 0)
                 giveOccurrences(job);
-            if (hasTeams) {
+            if (workload.m_hasTeams) {
                 giveTeam(job, round);
                 if (round % 10 == 0)
                     cell.setTeams(policies(round));
@@ -379,6 +410,8 @@
             }
             if (random() % 2 == 0)
                 job.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(2), seconds(2) };
+            if (workload.m_hasGangs && round % 3 == 0)
+                makeGang(cell, job, round);
             cell.accept(job);
             auto worker = cell.m_workers.begin();
             std::advance(worker, random() % cell.m_workers.size());
@@ -422,12 +455,12 @@
         // Once all faults have ended, every accepted job must end.
         cell.endFaults();
         cell.run(seconds(60));
-        for (const auto& [id, record] : cell.m_accepted)
-            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": " + id.value() + " has not ended",
-                isFinal(cell.m_scheduler->state(id)));
         CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed)
                 + ", after the faults: " + (cell.m_violations.empty() ? "" : *cell.m_violations.begin()),
             std::size_t(0), cell.m_violations.size());
+        for (const auto& [id, record] : cell.m_accepted)
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": " + id.value() + " has not ended",
+                isFinal(cell.m_scheduler->state(id)));
         return cell.m_unbarredViolations;
     }
 };
