Run jobs with one occurrence that is due after their acceptance

Cause: since due occurrences were looked for in jobs with more than one occurrence. A job with times and one occurrence was looked at once, when it was added; by then nothing was due. Nothing but a later term ended the wait.

Ruled out: a wrong due time, and a wait for workers, as no step waits.

Change: all jobs with due times are in the list, now m_scheduledJobs. The metrics of teams, which read the same list, count such a job too.

The price is two comparisons a job in each step of the scheduler.

--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -456,8 +456,8 @@
     std::uint64_t m_lastJobNumber = 0;
     /// Open jobs that have not started, by queue.
     std::unordered_map<std::string, std::uint32_t> m_pending;
-    /// Open jobs with more than one occurrence.
-    std::vector<Job*> m_jobsWithOccurrences;
+    /// Open jobs whose occurrences are due at certain times, of which there may be one only.
+    std::vector<Job*> m_scheduledJobs;
     std::vector<Job*> m_dirty;
     bool m_hasNewEnds = false;
     /// Workers with reported ends that are not stored.
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -65,6 +65,8 @@
     std::int64_t m_firstDueMs = 0;
     std::int64_t m_intervalMs = 0;
 
+    /// Whether the occurrences are due at certain times; otherwise the job has one that is due at once.
+    bool hasDueTimes() const { return m_occurrences > 0; }
     std::uint32_t occurrenceCount() const { return m_occurrences == 0 ? 1 : m_occurrences; }
 
     friend bool operator==(const JobSpec&, const JobSpec&) = default;
--- a/src/jobs/Occurrences.cpp
+++ b/src/jobs/Occurrences.cpp
@@ -33,7 +33,7 @@
 
     std::uint32_t dueOccurrences(const JobSpec& spec, std::int64_t wallNowMs)
     {
-        if (spec.m_occurrences == 0)
+        if (!spec.hasDueTimes())
             return 1;
         if (wallNowMs < spec.m_firstDueMs)
             return 0;
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(promisesHoldWhenLaterProcessesObeyLateStarts);
     CPPUNIT_TEST(promisesHoldForDueOccurrencesUnderRandomFaults);
     CPPUNIT_TEST(gangsRunOnceWorkersHaveRestarted);
+    CPPUNIT_TEST(jobsDueLaterRunUnderRandomFaults);
     CPPUNIT_TEST(promisesHoldWhenLateStartsArriveBeforeAnyCall);
     CPPUNIT_TEST_SUITE_END();
 
@@ -328,6 +329,13 @@
         }
     }
 
+    // Guards against jobs that are due after their acceptance and never run, in any term.
+    void jobsDueLaterRunUnderRandomFaults()
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed)
+            verifyRandomFaults(seed, { .m_hasTeams = seed % 2 == 0, .m_hasGangs = true, .m_hasDueTimes = true });
+    }
+
 private:
     /// What a history of random faults has beside ordinary jobs.
     struct Workload {
@@ -337,6 +345,8 @@
         bool m_hasOccurrences = false;
         /// Gangs that the adviser allows on one or two workers.
         bool m_hasGangs = false;
+        /// Jobs with one or two occurrences that are due in a while.
+        bool m_hasDueTimes = false;
     };
 
     /// Teams with a tight limit of processor time, with one of memory that changes, without a limit, and one that the
@@ -412,6 +422,11 @@
                 job.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(2), seconds(2) };
             if (workload.m_hasGangs && round % 3 == 0)
                 makeGang(cell, job, round);
+            if (workload.m_hasDueTimes && round % 4 == 0) {
+                job.m_spec.m_occurrences = 1 + round / 4 % 2;
+                job.m_spec.m_firstDueMs = cell.wallMs() + round % 16 * 500;
+                job.m_spec.m_intervalMs = 3000;
+            }
             cell.accept(job);
             auto worker = cell.m_workers.begin();
             std::advance(worker, random() % cell.m_workers.size());
