Do not wait for near workers that the adviser has refused

Cause: the wait for near places compared the process of a refusal with that of the worker. A refusal is stored without a process, so that it never counted, and a step waited for a rack that it may not use.

Evidence: LocalityPlacementTest::refusedWorkerIsNotWaitedFor fails before (the second question names nobody) and passes after.

--- a/src/jobs/LocalityPlacement.cpp
+++ b/src/jobs/LocalityPlacement.cpp
@@ -49,10 +49,8 @@
 {
     std::vector<TimePoint> places;
     for (const Worker* worker : workersOnRack(rack)) {
-        const auto known = step.m_permissions.find(worker->m_number);
-        const bool isRefused = step.m_job->m_record.m_policy.m_advice && known != step.m_permissions.end()
-            && !known->second.m_isAllowed && known->second.m_bornMs == worker->m_description.m_bornMs;
-        if (isRefused || !isEligible(*worker, step) || isReservedForOther(*worker, step) || worker->m_trials > 0)
+        if (isRefused(*worker, step) || !isEligible(*worker, step) || isReservedForOther(*worker, step)
+            || worker->m_trials > 0)
             continue;
         Resources free = worker->free();
         std::uint32_t slots = slotsFor(*worker, step, free);
--- a/tests/jobs/LocalityPlacementTest.cpp
+++ b/tests/jobs/LocalityPlacementTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(contendedRackHoldsAsManyTasksAsItWillHaveRoomFor);
     CPPUNIT_TEST(gangWaitsAsAWhole);
     CPPUNIT_TEST(waitsCanBeSwitchedOff);
+    CPPUNIT_TEST(refusedWorkerIsNotWaitedFor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -113,6 +114,23 @@
         CPPUNIT_ASSERT(replay.starts() == std::vector<WorkerId> { Replay::far });
     }
 
+    // Guards against a wait for a rack whose only worker the adviser has refused.
+    void refusedWorkerIsNotWaitedFor()
+    {
+        Replay replay;
+        StepSpec step = SimulatedCell::step(1, 32000, milliseconds(1000));
+        step.m_dataRack = "r1";
+        JobRecord job = SimulatedCell::job("j", { step });
+        job.m_policy.m_slackFactor = 20;
+        job.m_policy.m_advice = AdvicePolicy { milliseconds(20), milliseconds(1), seconds(2) };
+        replay.m_scheduler.addJob(job, {}, 0, replay.m_now);
+        CPPUNIT_ASSERT(replay.answerAdvice({ Replay::far }) == std::vector<WorkerId> { Replay::near });
+        // The next decision about the wait.
+        replay.m_now += milliseconds(60);
+        CPPUNIT_ASSERT(replay.answerAdvice({ Replay::far }) == std::vector<WorkerId> { Replay::far });
+        CPPUNIT_ASSERT(replay.starts() == std::vector<WorkerId> { Replay::far });
+    }
+
 private:
     /// One worker on the near rack and some on another one; each has room for one task.
     struct Replay {
@@ -216,6 +234,25 @@
             return workers;
         }
 
+        /// Lets the scheduler ask the adviser, which allows these workers; returns those that it is asked about.
+        std::vector<WorkerId> answerAdvice(const std::vector<WorkerId>& allowed)
+        {
+            std::vector<WorkerId> asked;
+            for (const SchedulerAction& action : m_scheduler.step(0, m_now, { 1, 1 })) {
+                const auto* question = std::get_if<AdviceRequest>(&action);
+                if (question == nullptr)
+                    continue;
+                asked = question->m_workers;
+                std::vector<Ticket> tickets;
+                for (const WorkerId& id : asked) {
+                    if (std::find(allowed.begin(), allowed.end(), id) != allowed.end())
+                        tickets.push_back({ id, "ticket" });
+                }
+                m_scheduler.adviceAnswered(*question, tickets, m_now, seconds(2), m_now);
+            }
+            return asked;
+        }
+
         TimePoint m_now { seconds(100) };
         JobScheduler m_scheduler;
         std::map<WorkerId, WorkerDescription> m_workers;
