Do not use a ticket that was issued before its worker restarted

Cause: a ticket was noted for the process that its worker had when the answer arrived. If the restart of the worker became known between question and answer, the ticket was for the earlier process, and the worker refused the start.

Change: if the restart was noticed after the question was sent, the ticket counts as one of another process, so that another one is requested. A refusal for the ticket no longer adds an answer of the adviser where there is none, which would have counted as a refusal of the worker for good.

The simulated adviser issues tickets for the processes at the time of the question.

--- a/src/jobs/SchedulerRuns.cpp
+++ b/src/jobs/SchedulerRuns.cpp
@@ -248,7 +248,9 @@
         handleUnansweredStart(worker, run, now);
         return;
     case StartOutcome::RefusedForTicket:
-        run.m_step->m_permissions[worker.m_number].m_expiresAt = {};
+        if (const auto known = run.m_step->m_permissions.find(worker.m_number);
+            known != run.m_step->m_permissions.end())
+            known->second.m_expiresAt = {};
         break;
     case StartOutcome::RefusedForRoom:
     case StartOutcome::Refused:
@@ -316,9 +318,13 @@
             step->m_permissions[worker->m_number] = {};
     }
     for (const Ticket& ticket : tickets) {
-        if (const Worker* worker = findWorker(ticket.m_worker))
-            step->m_permissions[worker->m_number]
-                = { true, ticket.m_text, askedAt + validity, worker->m_description.m_bornMs };
+        const Worker* worker = findWorker(ticket.m_worker);
+        if (worker == nullptr)
+            continue;
+        // The adviser may have issued the ticket before the worker restarted.
+        const bool isForPresentProcess = worker->m_restartedAt < step->m_adviceSentAt;
+        step->m_permissions[worker->m_number]
+            = { true, ticket.m_text, askedAt + validity, isForPresentProcess ? worker->m_description.m_bornMs : 0 };
     }
     constexpr double weight = 0.1; // of one answer in the running mean
     double& share = m_allowedShare.try_emplace(step->m_job->m_record.m_policy.m_queue, 0.5).first->second;
--- a/tests/jobs/GangReservationTest.cpp
+++ b/tests/jobs/GangReservationTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(gangStartsAgainOnTheNextProcessOfItsWorker);
     CPPUNIT_TEST(gangStartsAfterItsWorkersRestartOneByOne);
     CPPUNIT_TEST(waitingGangStartsOnTheNextProcessOfItsWorker);
+    CPPUNIT_TEST(ticketsIssuedBeforeARestartAreNotUsed);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint32_t workers = 8;
@@ -198,6 +199,21 @@
         CPPUNIT_ASSERT(cell.state("gang") == JobState::Done);
         assertNoViolation(cell);
     }
+
+    // Guards against a start that the worker refuses, since the adviser was asked about its earlier process and the
+    // answer arrived after the restart was known.
+    void ticketsIssuedBeforeARestartAreNotUsed()
+    {
+        SimulatedCell cell = startedCell(workers);
+        acceptAdvisedGang(cell, 2, seconds(1), { WorkerId("w103") });
+        cell.run(milliseconds(200));
+        cell.restartWorker(WorkerId("w103"), { 32000, 131072, 0 });
+        cell.listAll();
+        cell.run(seconds(10));
+        CPPUNIT_ASSERT(cell.state("gang") == JobState::Done);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), cell.m_scheduler->counters().m_refusedStarts);
+        assertNoViolation(cell);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GangReservationTest);
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -402,6 +402,8 @@
     struct OpenAdviceRequest {
         TimePoint m_at {};
         AdviceRequest m_question;
+        /// Processes of the workers at the time of the question, for which the adviser issues tickets.
+        std::map<WorkerId, std::int64_t> m_bornMs;
     };
     struct OpenBatch {
         TimePoint m_at {};
@@ -715,10 +717,10 @@
     }
 
     /// Text of a ticket: when it expires, and the process of the worker that it is for.
-    std::string ticketFor(const SimulatedWorker& worker) const
+    std::string ticketFor(std::int64_t bornMs) const
     {
         const std::int64_t expiryMs = wallMs() + std::chrono::duration_cast<milliseconds>(ticketValidity).count();
-        return std::to_string(expiryMs) + ' ' + std::to_string(worker.m_description.m_bornMs);
+        return std::to_string(expiryMs) + ' ' + std::to_string(bornMs);
     }
 
     bool isValid(const std::string& ticket, const SimulatedWorker& worker) const
@@ -795,7 +797,10 @@
 
     void carryOut(const AdviceRequest& question)
     {
-        m_questions.push_back({ m_now + std::max<Duration>(question.m_expected, tick), question });
+        OpenAdviceRequest open { m_now + std::max<Duration>(question.m_expected, tick), question, {} };
+        for (const WorkerId& id : question.m_workers)
+            open.m_bornMs[id] = m_workers.at(id).m_description.m_bornMs;
+        m_questions.push_back(std::move(open));
     }
 
     void answerAdviceRequests()
@@ -809,7 +814,7 @@
             std::vector<Ticket> tickets;
             for (const WorkerId& worker : question.m_question.m_workers) {
                 if (isAllowed(question.m_question.m_step, worker))
-                    tickets.push_back({ worker, ticketFor(m_workers.at(worker)) });
+                    tickets.push_back({ worker, ticketFor(question.m_bornMs.at(worker)) });
             }
             m_scheduler->adviceAnswered(question.m_question, tickets, m_now, ticketValidity, m_now);
         }
