Reserve a worker for a task whose worker has crashed

Cause: such a task starts on a worker that has started nothing lately, and takeTrialWorker() waited for one without a limit. Beside steady work there is none.

Change: after 1 s the task reserves the worker with the fewest unproven runs for 3 s, as gangs reserve theirs and within the same limit. Its runs are proven or end meanwhile.

Evidence: CrashTest::taskWhoseWorkerCrashedStartsBesideSteadyWork, with and without advice, fails before and passes after; the other tests of crashes pass. Ruled out: starting it beside others, as a crash would have several explanations.

--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -76,8 +76,8 @@
 {
     const std::vector<Step*> steps = m_scheduler.m_reservingSteps;
     for (Step* step : steps) {
-        const bool isNeeded
-            = step->m_job->isOpen() && step->m_waitingTasks == step->m_tasks.size() && m_scheduler.hasTeamRoom(*step);
+        const std::size_t needed = step->m_spec->m_isGang ? step->m_tasks.size() : 1;
+        const bool isNeeded = step->m_job->isOpen() && step->m_waitingTasks >= needed && m_scheduler.hasTeamRoom(*step);
         if (!isNeeded || m_now >= step->m_reservationEnd)
             endReservation(*step);
     }
@@ -99,12 +99,22 @@
     std::erase(m_scheduler.m_reservingSteps, &step);
 }
 
+bool PlacementPass::isReservationLimitReached(PoolNumber pool) const
+{
+    return m_scheduler.m_poolReservations[pool] * workersPerReservation >= m_scheduler.m_poolWorkers[pool];
+}
+
+void PlacementPass::reserve(Worker& worker, Step& step)
+{
+    worker.m_reservedFor = &step;
+    step.m_reservedWorkers.push_back(worker.m_number);
+    ++m_scheduler.m_poolReservations[worker.m_pool];
+}
+
 void PlacementPass::reserveWorkers(Step& step)
 {
     const PoolNumber pool = step.m_job->m_pool;
-    const std::uint32_t reserved = m_scheduler.m_poolReservations[pool];
-    const bool isLimitReached = reserved * workersPerReservation >= m_scheduler.m_poolWorkers[pool];
-    if (!step.m_reservedWorkers.empty() || m_now < step.m_nextReservationAt || isLimitReached)
+    if (!step.m_reservedWorkers.empty() || m_now < step.m_nextReservationAt || isReservationLimitReached(pool))
         return;
     step.m_nextReservationAt = m_now + attemptInterval;
     std::vector<std::pair<TimePoint, Worker*>> candidates;
@@ -138,12 +148,8 @@
         return;
     step.m_reservationReadyAt = candidates[chosen - 1].first;
     step.m_reservationEnd = step.m_reservationReadyAt + reservationSlack;
-    for (std::size_t i = 0; i < chosen; ++i) {
-        Worker& worker = *candidates[i].second;
-        worker.m_reservedFor = &step;
-        step.m_reservedWorkers.push_back(worker.m_number);
-        ++m_scheduler.m_poolReservations[pool];
-    }
+    for (std::size_t i = 0; i < chosen; ++i)
+        reserve(*candidates[i].second, step);
     m_scheduler.m_reservingSteps.push_back(&step);
 }
 
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -26,6 +26,11 @@
     /// disturbed.
     constexpr double alikeFactors = 1.1;
     constexpr double disturbedFactor = 1.25;
+    /// Time for which a task under which a worker has crashed waits for a worker that has started nothing lately,
+    /// before one is kept free for it, and time for which it is kept free. The runs there are proven with their next
+    /// report.
+    constexpr Duration maxTrialWait = std::chrono::milliseconds(1000);
+    constexpr Duration trialReservationTime = std::chrono::milliseconds(3000);
     /// Longest wait for a fast worker, as a part of the time that it saves: the wait may be in vain.
     constexpr double waitPart = 0.5;
     /// Workers for which the duration of an advice request is allowed when the slack of a step is computed.
@@ -449,6 +454,24 @@
     return worker;
 }
 
+void PlacementPass::reserveTrialWorker(Step& step, const Task& task, std::vector<Candidate>& candidates)
+{
+    const bool mayReserve = step.m_reservedWorkers.empty() && m_now >= step.m_nextReservationAt
+        && m_now >= task.m_waitingSince + maxTrialWait && !isReservationLimitReached(step.m_job->m_pool);
+    if (mayReserve && !candidates.empty()) {
+        const auto isQuieter = [](const Candidate& a, const Candidate& b) {
+            return std::pair(a.m_worker->m_unprovenRuns, a.m_worker->m_number)
+                < std::pair(b.m_worker->m_unprovenRuns, b.m_worker->m_number);
+        };
+        reserve(*std::min_element(candidates.begin(), candidates.end(), isQuieter)->m_worker, step);
+        step.m_reservationReadyAt = m_now;
+        step.m_reservationEnd = m_now + trialReservationTime;
+        m_scheduler.m_reservingSteps.push_back(&step);
+    }
+    // The other tasks of the step must not start there either.
+    std::erase_if(candidates, [&step](const Candidate& each) { return each.m_worker->m_reservedFor == &step; });
+}
+
 void PlacementPass::placeTasks(Step& step)
 {
     const bool isHeld = step.m_locality.m_held > 0;
@@ -478,9 +501,13 @@
             return;
         if (task.m_crashes > 0) {
             Worker* trial = takeTrialWorker(candidates);
-            std::make_heap(candidates.begin(), candidates.end(), isWorse);
-            if (trial != nullptr)
+            if (trial != nullptr) {
+                endReservation(step);
                 start(step, i, *trial, JobScheduler::nextRun(m_scheduler.m_settings, task));
+            } else {
+                reserveTrialWorker(step, task, candidates);
+            }
+            std::make_heap(candidates.begin(), candidates.end(), isWorse);
             continue;
         }
         Candidate chosen = take();
@@ -646,6 +673,10 @@
         // Slow workers are named only if there are not enough fast ones.
         return m_speed.m_waits || (m_speed.m_isUrgent && expected >= step.m_waitingTasks) || visitAll(false);
     };
+    for (const WorkerNumber number : step.m_reservedWorkers) {
+        if (Worker* worker = m_scheduler.findWorker(number))
+            consider(*worker, false, false);
+    }
     bool needsMore = near.empty() || visitDomains(true);
     // Workers that were allowed before are allowed again.
     if (needsMore)
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -116,6 +116,9 @@
     /// Removes and returns the candidate with the least work that has started nothing lately, for a task under which a
     /// worker has crashed; null if there is none.
     static Worker* takeTrialWorker(std::vector<Candidate>&);
+    /// Keeps a worker free for a task under which a worker has crashed, if it has waited for long; removes the worker
+    /// from the candidates.
+    void reserveTrialWorker(Step&, const Task&, std::vector<Candidate>&);
     std::uint32_t runsOn(const Worker&, const Step&) const;
     double cost(const Worker&, const Step&, const RackId& rack) const;
     /// Calls the visitor for the workers on which tasks of the step may start now; a task may be too large for them.
@@ -160,12 +163,15 @@
     void noteStartAfterWait(Step&, const Worker&);
     /// @}
 
-    /// \name Reservations for gangs; see GangReservations.cpp
+    /// \name Reservations; see GangReservations.cpp, and reserveTrialWorker() for those of other steps
     /// @{
     /// Ends the reservations that are over or no longer needed.
     void endReservations();
     /// Keeps workers free for a gang that does not fit now.
     void reserveWorkers(Step&);
+    /// Whether no further worker of the pool may be reserved.
+    bool isReservationLimitReached(PoolNumber) const;
+    void reserve(Worker&, Step&);
     /// When a task of the step fits on the worker if its runs end as expected; max() if none ever does.
     TimePoint expectedRoomAt(const Worker&, const Step&) const;
     bool isReservedForOther(const Worker& worker, const Step& step) const
--- a/src/jobs/SchedulerState.h
+++ b/src/jobs/SchedulerState.h
@@ -177,7 +177,8 @@
     std::set<WorkerId> m_inheritedPlaces;
     /// What is charged to the team for tasks that may run there without being known.
     Resources m_inheritedCharge;
-    /// Workers that are kept free for the tasks of this gang until m_reservationEnd, and when they should have room.
+    /// Workers that are kept free for this gang, or for the trial of a task under which a worker has crashed, until
+    /// m_reservationEnd, and when they should have room.
     std::vector<WorkerNumber> m_reservedWorkers;
     TimePoint m_reservationReadyAt {};
     TimePoint m_reservationEnd {};
@@ -312,7 +313,7 @@
     std::int64_t m_fillingMillis = 0;
     std::uint32_t m_servingRuns = 0;
     std::uint32_t m_fillingRuns = 0;
-    /// The gang for which the worker is kept free; null if there is none.
+    /// The step for which the worker is kept free; null if there is none.
     const Step* m_reservedFor = nullptr;
     /// Expected use by steps whose open advice requests name this worker.
     Resources m_tentativelyReserved;
--- a/tests/jobs/CrashTest.cpp
+++ b/tests/jobs/CrashTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(gangThatLosesTwoWorkersAtOnceIsKept);
     CPPUNIT_TEST(runOfALaterProcessIsNoSuspect);
     CPPUNIT_TEST(runThatALaterProcessEndedIsNoSuspect);
+    CPPUNIT_TEST(taskWhoseWorkerCrashedStartsBesideSteadyWork);
     CPPUNIT_TEST_SUITE_END();
 
     static TaskName task(const std::string& job, std::uint32_t index) { return { JobId(job), { 0, 0, index } }; }
@@ -247,6 +248,40 @@
         CPPUNIT_ASSERT(firstWorkerOf(cell) != first);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), cell.m_scheduler->takeCrashes().size());
     }
+
+    // Guards against a task that waits for a worker which has started nothing lately for as long as others start on all
+    // of them. A crash that nothing else explains would give the task up.
+    void taskWhoseWorkerCrashedStartsBesideSteadyWork()
+    {
+        for (const bool isAdvised : { false, true }) {
+            constexpr std::uint32_t workers = 4;
+            SimulatedCell cell = startedCell(workers);
+            cell.m_allowedShare = 1;
+            std::uint32_t number = 0;
+            const auto runBesideWork = [&](Duration time) {
+                for (const TimePoint end = cell.m_now + time; cell.m_now < end; cell.run(milliseconds(100))) {
+                    StepSpec step = SimulatedCell::step(2 * workers, 1000, milliseconds(250));
+                    step.m_maxPerWorker = 2;
+                    cell.accept(SimulatedCell::job("steady" + std::to_string(number++), { step }));
+                }
+            };
+            runBesideWork(seconds(1));
+            JobRecord job = SimulatedCell::job("j", { SimulatedCell::step(1, 2000, seconds(3)) });
+            if (isAdvised)
+                job.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(2), seconds(2) };
+            cell.accept(job);
+            cell.run(milliseconds(200));
+            CPPUNIT_ASSERT_EQUAL(1U, cell.running("j"));
+            const auto runsIt = [](const auto& entry) {
+                return std::ranges::any_of(
+                    entry.second.m_running, [](const auto& run) { return run.first.m_task.m_job.value() == "j"; });
+            };
+            cell.crashWorker(std::ranges::find_if(cell.m_workers, runsIt)->first);
+            runBesideWork(SimulatedCell::crashTime + seconds(10));
+            CPPUNIT_ASSERT(cell.state("j") == JobState::Done);
+            assertNoViolation(cell);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashTest);
