--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -88,6 +88,8 @@
     static constexpr Duration crashTime = milliseconds(3300);
     /// Time for which a member of a gang waits for the others.
     static constexpr Duration gangTimeout = seconds(3);
+    /// Time after which a question without an answer fails, beyond that which the adviser needs.
+    static constexpr Duration adviceMargin = milliseconds(400);
     /// Time after which a request for a report counts as unanswered: its wait, and the timeout of a call.
     static constexpr Duration requestTimeout = milliseconds(1200);
     static constexpr Duration renewalInterval = milliseconds(300);
@@ -293,6 +295,7 @@
             worker.m_losesAnswers = false;
             worker.m_losesStops = false;
         }
+        m_losesAdvice = false;
         listAll();
     }
 
@@ -353,6 +356,8 @@
     double m_taskSpread = 0;
     /// Share of the workers that the adviser allows for a step, and the workers of jobs for which it allows only these.
     double m_allowedShare = 0.6;
+    /// Questions are not answered, and fail when their time is over.
+    bool m_losesAdvice = false;
     std::map<JobId, std::set<WorkerId>> m_onlyAllowed;
     std::uint32_t m_adviceDaemons = 8;
     std::uint64_t m_term = 0;
@@ -404,6 +409,7 @@
         AdviceRequest m_question;
         /// Processes of the workers at the time of the question, for which the adviser issues tickets.
         std::map<WorkerId, std::int64_t> m_bornMs;
+        bool m_isLost = false;
     };
     struct OpenBatch {
         TimePoint m_at {};
@@ -797,7 +803,9 @@
 
     void carryOut(const AdviceRequest& question)
     {
-        OpenAdviceRequest open { m_now + std::max<Duration>(question.m_expected, tick), question, {} };
+        OpenAdviceRequest open { m_now + std::max<Duration>(question.m_expected, tick), question, {}, m_losesAdvice };
+        if (open.m_isLost)
+            open.m_at += adviceMargin;
         for (const WorkerId& id : question.m_workers)
             open.m_bornMs[id] = m_workers.at(id).m_description.m_bornMs;
         m_questions.push_back(std::move(open));
@@ -811,6 +819,10 @@
                 m_questions.push_back(question);
                 continue;
             }
+            if (question.m_isLost) {
+                m_scheduler->adviceFailed(question.m_question, m_now);
+                continue;
+            }
             std::vector<Ticket> tickets;
             for (const WorkerId& worker : question.m_question.m_workers) {
                 if (isAllowed(question.m_question.m_step, worker))
@@ -940,7 +952,8 @@
                 && !worker.m_losesStops && !worker.m_failsTasks && !worker.m_isStuck && listed != m_registry.end()
                 && listed->second == worker.m_description;
         };
-        return m_isStoreUp && !m_isAcceptedTopicUnavailable && std::all_of(m_workers.begin(), m_workers.end(), isSound);
+        return m_isStoreUp && !m_isAcceptedTopicUnavailable && !m_losesAdvice
+            && std::all_of(m_workers.begin(), m_workers.end(), isSound);
     }
 
     /// The steps of the job whose turn has come and of which a task is neither done nor running.
@@ -997,7 +1010,8 @@
                 continue;
             const Resources used = worker.used();
             std::int64_t here = 0;
-            while (here < 2 * step.m_count && (used + step.reserved() * (here + 1)).fitsIn(description.m_capacity))
+            while (here < 2 * std::int64_t { step.m_count }
+                && (used + step.reserved() * (here + 1)).fitsIn(description.m_capacity))
                 ++here;
             slots += here;
         }
--- a/tests/jobs/TakeoverTest.cpp
+++ b/tests/jobs/TakeoverTest.cpp
@@ -422,9 +422,11 @@
                 job.m_policy.m_advice = AdvicePolicy { milliseconds(30), milliseconds(2), seconds(2) };
             if (workload.m_hasGangs && round % 3 == 0)
                 makeGang(cell, job, round);
+            if (workload.m_hasGangs)
+                cell.m_losesAdvice = round % 8 == 5;
             if (workload.m_hasDueTimes && round % 4 == 0) {
                 job.m_spec.m_occurrences = 1 + round / 4 % 2;
-                job.m_spec.m_firstDueMs = cell.wallMs() + round % 16 * 500;
+                job.m_spec.m_firstDueMs = cell.wallMs() + std::int64_t { round } % 16 * 500;
                 job.m_spec.m_intervalMs = 3000;
             }
             cell.accept(job);
