--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -5,7 +5,7 @@
 // on all of them together, and its tickets expire while it waits. A gang that does not fit reserves those permitted
 // workers that are expected to have room first. Nothing else is placed on them, and tickets are requested shortly
 // before they have room. Reservations are limited in time and to a part of the pool, so that a wrong estimate blocks
-// little.
+// little. Tasks under which a worker has crashed reserve one in the same way; see reserveTrialWorker().
 
 #include "jobs/Placement.h"
 
--- a/src/jobs/JobScheduler.cpp
+++ b/src/jobs/JobScheduler.cpp
@@ -87,7 +87,7 @@
     updateHeldOccurrences(job, wallNowMs, now);
     updatePending(job);
     if (job.isOpen() && record.m_spec.hasDueTimes())
-        m_scheduledJobs.push_back(&job);
+        m_jobsWithDueTimes.push_back(&job);
 }
 
 void JobScheduler::handleReusedId(Job& job, const JobRecord& record)
@@ -334,8 +334,8 @@
 
 std::vector<SchedulerAction> JobScheduler::step(std::int64_t wallNowMs, TimePoint now, const AdviceCapacity& advice)
 {
-    std::erase_if(m_scheduledJobs, [](const Job* job) { return !job->isOpen(); });
-    for (Job* job : m_scheduledJobs)
+    std::erase_if(m_jobsWithDueTimes, [](const Job* job) { return !job->isOpen(); });
+    for (Job* job : m_jobsWithDueTimes)
         updateHeldOccurrences(*job, wallNowMs, now);
     superviseWorkers(now);
     applyShareMarks(now);
@@ -472,7 +472,7 @@
     std::unordered_map<TeamId, std::uint64_t> waitingTasks;
     for (const auto& [rank, step] : m_waitingSteps)
         waitingTasks[step->m_job->m_record.m_team] += step->m_waitingTasks;
-    for (const Job* job : m_scheduledJobs)
+    for (const Job* job : m_jobsWithDueTimes)
         waitingTasks[job->m_record.m_team] += job->isOpen() ? waitingTasksNotHeld(*job) : 0;
     for (TeamUse& use : uses) {
         if (const auto found = waitingTasks.find(use.m_team); found != waitingTasks.end())
--- a/src/jobs/JobScheduler.h
+++ b/src/jobs/JobScheduler.h
@@ -457,7 +457,7 @@
     /// Open jobs that have not started, by queue.
     std::unordered_map<std::string, std::uint32_t> m_pending;
     /// Open jobs whose occurrences are due at certain times, of which there may be one only.
-    std::vector<Job*> m_scheduledJobs;
+    std::vector<Job*> m_jobsWithDueTimes;
     std::vector<Job*> m_dirty;
     bool m_hasNewEnds = false;
     /// Workers with reported ends that are not stored.
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -673,6 +673,7 @@
         // Slow workers are named only if there are not enough fast ones.
         return m_speed.m_waits || (m_speed.m_isUrgent && expected >= step.m_waitingTasks) || visitAll(false);
     };
+    // A worker that is reserved for a trial needs a ticket when its other runs are proven.
     for (const WorkerNumber number : step.m_reservedWorkers) {
         if (Worker* worker = m_scheduler.findWorker(number))
             consider(*worker, false, false);
--- a/src/jobs/SchedulerStorage.cpp
+++ b/src/jobs/SchedulerStorage.cpp
@@ -190,7 +190,7 @@
         if (!job->m_record.m_team.value().empty())
             m_shares.remove(id, job->m_shareNumber, job->m_record.m_acceptedMs);
         std::erase(m_dirty, job);
-        std::erase(m_scheduledJobs, job);
+        std::erase(m_jobsWithDueTimes, job);
         m_jobs.erase(id);
     }
     std::erase_if(m_cancelledEarly, [&](const auto& cancelled) {
