--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -95,7 +95,7 @@
     static constexpr Duration renewalInterval = milliseconds(300);
     static constexpr std::size_t maxAnnouncedLeases = 64;
     /// Interval of the check for work that could run, and the time after which it counts as forgotten: leases from
-    /// late calls, the longest of the limits that docs/platform.md lists, have ended by then.
+    /// late calls, the longest limit that docs/platform.md lists but for quarantines, have ended by then.
     static constexpr Duration workCheckInterval = milliseconds(500);
     static constexpr Duration maxIdleWait = maxOrderDelay + seconds(13);
 
@@ -1028,7 +1028,7 @@
             return m_couldRunSince.clear();
         std::map<StepName, TimePoint> couldRunSince;
         for (const auto& [id, record] : m_accepted) {
-            // A team may have used its limit, and steps with a limit for each worker or a wait for a rack need others.
+            // The limit of its team, or one for each worker, may keep a task from the room that is there.
             const bool isOpen = m_scheduler->knows(id) && !isFinal(m_scheduler->state(id)) && !m_cancelled.contains(id);
             if (!isOpen || !record.m_team.empty())
                 continue;
