Share the reservation of workers and the counts of runs; look advice up once

Reservations of gangs and of trials each had the same test and set the same members; a question looked up the advice for a worker three times on each visit; the simulated cell counted runs in three loops and compared steps in two ways; and a waiting member of a long-running gang would have overflowed its end there, which no test does.

Change: mayReserve() and reserve() serve both kinds; requestAdvice() takes the state once, so that isAllowed() goes; the cell has countRuns() and stepOf(); a test uses Replay::submit(). No decision of the scheduler changes.

--- a/src/jobs/GangReservations.cpp
+++ b/src/jobs/GangReservations.cpp
@@ -99,22 +99,29 @@
     std::erase(m_scheduler.m_reservingSteps, &step);
 }
 
-bool PlacementPass::isReservationLimitReached(PoolNumber pool) const
+bool PlacementPass::mayReserve(const Step& step) const
 {
-    return m_scheduler.m_poolReservations[pool] * workersPerReservation >= m_scheduler.m_poolWorkers[pool];
+    const PoolNumber pool = step.m_job->m_pool;
+    const std::uint32_t reserved = m_scheduler.m_poolReservations[pool];
+    const bool isLimitReached = reserved * workersPerReservation >= m_scheduler.m_poolWorkers[pool];
+    return step.m_reservedWorkers.empty() && m_now >= step.m_nextReservationAt && !isLimitReached;
 }
 
-void PlacementPass::reserve(Worker& worker, Step& step)
+void PlacementPass::reserve(Step& step, const std::vector<Worker*>& workers, TimePoint readyAt, Duration time)
 {
-    worker.m_reservedFor = &step;
-    step.m_reservedWorkers.push_back(worker.m_number);
-    ++m_scheduler.m_poolReservations[worker.m_pool];
+    for (Worker* worker : workers) {
+        worker->m_reservedFor = &step;
+        step.m_reservedWorkers.push_back(worker->m_number);
+        ++m_scheduler.m_poolReservations[worker->m_pool];
+    }
+    step.m_reservationReadyAt = readyAt;
+    step.m_reservationEnd = readyAt + time;
+    m_scheduler.m_reservingSteps.push_back(&step);
 }
 
 void PlacementPass::reserveWorkers(Step& step)
 {
-    const PoolNumber pool = step.m_job->m_pool;
-    if (!step.m_reservedWorkers.empty() || m_now < step.m_nextReservationAt || isReservationLimitReached(pool))
+    if (!mayReserve(step))
         return;
     step.m_nextReservationAt = m_now + attemptInterval;
     std::vector<std::pair<TimePoint, Worker*>> candidates;
@@ -130,27 +137,26 @@
         visitAllowedWorkers(step, consider);
     } else {
         for (const DomainNumber domain : domainsByRoom(step))
-            m_scheduler.m_freeRoom.visitFreest(pool, domain, 0, consider);
+            m_scheduler.m_freeRoom.visitFreest(step.m_job->m_pool, domain, 0, consider);
     }
     std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
         return a.first != b.first ? a.first < b.first : a.second->m_number < b.second->m_number;
     });
     std::size_t slots = 0;
-    std::size_t chosen = 0;
-    while (chosen < candidates.size() && slots < step.m_tasks.size()) {
-        const Worker& worker = *candidates[chosen++].second;
-        slots += std::max(1U, slotsFor(worker, step, worker.free()));
+    std::vector<Worker*> chosen;
+    while (chosen.size() < candidates.size() && slots < step.m_tasks.size()) {
+        Worker* worker = candidates[chosen.size()].second;
+        chosen.push_back(worker);
+        slots += std::max(1U, slotsFor(*worker, step, worker->free()));
     }
     const std::optional<AdvicePolicy>& advice = step.m_job->m_record.m_policy.m_advice;
     const Duration asking
-        = advice ? advice->m_base + advice->m_perWorker * static_cast<std::int64_t>(chosen) : Duration();
-    if (slots < step.m_tasks.size() || candidates[chosen - 1].first > m_now + asking + maxIdleTime)
+        = advice ? advice->m_base + advice->m_perWorker * static_cast<std::int64_t>(chosen.size()) : Duration();
+    if (slots < step.m_tasks.size())
         return;
-    step.m_reservationReadyAt = candidates[chosen - 1].first;
-    step.m_reservationEnd = step.m_reservationReadyAt + reservationSlack;
-    for (std::size_t i = 0; i < chosen; ++i)
-        reserve(*candidates[i].second, step);
-    m_scheduler.m_reservingSteps.push_back(&step);
+    const TimePoint readyAt = candidates[chosen.size() - 1].first;
+    if (readyAt <= m_now + asking + maxIdleTime)
+        reserve(step, chosen, readyAt, reservationSlack);
 }
 
 bool PlacementPass::requestGangAdvice(Step& step)
--- a/src/jobs/Placement.cpp
+++ b/src/jobs/Placement.cpp
@@ -456,17 +456,13 @@
 
 void PlacementPass::reserveTrialWorker(Step& step, const Task& task, std::vector<Candidate>& candidates)
 {
-    const bool mayReserve = step.m_reservedWorkers.empty() && m_now >= step.m_nextReservationAt
-        && m_now >= task.m_waitingSince + maxTrialWait && !isReservationLimitReached(step.m_job->m_pool);
-    if (mayReserve && !candidates.empty()) {
+    if (mayReserve(step) && m_now >= task.m_waitingSince + maxTrialWait && !candidates.empty()) {
         const auto isQuieter = [](const Candidate& a, const Candidate& b) {
             return std::pair(a.m_worker->m_unprovenRuns, a.m_worker->m_number)
                 < std::pair(b.m_worker->m_unprovenRuns, b.m_worker->m_number);
         };
-        reserve(*std::min_element(candidates.begin(), candidates.end(), isQuieter)->m_worker, step);
-        step.m_reservationReadyAt = m_now;
-        step.m_reservationEnd = m_now + trialReservationTime;
-        m_scheduler.m_reservingSteps.push_back(&step);
+        const auto quietest = std::min_element(candidates.begin(), candidates.end(), isQuieter);
+        reserve(step, { quietest->m_worker }, m_now, trialReservationTime);
     }
     // The other tasks of the step must not start there either.
     std::erase_if(candidates, [&step](const Candidate& each) { return each.m_worker->m_reservedFor == &step; });
@@ -633,15 +629,17 @@
     std::set<WorkerNumber> named;
     /// Names the worker if it is a candidate; returns whether more are needed.
     const auto consider = [&](Worker& worker, bool isNear, bool isOnlyPreferred) {
+        const AdviceState state = adviceState(worker, step);
+        const bool needsTicket = state != AdviceState::Refused && state != AdviceState::TicketValid;
         const bool isOtherRack = isNear && worker.m_description.m_rack != near;
-        if (isRefused(worker, step) || isOtherRack || !isEligible(worker, step) || hasTicket(worker, step)
-            || isReservedForOther(worker, step) || (isOnlyPreferred && !isPreferred(worker)))
+        if (!needsTicket || isOtherRack || !isEligible(worker, step) || isReservedForOther(worker, step)
+            || (isOnlyPreferred && !isPreferred(worker)))
             return true;
         const std::uint32_t room
             = std::min(maxSlotsPerWorker, slotsFor(worker, step, worker.free() - worker.m_tentativelyReserved));
         if (room == 0 || !named.insert(worker.m_number).second)
             return true;
-        expected += (isAllowed(worker, step) ? 1.0 : share) * room;
+        expected += (state == AdviceState::NotAsked ? share : 1.0) * room;
         question.m_workers.push_back(worker.m_description.m_worker);
         if (share >= tentativeReservationShare)
             step.m_tentativeReservations.emplace_back(worker.m_number, step.m_spec->reserved());
--- a/src/jobs/Placement.h
+++ b/src/jobs/Placement.h
@@ -92,11 +92,6 @@
     {
         return adviceState(worker, step) == AdviceState::Refused;
     }
-    /// Whether the adviser lets the worker run the step, with a valid ticket or another one that has to be requested.
-    bool isAllowed(const Worker& worker, const Step& step) const
-    {
-        return adviceState(worker, step) >= AdviceState::TicketOfOtherProcess;
-    }
     /// Whether the step may start on the worker with the ticket that is known.
     bool hasTicket(const Worker& worker, const Step& step) const
     {
@@ -169,9 +164,11 @@
     void endReservations();
     /// Keeps workers free for a gang that does not fit now.
     void reserveWorkers(Step&);
-    /// Whether no further worker of the pool may be reserved.
-    bool isReservationLimitReached(PoolNumber) const;
-    void reserve(Worker&, Step&);
+    /// Whether the step may reserve workers now: it has none, and neither its pause nor the limit of its pool forbids
+    /// it.
+    bool mayReserve(const Step&) const;
+    /// Keeps the workers free for the step until `time` after they should have room.
+    void reserve(Step&, const std::vector<Worker*>&, TimePoint readyAt, Duration time);
     /// When a task of the step fits on the worker if its runs end as expected; max() if none ever does.
     TimePoint expectedRoomAt(const Worker&, const Step&) const;
     bool isReservedForOther(const Worker& worker, const Step& step) const
--- a/tests/jobs/LocalityPlacementTest.cpp
+++ b/tests/jobs/LocalityPlacementTest.cpp
@@ -118,12 +118,8 @@
     void refusedWorkerIsNotWaitedFor()
     {
         Replay replay;
-        StepSpec step = SimulatedCell::step(1, 32000, milliseconds(1000));
-        step.m_dataRack = "r1";
-        JobRecord job = SimulatedCell::job("j", { step });
-        job.m_policy.m_slackFactor = 20;
-        job.m_policy.m_advice = AdvicePolicy { milliseconds(20), milliseconds(1), seconds(2) };
-        replay.m_scheduler.addJob(job, {}, 0, replay.m_now);
+        const StepSpec step = SimulatedCell::step(1, 32000, milliseconds(1000));
+        replay.submit("j", step, 20, AdvicePolicy { milliseconds(20), milliseconds(1), seconds(2) });
         CPPUNIT_ASSERT(replay.answerAdvice({ Replay::far }) == std::vector<WorkerId> { Replay::near });
         // The next decision about the wait.
         replay.m_now += milliseconds(60);
@@ -164,11 +160,13 @@
             m_scheduler.workerReported(id, { 1, m_now, {}, {} }, m_now);
         }
 
-        void submit(const std::string& name, StepSpec step, double slack = 20)
+        void submit(const std::string& name, StepSpec step, double slack = 20,
+            const std::optional<AdvicePolicy>& advice = std::nullopt)
         {
             step.m_dataRack = "r1";
             JobRecord job = SimulatedCell::job(name, { step });
             job.m_policy.m_slackFactor = slack;
+            job.m_policy.m_advice = advice;
             m_scheduler.addJob(job, {}, 0, m_now);
         }
 
--- a/tests/jobs/SimulatedCell.h
+++ b/tests/jobs/SimulatedCell.h
@@ -318,16 +318,22 @@
         return static_cast<double>(hash % 1000) < m_allowedShare * 1000;
     }
 
-    std::uint32_t running(const std::string& job) const
+    /// Number of runs on workers that are up whose name matches.
+    template <typename Predicate> std::uint32_t countRuns(Predicate matches) const
     {
         std::uint32_t count = 0;
         for (const auto& [id, worker] : m_workers) {
             for (const auto& [name, run] : worker.m_running)
-                count += worker.m_isUp && name.m_task.m_job.value() == job ? 1 : 0;
+                count += worker.m_isUp && matches(name) ? 1 : 0;
         }
         return count;
     }
 
+    std::uint32_t running(const std::string& job) const
+    {
+        return countRuns([&job](const RunName& run) { return run.m_task.m_job.value() == job; });
+    }
+
     std::map<WorkerId, SimulatedWorker> m_workers;
     /// Contents of the registry; may lag behind the workers.
     std::map<WorkerId, WorkerDescription> m_registry;
@@ -356,9 +362,9 @@
     double m_taskSpread = 0;
     /// Share of the workers that the adviser allows for a step, and the workers of jobs for which it allows only these.
     double m_allowedShare = 0.6;
+    std::map<JobId, std::set<WorkerId>> m_onlyAllowed;
     /// Questions are not answered, and fail when their time is over.
     bool m_losesAdvice = false;
-    std::map<JobId, std::set<WorkerId>> m_onlyAllowed;
     std::uint32_t m_adviceDaemons = 8;
     std::uint64_t m_term = 0;
     /// Position after the newest record of the term.
@@ -416,6 +422,11 @@
         JobScheduler::Batch m_batch;
     };
 
+    static StepName stepOf(const TaskName& task)
+    {
+        return { task.m_job, task.m_index.m_occurrence, task.m_index.m_step };
+    }
+
     const StepSpec& specOf(const RunName& run) const
     {
         return m_accepted.at(run.m_task.m_job).m_spec.m_steps[run.m_task.m_index.m_step];
@@ -498,10 +509,7 @@
 
     static bool isSameGang(const RunName& a, const RunName& b)
     {
-        const TaskIndex& first = a.m_task.m_index;
-        const TaskIndex& second = b.m_task.m_index;
-        return a.m_task.m_job == b.m_task.m_job && first.m_occurrence == second.m_occurrence
-            && first.m_step == second.m_step && a.m_run == b.m_run;
+        return stepOf(a.m_task) == stepOf(b.m_task) && a.m_run == b.m_run;
     }
 
     /// Ends the other members of a run of a gang.
@@ -520,12 +528,7 @@
 
     bool areAllMembersPresent(const RunName& run) const
     {
-        std::uint32_t count = 0;
-        for (const auto& [id, worker] : m_workers) {
-            for (const auto& [name, state] : worker.m_running)
-                count += isSameGang(name, run) ? 1 : 0;
-        }
-        return count == specOf(run).m_count;
+        return countRuns([&run](const RunName& each) { return isSameGang(each, run); }) == specOf(run).m_count;
     }
 
     /// The runs of the worker end with its process.
@@ -570,7 +573,7 @@
         std::vector<std::pair<RunName, RunEnd>> ends;
         for (auto& [name, run] : worker.m_running) {
             const bool isWaiting = specOf(name).m_isGang && !areAllMembersPresent(name);
-            if (isWaiting)
+            if (isWaiting && run.m_endsAt != TimePoint::max())
                 run.m_endsAt += tick;
             if (worker.m_leaseEnd <= m_now)
                 ends.emplace_back(name, RunEnd::Lapsed);
@@ -691,8 +694,7 @@
         const Duration work(static_cast<Duration::rep>(static_cast<double>(spec.m_estimate.count()) * m_runTimeFactor
             * timeFactorOf(order.m_run.m_task) * worker.m_speedFactor));
         verifyStart(order.m_run);
-        const TaskIndex& index = order.m_run.m_task.m_index;
-        m_couldRunSince.erase({ order.m_run.m_task.m_job, index.m_occurrence, index.m_step });
+        m_couldRunSince.erase(stepOf(order.m_run.m_task));
         worker.m_leaseEnd = std::max(worker.m_leaseEnd, leaseEnd);
         worker.m_running[order.m_run]
             = { ++m_starts, spec.m_isLongRunning ? TimePoint::max() : m_now + work, m_now, spec.reserved() };
@@ -971,31 +973,21 @@
         };
         std::vector<StepName> idle;
         for (std::uint32_t k = 0; k < std::min(spec.occurrenceCount(), maxOccurrences); ++k) {
-            if (spec.m_occurrences > 0 && wallMs() < spec.m_firstDueMs + k * spec.m_intervalMs)
+            if (spec.hasDueTimes() && wallMs() < spec.m_firstDueMs + k * spec.m_intervalMs)
                 break;
             for (std::uint32_t i = 0; i < spec.m_steps.size(); ++i) {
                 const std::vector<std::uint32_t>& dependencies = spec.m_steps[i].m_dependsOn;
                 const bool isReady = std::all_of(dependencies.begin(), dependencies.end(),
                     [&](std::uint32_t earlier) { return doneIn(k, earlier) == spec.m_steps[earlier].m_count; });
-                if (isReady && doneIn(k, i) + runningTasks(record.m_job, k, i) < spec.m_steps[i].m_count)
-                    idle.push_back({ record.m_job, k, i });
+                const StepName name { record.m_job, k, i };
+                const auto isOfStep = [&name](const RunName& run) { return stepOf(run.m_task) == name; };
+                if (isReady && doneIn(k, i) + countRuns(isOfStep) < spec.m_steps[i].m_count)
+                    idle.push_back(name);
             }
         }
         return idle;
     }
 
-    std::uint32_t runningTasks(const JobId& job, std::uint32_t occurrence, std::uint32_t step) const
-    {
-        std::uint32_t count = 0;
-        for (const auto& [id, worker] : m_workers) {
-            for (const auto& [name, run] : worker.m_running) {
-                const TaskIndex& index = name.m_task.m_index;
-                count += name.m_task.m_job == job && index.m_occurrence == occurrence && index.m_step == step ? 1 : 0;
-            }
-        }
-        return count;
-    }
-
     /// Whether the workers that may run the step have room for it twice over: for a task, or for all of a gang.
     bool hasRoomTwice(const JobRecord& record, const StepName& name) const
     {
